--- /dev/null
+++ b/src/yuccareach/agent/__init__.py
@@ -0,0 +1,1 @@
+"""The agent process beside one backend server."""
--- /dev/null
+++ b/src/yuccareach/agent/engine_client.py
@@ -0,0 +1,96 @@
+"""The stream to the engine beside this agent."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import grpc
+
+from yuccareach.agent.events import (
+    EngineLost,
+    EngineReady,
+    EngineReported,
+    RunStep,
+    StepDone,
+)
+from yuccareach.proto import engine_pb2 as epb
+from yuccareach.proto.engine_pb2_grpc import EngineStub
+from yuccareach.runtime.links import CHANNEL_OPTIONS
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+RECONNECT_MS = 200
+INFO_TIMEOUT_MS = 2_000
+
+
+class EngineClient:
+    """Steps queued for the engine, sent in one batch per wake-up."""
+
+    def __init__(self, address: str, dispatch: Callable[[Any], None]) -> None:
+        self.address = address
+        self.dispatch = dispatch
+        self.steps: list[epb.Step] = []
+        self.ready = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Connect, and connect again whenever the engine was lost."""
+        self.tasks = [asyncio.create_task(self._keep())]
+
+    def run(self, effect: RunStep) -> None:
+        """Queue a step."""
+        self.steps.append(effect.step)
+        self.ready.set()
+
+    async def _keep(self) -> None:
+        while True:
+            try:
+                await self._run()
+            except grpc.RpcError:
+                pass
+            await asyncio.sleep(RECONNECT_MS / 1000)
+
+    async def _run(self) -> None:
+        """Serve one connection to the engine until it ends."""
+        async with grpc.aio.insecure_channel(
+            self.address, options=CHANNEL_OPTIONS
+        ) as channel:
+            stub = EngineStub(channel)
+            timeout = INFO_TIMEOUT_MS / 1000
+            info = await stub.Info(epb.InfoRequest(), timeout=timeout)
+            self.steps.clear()
+            self.dispatch(EngineReady(info))
+            watch = asyncio.create_task(self._watch(stub))
+            try:
+                async for batch in stub.Run(self._batches()):
+                    for result in batch.results:
+                        self.dispatch(StepDone(result))
+            finally:
+                watch.cancel()
+                self.dispatch(EngineLost())
+
+    async def _watch(self, stub: EngineStub) -> None:
+        """Pass on the load that the engine publishes."""
+        try:
+            async for report in stub.Watch(epb.WatchRequest()):
+                self.dispatch(EngineReported(report))
+        except grpc.RpcError:
+            pass
+
+    async def _batches(self) -> AsyncIterator[epb.StepBatch]:
+        while True:
+            await self.ready.wait()
+            self.ready.clear()
+            steps, self.steps = self.steps, []
+            yield epb.StepBatch(steps=steps)
+
+    async def close(self) -> None:
+        """End the streams."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+
+__all__ = ["EngineClient"]
--- /dev/null
+++ b/src/yuccareach/agent/service_client.py
@@ -0,0 +1,93 @@
+"""Calls from the agent to the plain service beside it."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import aiohttp
+
+from yuccareach.agent.events import CallService, ServiceReplied
+from yuccareach.proto import data_pb2 as pb
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+CONNECT_TIMEOUT_S = 2.0
+MAX_REPLY_BYTES = 8 << 20
+_RETURNED_HEADERS = ("content-type", "cache-control", "etag", "location")
+
+
+class ServiceClient:
+    """One HTTP session to the service."""
+
+    def __init__(self, url: str, dispatch: Callable[[Any], None]) -> None:
+        self.url = url.rstrip("/")
+        self.dispatch = dispatch
+        self.session: aiohttp.ClientSession | None = None
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def start(self) -> None:
+        """Open the session."""
+        self.session = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+        )
+
+    def call(self, effect: CallService) -> None:
+        """Perform a call in the background and dispatch its reply."""
+        task = asyncio.create_task(self._call(effect))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _call(self, effect: CallService) -> None:
+        reply = await self._reply(effect.message)
+        self.dispatch(ServiceReplied(effect.call, reply))
+
+    async def _reply(self, message: pb.Call) -> pb.Reply:
+        """Return the service's reply; not run only if no connection was made."""
+        assert self.session is not None
+        headers = {item.name: item.value for item in message.headers}
+        if message.key:
+            headers["Idempotency-Key"] = message.key
+        timeout = aiohttp.ClientTimeout(
+            total=message.timeout_ms / 1000, sock_connect=CONNECT_TIMEOUT_S
+        )
+        try:
+            async with self.session.request(
+                message.method,
+                self.url + message.path,
+                data=message.body or None,
+                headers=headers,
+                timeout=timeout,
+                allow_redirects=False,
+            ) as response:
+                body = await response.content.read(MAX_REPLY_BYTES + 1)
+                if len(body) > MAX_REPLY_BYTES:
+                    return pb.Reply(outcome=pb.UNKNOWN, reason="reply_too_large")
+                return pb.Reply(
+                    outcome=pb.RAN,
+                    status=response.status,
+                    body=body,
+                    headers=[
+                        pb.Header(name=name, value=response.headers[name])
+                        for name in _RETURNED_HEADERS
+                        if name in response.headers
+                    ],
+                )
+        except aiohttp.ClientConnectorError:
+            return pb.Reply(outcome=pb.NOT_RUN, reason="service_unreachable")
+        except TimeoutError:
+            return pb.Reply(outcome=pb.UNKNOWN, reason="service_timeout")
+        except aiohttp.ClientError as error:
+            name = type(error).__name__
+            return pb.Reply(outcome=pb.UNKNOWN, reason=f"service_failed_{name}")
+
+    async def close(self) -> None:
+        """Close the session."""
+        for task in self.tasks:
+            task.cancel()
+        if self.session is not None:
+            await self.session.close()
+
+
+__all__ = ["ServiceClient"]
--- /dev/null
+++ b/src/yuccareach/cli/__init__.py
@@ -0,0 +1,1 @@
+"""Command line: one module for each command."""
--- /dev/null
+++ b/src/yuccareach/cli/agent.py
@@ -0,0 +1,86 @@
+"""The yuccareach-agent command."""
+
+from __future__ import annotations
+
+import click
+
+from yuccareach.agent.run import AgentOptions, AgentProcess
+from yuccareach.cli.options import (
+    CONTEXT,
+    Address,
+    Addresses,
+    clear_errors,
+    common,
+    option,
+    serve,
+)
+from yuccareach.errors import UsageError
+
+
+@click.command(context_settings=CONTEXT)
+@option("--backend-server", "AGENT", required=True, help="Name of the backend server.")
+@option("--availability-zone", "AGENT", required=True, help="Its availability zone.")
+@option(
+    "--control",
+    "AGENT",
+    required=True,
+    type=Addresses(),
+    help="Control instances, separated by commas.",
+)
+@option("--engine", "AGENT", default="", help="HOST:PORT of the model engine.")
+@option("--service", "AGENT", default="", help="Name of the plain service.")
+@option("--service-url", "AGENT", default="", help="Base URL of the plain service.")
+@option("--port", "AGENT", type=int, default=0, help="Data port; 0 takes any.")
+@option("--http-port", "AGENT", type=int, default=0, help="Health and metrics port.")
+@option(
+    "--advertise",
+    "AGENT",
+    default=None,
+    type=Address(),
+    help="Address that other processes reach the data port by.",
+)
+@option(
+    "--retain-mib",
+    "AGENT",
+    type=click.IntRange(1, 4096),
+    default=64,
+    help="Memory for outputs kept to refill a lost next stage, in MiB.",
+)
+@common("AGENT")
+@clear_errors
+def main(
+    backend_server: str,
+    availability_zone: str,
+    control: tuple[str, ...],
+    engine: str,
+    service: str,
+    service_url: str,
+    port: int,
+    http_port: int,
+    advertise: str | None,
+    retain_mib: int,
+    host: str,
+    log_level: str,
+) -> None:
+    """Run beside one backend server: a model engine or a plain service."""
+    if bool(engine) == bool(service):
+        raise UsageError("give either --engine or --service")
+    if service and not service_url:
+        raise UsageError("--service needs --service-url")
+    options = AgentOptions(
+        backend_server,
+        availability_zone,
+        control,
+        engine,
+        service,
+        service_url,
+        host,
+        port,
+        http_port,
+        advertise or "",
+        retain_mib,
+    )
+    serve(AgentProcess(options), backend_server, log_level)
+
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/yuccareach/cli/apply.py
@@ -0,0 +1,127 @@
+"""yuccareach apply."""
+
+from __future__ import annotations
+
+import asyncio
+import getpass
+import secrets
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+import click
+
+from yuccareach.cli.diff import document_lines
+from yuccareach.cli.operator_client import Operator, Reply, checked, operator_options
+from yuccareach.cli.options import CONTEXT, EXIT_FAILURE, clear_errors
+from yuccareach.settings.convert import load_teams
+
+POLL_S = 0.2
+CONFLICT = 412
+NOT_FOUND = 404
+
+
+async def put_team(
+    operator: Operator,
+    team: str,
+    document: Any,
+    base: int,
+    *,
+    change_id: str = "",
+    dry_run: bool = False,
+) -> Reply:
+    """Send one team's subtree as a change made from a revision."""
+    return await operator.ask(
+        "PUT",
+        f"/v1/settings/{team}" + ("?dry_run=true" if dry_run else ""),
+        body=document,
+        headers={
+            "If-Match": f'"{base}"',
+            "Change-Id": change_id or secrets.token_hex(8),
+            "Author": getpass.getuser(),
+        },
+    )
+
+
+async def _apply(
+    operator: Operator, teams: dict[str, Any], *, dry_run: bool
+) -> tuple[int, bool]:
+    """Apply every team's subtree; return the newest revision and success."""
+    newest, right = 0, True
+    for team, document in teams.items():
+        current = await operator.ask("GET", f"/v1/settings/{team}")
+        if current.status != NOT_FOUND:
+            checked(current)
+            if document_lines(current.body) == document_lines(document):
+                click.echo(f"{team}: unchanged at revision {current.etag}")
+                newest = max(newest, current.etag)
+                continue
+        reply = await put_team(operator, team, document, current.etag, dry_run=dry_run)
+        if reply.status == CONFLICT:
+            click.echo(
+                f"{team}: conflict, revision {reply.body['team_revision']} by "
+                f"{reply.body['winner_author'] or 'unknown'} came first "
+                f"(change {reply.body['winner_change_id']})",
+                err=True,
+            )
+            right = False
+            continue
+        body = checked(reply)
+        if dry_run:
+            click.echo(f"{team}: would be accepted")
+            continue
+        click.echo(f"{team}: accepted as revision {body['revision']}")
+        newest = max(newest, body["revision"])
+    return newest, right
+
+
+async def wait_in_force(operator: Operator, revision: int, timeout_s: float) -> bool:
+    """Wait until every watching process has a revision in force."""
+    started = time.monotonic()
+    while True:
+        status = checked(await operator.ask("GET", "/v1/status"))
+        in_force = status["revision_in_force_by_availability_zone"]
+        if in_force and min(in_force.values()) >= revision:
+            elapsed = time.monotonic() - started
+            for zone, seen in sorted(in_force.items()):
+                click.echo(f"{zone}: revision {seen} in force")
+            click.echo(f"in force everywhere after {elapsed:.1f} s")
+            return True
+        if time.monotonic() - started > timeout_s:
+            lagging = ", ".join(status["lagging"]) or "no process watches"
+            click.echo(f"not in force everywhere yet: {lagging}", err=True)
+            return False
+        await asyncio.sleep(POLL_S)
+
+
+@click.command(context_settings=CONTEXT)
+@click.argument("folder", type=click.Path(path_type=Path))
+@click.option("--dry-run", is_flag=True, help="Only ask whether it would be accepted.")
+@click.option("--wait", is_flag=True, help="Wait until it is in force everywhere.")
+@click.option("--timeout", type=float, default=19.0, help="Longest wait, in seconds.")
+@operator_options
+@clear_errors
+def apply(
+    folder: Path,
+    dry_run: bool,
+    wait: bool,
+    timeout: float,
+    control: tuple[str, ...],
+    token: str,
+) -> None:
+    """Make the declarations below FOLDER the accepted settings."""
+    teams = load_teams(folder)
+    operator = Operator(control, token)
+
+    async def _run() -> bool:
+        revision, right = await _apply(operator, teams, dry_run=dry_run)
+        if wait and right and not dry_run:
+            return await wait_in_force(operator, revision, timeout)
+        return right
+
+    if not asyncio.run(_run()):
+        sys.exit(EXIT_FAILURE)
+
+
+__all__ = ["apply", "put_team", "wait_in_force"]
--- /dev/null
+++ b/src/yuccareach/cli/control.py
@@ -0,0 +1,99 @@
+"""The yuccareach-control command."""
+
+from __future__ import annotations
+
+from pathlib import Path
+
+import click
+
+from yuccareach.cli.options import (
+    CONTEXT,
+    Address,
+    Addresses,
+    clear_errors,
+    common,
+    option,
+    serve,
+)
+from yuccareach.control.run import ControlOptions, ControlProcess
+
+
+@click.command(context_settings=CONTEXT)
+@option("--instance", "CONTROL", required=True, help="Name of this instance.")
+@option("--availability-zone", "CONTROL", required=True, help="Its availability zone.")
+@option(
+    "--data",
+    "CONTROL",
+    required=True,
+    type=click.Path(file_okay=False, path_type=Path),
+    help="Data folder, on a disk that lasts.",
+)
+@option("--port", "CONTROL", type=int, default=7070, help="gRPC port; 0 takes any.")
+@option("--http-port", "CONTROL", type=int, default=7071, help="Operators' HTTP port.")
+@option(
+    "--advertise",
+    "CONTROL",
+    default=None,
+    type=Address(),
+    help="Address that other processes reach the gRPC port by.",
+)
+@option(
+    "--bootstrap",
+    "CONTROL",
+    is_flag=True,
+    help="Start a new cluster if the data folder is empty.",
+)
+@option(
+    "--join",
+    "CONTROL",
+    default=None,
+    type=Addresses(),
+    help="Control instances of the cluster to join, separated by commas.",
+)
+@option(
+    "--platform-token-sha256",
+    "CONTROL",
+    required=True,
+    help="SHA-256 in hex of the token that reaches every team's settings.",
+)
+@option(
+    "--snapshot-every",
+    "CONTROL",
+    type=click.IntRange(10),
+    default=10_000,
+    help="Log records between snapshots.",
+)
+@common("CONTROL")
+@clear_errors
+def main(
+    instance: str,
+    availability_zone: str,
+    data: Path,
+    port: int,
+    http_port: int,
+    advertise: str | None,
+    bootstrap: bool,
+    join: tuple[str, ...] | None,
+    platform_token_sha256: str,
+    snapshot_every: int,
+    host: str,
+    log_level: str,
+) -> None:
+    """Hold the replicated state: settings, permits, leases, membership."""
+    options = ControlOptions(
+        instance,
+        availability_zone,
+        data,
+        host,
+        port,
+        http_port,
+        advertise or "",
+        bootstrap,
+        join or (),
+        platform_token_sha256,
+        snapshot_every,
+    )
+    serve(ControlProcess(options), instance, log_level)
+
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/yuccareach/cli/demo.py
@@ -0,0 +1,34 @@
+"""yuccareach demo."""
+
+from __future__ import annotations
+
+import asyncio
+import sys
+
+import click
+
+from yuccareach.cli.options import CONTEXT, EXIT_FAILURE, clear_errors
+from yuccareach.demo import run_demo, serve_demo
+from yuccareach.runtime import logs
+
+
+@click.command(context_settings=CONTEXT)
+@click.option("--serve", is_flag=True, help="Go on serving until Ctrl-C.")
+@click.option("--port", type=int, default=8080, help="HTTP port with --serve.")
+@click.option(
+    "--log-level",
+    default="warning",
+    type=click.Choice(["debug", "info", "warning", "error"]),
+    help="Least level that is logged.",
+)
+@clear_errors
+def demo(serve: bool, port: int, log_level: str) -> None:
+    """Run every role in one process and check real answers over HTTP."""
+    logs.configure(log_level, "demo")
+    if serve:
+        asyncio.run(serve_demo(port))
+    elif not asyncio.run(run_demo()):
+        sys.exit(EXIT_FAILURE)
+
+
+__all__ = ["demo"]
--- /dev/null
+++ b/src/yuccareach/cli/entry.py
@@ -0,0 +1,54 @@
+"""The yuccareach-entry command."""
+
+from __future__ import annotations
+
+import click
+
+from yuccareach.cli.options import (
+    CONTEXT,
+    Addresses,
+    clear_errors,
+    common,
+    option,
+    serve,
+)
+from yuccareach.entry.run import EntryProcess, EntryProcessOptions
+
+
+@click.command(context_settings=CONTEXT)
+@option("--instance", "ENTRY", required=True, help="Name of this instance.")
+@option("--availability-zone", "ENTRY", required=True, help="Its availability zone.")
+@option(
+    "--control",
+    "ENTRY",
+    required=True,
+    type=Addresses(),
+    help="Control instances, separated by commas.",
+)
+@option("--port", "ENTRY", type=int, default=8080, help="HTTP port; 0 takes any.")
+@option(
+    "--recovery",
+    "ENTRY",
+    type=click.Choice(["resume", "replay"]),
+    default="resume",
+    help="Whether stages that still hold a request's state carry on from it.",
+)
+@common("ENTRY")
+@clear_errors
+def main(
+    instance: str,
+    availability_zone: str,
+    control: tuple[str, ...],
+    port: int,
+    recovery: str,
+    host: str,
+    log_level: str,
+) -> None:
+    """Serve callers: HTTP in, streams to agents out."""
+    options = EntryProcessOptions(
+        instance, availability_zone, control, host, port, recovery == "resume"
+    )
+    serve(EntryProcess(options), instance, log_level)
+
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/yuccareach/cli/main.py
@@ -0,0 +1,39 @@
+"""The yuccareach command for operators."""
+
+from __future__ import annotations
+
+import click
+
+from yuccareach import __version__
+from yuccareach.cli.apply import apply
+from yuccareach.cli.control_group import control
+from yuccareach.cli.demo import demo
+from yuccareach.cli.diff import diff
+from yuccareach.cli.get import get
+from yuccareach.cli.history import history
+from yuccareach.cli.options import CONTEXT
+from yuccareach.cli.rollback import rollback
+from yuccareach.cli.status import status
+from yuccareach.cli.validate import validate
+
+
+@click.group(context_settings=CONTEXT)
+@click.version_option(__version__, prog_name="yuccareach")
+def main() -> None:
+    """Route requests through model pipelines over mixed accelerators."""
+
+
+for _command in (
+    apply,
+    control,
+    demo,
+    diff,
+    get,
+    history,
+    rollback,
+    status,
+    validate,
+):
+    main.add_command(_command)
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/yuccareach/cli/standin.py
@@ -0,0 +1,95 @@
+"""The yuccareach-standin command."""
+
+from __future__ import annotations
+
+import click
+
+from yuccareach import __version__
+from yuccareach.cli.options import CONTEXT, LayerRange, clear_errors, option, serve
+from yuccareach.errors import UsageError
+from yuccareach.standin.engine import EngineOptions
+from yuccareach.standin.kinds import KIND_BY_NAME
+from yuccareach.standin.run import EngineProcess, ServiceProcess
+
+
+@click.group(context_settings=CONTEXT)
+@click.version_option(__version__, prog_name="yuccareach-standin")
+def main() -> None:
+    """Stand in for model engines, plain services and faulty networks."""
+
+
+@main.command(context_settings=CONTEXT)
+@option("--model", "STANDIN", required=True, help="Name of the model.")
+@option(
+    "--layers", "STANDIN", type=click.IntRange(1), required=True, help="All layers."
+)
+@option("--hold", "STANDIN", type=LayerRange(), required=True, help="Layers held here.")
+@option(
+    "--kind",
+    "STANDIN",
+    type=click.Choice(sorted(KIND_BY_NAME)),
+    default="a100",
+    help="Accelerator kind, which sets the time model.",
+)
+@option("--speed", "STANDIN", type=float, default=1.0, help="Factor on its speed.")
+@option("--ignore-fencing", "STANDIN", is_flag=True, help="Obey any order.")
+@option(
+    "--event-loss",
+    "STANDIN",
+    type=click.FloatRange(0, 1),
+    default=0.1,
+    help="Share of load and cache events lost.",
+)
+@option(
+    "--crash-word", "STANDIN", default="", help="A prompt with it ends the process."
+)
+@option("--seed", "STANDIN", type=int, default=0, help="Seed of the losses.")
+@option("--host", "STANDIN", default="127.0.0.1", help="Address to listen on.")
+@option("--port", "STANDIN", type=int, default=0, help="gRPC port; 0 takes any.")
+@option("--admin-port", "STANDIN", type=int, default=0, help="HTTP port for tests.")
+@clear_errors
+def engine(
+    model: str,
+    layers: int,
+    hold: tuple[int, int],
+    kind: str,
+    speed: float,
+    ignore_fencing: bool,
+    event_loss: float,
+    crash_word: str,
+    seed: int,
+    host: str,
+    port: int,
+    admin_port: int,
+) -> None:
+    """Hold a range of layers of a model that can be checked."""
+    if hold[1] > layers:
+        raise UsageError(f"--hold ends at {hold[1]}, the model has {layers} layers")
+    options = EngineOptions(
+        model,
+        layers,
+        hold[0],
+        hold[1],
+        kind,
+        speed,
+        not ignore_fencing,
+        event_loss,
+        seed,
+        crash_word,
+    )
+    serve(EngineProcess(options, host, port, admin_port), f"engine-{port}", "info")
+
+
+@main.command(context_settings=CONTEXT)
+@option("--host", "STANDIN", default="127.0.0.1", help="Address to listen on.")
+@option("--port", "STANDIN", type=int, default=0, help="HTTP port; 0 takes any.")
+@option(
+    "--delay-ms", "STANDIN", type=click.IntRange(0), default=0, help="Time per payout."
+)
+@clear_errors
+def service(host: str, port: int, delay_ms: int) -> None:
+    """Keep a ledger with balances and payouts."""
+    serve(ServiceProcess(host, port, delay_ms), f"service-{port}", "info")
+
+
+__all__ = ["main"]
--- /dev/null
+++ b/src/yuccareach/cli/validate.py
@@ -0,0 +1,30 @@
+"""yuccareach validate."""
+
+from __future__ import annotations
+
+import sys
+from pathlib import Path
+
+import click
+
+from yuccareach.cli.options import CONTEXT, EXIT_USAGE
+from yuccareach.settings.convert import load_teams
+from yuccareach.settings.errors import InvalidSettings
+
+
+@click.command(context_settings=CONTEXT)
+@click.argument("folder", type=click.Path(path_type=Path))
+def validate(folder: Path) -> None:
+    """Check the declarations below FOLDER, one folder for each team."""
+    try:
+        teams = load_teams(folder)
+    except InvalidSettings as error:
+        click.echo(str(error), err=True)
+        click.echo(f"{len(error.faults)} faults", err=True)
+        sys.exit(EXIT_USAGE)
+    for team, document in teams.items():
+        counts = ", ".join(f"{len(items)} {name}" for name, items in document.items())
+        click.echo(f"{team}: {counts or 'empty'}")
+
+
+__all__ = ["validate"]
--- /dev/null
+++ b/src/yuccareach/control/__init__.py
@@ -0,0 +1,1 @@
+"""The replicated control state."""
--- /dev/null
+++ b/src/yuccareach/control/client.py
@@ -0,0 +1,163 @@
+"""How entries and agents talk to control, through whichever instance answers."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import grpc
+
+from yuccareach.control.errors import ControlUnavailable
+from yuccareach.proto import control_pb2 as cpb
+from yuccareach.proto.control_pb2_grpc import ControlStub
+from yuccareach.runtime.links import CHANNEL_OPTIONS
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+RECONNECT_MS = 200
+SUBMIT_TRY_MS = 1_500
+ACKNOWLEDGE_INTERVAL_MS = 500
+
+
+class WatchUpdated(NamedTuple):
+    """Control sent newer settings or members."""
+
+    update: cpb.WatchUpdate
+
+
+class ControlClient:
+    """Streams and calls to the control instances, moved on when one fails."""
+
+    def __init__(
+        self,
+        addresses: tuple[str, ...],
+        instance: str,
+        availability_zone: str,
+        dispatch: Callable[[Any], None],
+        revision: Callable[[], int],
+        *,
+        members: bool,
+    ) -> None:
+        self.addresses = addresses
+        self.instance = instance
+        self.availability_zone = availability_zone
+        self.dispatch = dispatch
+        self.revision = revision
+        self.members = members
+        self.heartbeat: cpb.Heartbeat | None = None
+        self.heartbeat_ready = asyncio.Event()
+        self.leader = ""
+        self.channel_by_address: dict[str, grpc.aio.Channel] = {}
+        self.tasks: list[asyncio.Task[None]] = []
+
+    def start(self) -> None:
+        """Keep a watch, and an announcement once there is one."""
+        start = sum(self.instance.encode()) % len(self.addresses)
+        order = [*self.addresses[start:], *self.addresses[:start]]
+        self.tasks = [
+            asyncio.create_task(self._keep(order, self._watch)),
+            asyncio.create_task(self._keep(order, self._announce)),
+        ]
+
+    async def _keep(self, order: list[str], run: Callable[[str], Any]) -> None:
+        """Run a stream to one address after another."""
+        for address in itertools.cycle(order):
+            try:
+                await run(address)
+            except grpc.RpcError:
+                pass
+            await asyncio.sleep(RECONNECT_MS / 1000)
+
+    def _stub(self, address: str) -> ControlStub:
+        channel = self.channel_by_address.get(address)
+        if channel is None:
+            channel = grpc.aio.insecure_channel(address, options=CHANNEL_OPTIONS)
+            self.channel_by_address[address] = channel
+        return ControlStub(channel)
+
+    async def _watch(self, address: str) -> None:
+        async for update in self._stub(address).Watch(self._watch_requests()):
+            self.dispatch(WatchUpdated(update))
+
+    async def _watch_requests(self) -> AsyncIterator[cpb.WatchRequest]:
+        """Start the watch, then report every revision that comes into force."""
+        reported = -1
+        while True:
+            revision = self.revision()
+            if revision != reported:
+                reported = revision
+                yield cpb.WatchRequest(
+                    instance=self.instance,
+                    availability_zone=self.availability_zone,
+                    revision=revision,
+                    members=self.members,
+                )
+            await asyncio.sleep(ACKNOWLEDGE_INTERVAL_MS / 1000)
+
+    def announce(self, member: cpb.Member, *, leaving: bool = False) -> None:
+        """Send a heartbeat at once."""
+        self.heartbeat = cpb.Heartbeat(
+            member=member, revision=self.revision(), leaving=leaving
+        )
+        self.heartbeat_ready.set()
+
+    async def _announce(self, address: str) -> None:
+        async for _ in self._stub(address).Announce(self._heartbeats()):
+            pass
+
+    async def _heartbeats(self) -> AsyncIterator[cpb.Heartbeat]:
+        while True:
+            await self.heartbeat_ready.wait()
+            self.heartbeat_ready.clear()
+            if self.heartbeat is not None:
+                yield self.heartbeat
+
+    async def submit(self, command: cpb.Command, timeout_ms: int) -> cpb.CommandAnswer:
+        """Have a command committed; raises ControlUnavailable.
+
+        The error's sent is False only where no instance can have taken the command.
+        """
+        deadline = asyncio.get_running_loop().time() + timeout_ms / 1000
+        sent = False
+        for address in itertools.cycle(self.addresses):
+            left = deadline - asyncio.get_running_loop().time()
+            if left <= 0:
+                raise ControlUnavailable("no control leader answered in time", sent)
+            target = self.leader or address
+            try:
+                reply = await self._stub(target).Submit(
+                    cpb.SubmitRequest(command=command),
+                    timeout=min(left, SUBMIT_TRY_MS / 1000),
+                )
+            except grpc.RpcError as error:
+                sent = sent or _may_have_arrived(error)
+                self.leader = ""
+            else:
+                if not reply.not_leader:
+                    return reply.answer
+                sent = sent or bool(reply.answer.error)
+                self.leader = reply.leader_address
+                if self.leader and self.leader != target:
+                    continue
+                self.leader = ""
+            await asyncio.sleep(RECONNECT_MS / 2000)
+        raise ControlUnavailable("no control address is set", sent)
+
+    async def close(self) -> None:
+        """End the streams."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        for channel in self.channel_by_address.values():
+            await channel.close()
+
+
+def _may_have_arrived(error: grpc.RpcError) -> bool:
+    """Return whether a failed call may have reached the other end."""
+    refused = "failed to connect" in str(error.details() or "").lower()
+    return not refused
+
+
+__all__ = ["ControlClient", "WatchUpdated"]
--- /dev/null
+++ b/src/yuccareach/control/machine.py
@@ -0,0 +1,343 @@
+"""The replicated state machine: settings, permits, leases and quarantine.
+
+Every method is deterministic: time comes from the commands.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict
+from typing import NamedTuple
+
+import xxhash
+
+from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
+
+HISTORY_KEPT = 500
+CHANGE_IDS_KEPT = 10_000
+PERMIT_RETENTION_MS = 24 * 3_600_000
+TOMBSTONE_RETENTION_MS = 30 * 24 * 3_600_000
+REPLY_KEPT_BYTES = 16_384
+
+
+class PermitId(NamedTuple):
+    """What names a non-idempotent call."""
+
+    workspace: str
+    service: str
+    key: str
+
+
+class Machine:
+    """The state that every control instance derives from the log."""
+
+    def __init__(self) -> None:
+        self.revision = 0
+        self.next_permit = 1
+        self.next_fencing_number = 1
+        self.now_ms = 0
+        self.team_by_name: dict[str, cpb.TeamState] = {}
+        self.history: list[cpb.HistoryRecord] = []
+        self.change_by_id: OrderedDict[str, cpb.ChangeRecord] = OrderedDict()
+        self.permit_by_id: OrderedDict[PermitId, cpb.PermitRecord] = OrderedDict()
+        self.tombstone_by_digest: OrderedDict[int, int] = OrderedDict()
+        self.lease_by_resource: dict[str, cpb.LeaseRecord] = {}
+        self.quarantine_by_fingerprint: dict[bytes, int] = {}
+
+    def apply(self, command: cpb.Command) -> cpb.CommandAnswer:
+        """Apply one committed command and return its answer."""
+        match command.WhichOneof("body"):
+            case "settings":
+                return self._change_settings(command.settings)
+            case "permit_acquire":
+                return self._acquire(command.permit_acquire)
+            case "permit_finish":
+                return self._finish(command.permit_finish)
+            case "permit_revoke":
+                return self._revoke(command.permit_revoke)
+            case "lease":
+                return self._lease(command.lease)
+            case "quarantine":
+                return self._quarantine(command.quarantine)
+        return cpb.CommandAnswer()
+
+    def _advance(self, at_ms: int) -> None:
+        """Move time forward and let what has expired go."""
+        self.now_ms = max(self.now_ms, at_ms)
+        while self.permit_by_id:
+            identifier, record = next(iter(self.permit_by_id.items()))
+            if self.now_ms - record.at_ms <= PERMIT_RETENTION_MS:
+                break
+            del self.permit_by_id[identifier]
+            self.tombstone_by_digest[_digest(identifier)] = self.now_ms
+        while self.tombstone_by_digest:
+            digest, buried_ms = next(iter(self.tombstone_by_digest.items()))
+            if self.now_ms - buried_ms <= TOMBSTONE_RETENTION_MS:
+                break
+            del self.tombstone_by_digest[digest]
+
+    # Settings.
+
+    def _change_settings(self, change: cpb.SettingsChange) -> cpb.CommandAnswer:
+        digest = change_digest(change)
+        known = self.change_by_id.get(change.change_id)
+        if known is not None:
+            return _first_answer(known, digest)
+        self._advance(change.at_ms)
+        team = self.team_by_name.get(change.team)
+        team_revision = team.revision if team else 0
+        if change.base_revision != team_revision:
+            answer = self._conflict(change.team, team_revision)
+        else:
+            answer = self._accept(change)
+        self.change_by_id[change.change_id] = cpb.ChangeRecord(
+            change_id=change.change_id, digest=digest, answer=answer
+        )
+        if len(self.change_by_id) > CHANGE_IDS_KEPT:
+            self.change_by_id.popitem(last=False)
+        return cpb.CommandAnswer(settings=answer)
+
+    def _accept(self, change: cpb.SettingsChange) -> cpb.SettingsAnswer:
+        self.revision += 1
+        self.team_by_name[change.team] = cpb.TeamState(
+            team=change.team,
+            revision=self.revision,
+            document=change.document,
+            removed=change.removed,
+        )
+        self.history.append(
+            cpb.HistoryRecord(
+                revision=self.revision,
+                team=change.team,
+                change_id=change.change_id,
+                author=change.author,
+                at_ms=change.at_ms,
+                document=change.document,
+                removed=change.removed,
+            )
+        )
+        del self.history[:-HISTORY_KEPT]
+        return cpb.SettingsAnswer(
+            accepted=True, revision=self.revision, team_revision=self.revision
+        )
+
+    def _conflict(self, team: str, team_revision: int) -> cpb.SettingsAnswer:
+        """Answer a change made from another revision with the change that won."""
+        winner = next(
+            (item for item in reversed(self.history) if item.team == team), None
+        )
+        return cpb.SettingsAnswer(
+            accepted=False,
+            revision=self.revision,
+            team_revision=team_revision,
+            winner_change_id=winner.change_id if winner else "",
+            winner_author=winner.author if winner else "",
+            error="conflict",
+        )
+
+    def settings_after(self, revision: int) -> pb.SettingsPush:
+        """Return the settings that a process at a revision lacks."""
+        return pb.SettingsPush(
+            after_revision=revision,
+            revision=self.revision,
+            teams=[
+                pb.TeamDocument(
+                    team=team.team,
+                    revision=team.revision,
+                    document=team.document,
+                    removed=team.removed,
+                )
+                for team in self.team_by_name.values()
+                if team.revision > revision
+            ],
+        )
+
+    # Permits for non-idempotent calls.
+
+    def _acquire(self, request: cpb.PermitAcquire) -> cpb.CommandAnswer:
+        self._advance(request.at_ms)
+        identifier = permit_id(request.key)
+        record = self.permit_by_id.get(identifier)
+        if record is not None and record.digest != request.digest:
+            return _permit_answer(cpb.PermitAnswer(state=cpb.PERMIT_MISMATCH))
+        if record is not None and record.answer.state != cpb.PERMIT_REVOKED:
+            return _permit_answer(record.answer)
+        if _digest(identifier) in self.tombstone_by_digest:
+            return _permit_answer(cpb.PermitAnswer(state=cpb.PERMIT_EXPIRED))
+        answer = cpb.PermitAnswer(
+            state=cpb.PERMIT_GRANTED,
+            permit=self.next_permit,
+            backend_server=request.backend_server,
+            incarnation=request.incarnation,
+        )
+        self.next_permit += 1
+        kept = cpb.PermitAnswer()
+        kept.CopyFrom(answer)
+        kept.state = cpb.PERMIT_EXISTS
+        self.permit_by_id.pop(identifier, None)
+        self.permit_by_id[identifier] = cpb.PermitRecord(
+            key=request.key, answer=kept, digest=request.digest, at_ms=self.now_ms
+        )
+        return _permit_answer(answer)
+
+    def _finish(self, request: cpb.PermitFinish) -> cpb.CommandAnswer:
+        """Keep the reply of a call that ran; one too large is kept as its status."""
+        self._advance(request.at_ms)
+        record = self.permit_by_id.get(permit_id(request.key))
+        if record is None or record.answer.permit != request.permit:
+            return _permit_answer(cpb.PermitAnswer(state=cpb.PERMIT_EXPIRED))
+        if record.answer.state == cpb.PERMIT_EXISTS:
+            if len(request.body) <= REPLY_KEPT_BYTES:
+                record.answer.state = cpb.PERMIT_FINISHED
+                record.answer.body = request.body
+                record.answer.content_type = request.content_type
+            record.answer.status = request.status
+        return _permit_answer(record.answer)
+
+    def _revoke(self, request: cpb.PermitRevoke) -> cpb.CommandAnswer:
+        record = self.permit_by_id.get(permit_id(request.key))
+        if record is None or record.answer.permit != request.permit:
+            return _permit_answer(cpb.PermitAnswer(state=cpb.PERMIT_EXPIRED))
+        if record.answer.state == cpb.PERMIT_EXISTS:
+            record.answer.state = cpb.PERMIT_REVOKED
+        return _permit_answer(record.answer)
+
+    # Leases and fencing numbers.
+
+    def _lease(self, request: cpb.LeaseGrant) -> cpb.CommandAnswer:
+        self._advance(request.at_ms)
+        lease = self.lease_by_resource.get(request.resource)
+        held = lease is not None and lease.expires_ms > self.now_ms
+        if lease is not None and held and lease.holder != request.holder:
+            return cpb.CommandAnswer(
+                lease=cpb.LeaseAnswer(
+                    granted=False,
+                    holder=lease.holder,
+                    fencing_number=lease.fencing_number,
+                    remaining_ms=lease.expires_ms - self.now_ms,
+                )
+            )
+        if lease is None or not held:
+            number = self.next_fencing_number
+            self.next_fencing_number += 1
+        else:
+            number = lease.fencing_number
+        self.lease_by_resource[request.resource] = cpb.LeaseRecord(
+            resource=request.resource,
+            holder=request.holder,
+            fencing_number=number,
+            expires_ms=self.now_ms + request.duration_ms,
+        )
+        return cpb.CommandAnswer(
+            lease=cpb.LeaseAnswer(
+                granted=True,
+                holder=request.holder,
+                fencing_number=number,
+                remaining_ms=request.duration_ms,
+            )
+        )
+
+    def _quarantine(self, request: cpb.Quarantine) -> cpb.CommandAnswer:
+        self._advance(request.at_ms)
+        self.quarantine_by_fingerprint = {
+            fingerprint: expires
+            for fingerprint, expires in self.quarantine_by_fingerprint.items()
+            if expires > self.now_ms
+        }
+        expires_ms = self.now_ms + request.duration_ms
+        self.quarantine_by_fingerprint[request.fingerprint] = expires_ms
+        return cpb.CommandAnswer()
+
+    # Snapshots.
+
+    def dump(self) -> bytes:
+        """Serialize the whole state; equal states give equal bytes."""
+        state = cpb.ControlState(
+            revision=self.revision,
+            next_permit=self.next_permit,
+            next_fencing_number=self.next_fencing_number,
+            now_ms=self.now_ms,
+            teams=[team for _, team in sorted(self.team_by_name.items())],
+            history=self.history,
+            changes=self.change_by_id.values(),
+            permits=self.permit_by_id.values(),
+            leases=[lease for _, lease in sorted(self.lease_by_resource.items())],
+            quarantines=[
+                cpb.QuarantineRecord(fingerprint=key, expires_ms=value)
+                for key, value in sorted(self.quarantine_by_fingerprint.items())
+            ],
+            tombstones=[
+                cpb.TombstoneRecord(digest=digest, at_ms=at_ms)
+                for digest, at_ms in self.tombstone_by_digest.items()
+            ],
+        )
+        return state.SerializeToString(deterministic=True)
+
+
+def load_machine(data: bytes) -> Machine:
+    """Rebuild the state from a snapshot."""
+    state = cpb.ControlState.FromString(data)
+    machine = Machine()
+    machine.revision = state.revision
+    machine.next_permit = max(1, state.next_permit)
+    machine.next_fencing_number = max(1, state.next_fencing_number)
+    machine.now_ms = state.now_ms
+    machine.team_by_name = {team.team: team for team in state.teams}
+    machine.history = list(state.history)
+    machine.change_by_id = OrderedDict(
+        (record.change_id, record) for record in state.changes
+    )
+    machine.permit_by_id = OrderedDict(
+        (permit_id(record.key), record) for record in state.permits
+    )
+    machine.lease_by_resource = {lease.resource: lease for lease in state.leases}
+    machine.quarantine_by_fingerprint = {
+        record.fingerprint: record.expires_ms for record in state.quarantines
+    }
+    machine.tombstone_by_digest = OrderedDict(
+        (record.digest, record.at_ms) for record in state.tombstones
+    )
+    return machine
+
+
+def permit_id(key: cpb.PermitKey) -> PermitId:
+    """Return the lookup form of a permit's key."""
+    return PermitId(key.workspace, key.service, key.key)
+
+
+def change_digest(change: cpb.SettingsChange) -> bytes:
+    """Return what tells two changes under one change id apart."""
+    parts = (
+        change.team.encode(),
+        str(change.base_revision).encode(),
+        str(change.removed).encode(),
+        change.document,
+    )
+    return hashlib.sha256(b"\0".join(parts)).digest()
+
+
+def _first_answer(known: cpb.ChangeRecord, digest: bytes) -> cpb.CommandAnswer:
+    """Repeat the answer to a change id, or refuse another change under it."""
+    if known.digest == digest:
+        return cpb.CommandAnswer(settings=known.answer)
+    return cpb.CommandAnswer(
+        settings=cpb.SettingsAnswer(accepted=False, error="change_id_reused")
+    )
+
+
+def _permit_answer(answer: cpb.PermitAnswer) -> cpb.CommandAnswer:
+    return cpb.CommandAnswer(permit=answer)
+
+
+def _digest(identifier: PermitId) -> int:
+    return xxhash.xxh3_64_intdigest("\0".join(identifier).encode())
+
+
+__all__ = [
+    "PERMIT_RETENTION_MS",
+    "REPLY_KEPT_BYTES",
+    "Machine",
+    "change_digest",
+    "load_machine",
+    "permit_id",
+]
--- /dev/null
+++ b/src/yuccareach/control/membership.py
@@ -0,0 +1,127 @@
+"""Changes of the control instances themselves, one at a time."""
+
+from __future__ import annotations
+
+from typing import Any
+
+from yuccareach.control.raft_types import Answer, RaftState, Refused, Role
+from yuccareach.control.replication import append
+from yuccareach.proto import control_pb2 as cpb
+from yuccareach.runtime.logs import Log
+
+Effects = list[Any]
+CAUGHT_UP_RECORDS = 64
+
+
+def change_pending(state: RaftState) -> bool:
+    """Return whether a change cannot start yet.
+
+    The newest membership must be committed, and so must a record of this term.
+    """
+    return (
+        state.membership_index > state.commit_index
+        or state.term_at(state.commit_index) != state.term
+    )
+
+
+def add_peer(state: RaftState, ticket: int, peer: cpb.Peer) -> Effects:
+    """Let an instance join as a non-voter; a known one is left as it is."""
+    if any(known.identity == peer.identity for known in state.membership.peers):
+        return [Answer(ticket, cpb.CommandAnswer())]
+    joined = cpb.Peer()
+    joined.CopyFrom(peer)
+    joined.voter = False
+    learners_kept = [
+        known
+        for known in state.membership.peers
+        if known.voter or known.name != peer.name
+    ]
+    return _change(state, ticket, [*learners_kept, joined])
+
+
+def remove_peer(state: RaftState, ticket: int, name: str) -> Effects:
+    """Take an instance out by name."""
+    peers = list(state.membership.peers)
+    removed = [peer for peer in peers if name in (peer.name, peer.identity)]
+    if not removed:
+        return [Refused(ticket, f"no member is named {name}", "")]
+    if len(removed) > 1:
+        return [Refused(ticket, f"{name} is ambiguous, give its identity", "")]
+    kept = [peer for peer in peers if peer is not removed[0]]
+    if not any(peer.voter for peer in kept):
+        return [Refused(ticket, "the last voter cannot be removed", "")]
+    return _change(state, ticket, kept)
+
+
+def promote_peer(state: RaftState, ticket: int, name: str) -> Effects:
+    """Make a caught-up non-voter a voter."""
+    learner = next(
+        (
+            peer
+            for peer in state.membership.peers
+            if not peer.voter and name in (peer.name, peer.identity)
+        ),
+        None,
+    )
+    if learner is None:
+        return [Refused(ticket, f"no non-voter is named {name}", "")]
+    if not _caught_up(state, learner):
+        return [Refused(ticket, f"{name} has not caught up", "")]
+    return _change(state, ticket, _promoted(state, learner))
+
+
+def repair(state: RaftState) -> Effects:
+    """Replace a lost voter by the caught-up instance that took its name."""
+    if state.role is not Role.LEADER or change_pending(state):
+        return []
+    learner = next(
+        (
+            peer
+            for peer in state.membership.peers
+            if not peer.voter and _caught_up(state, peer)
+        ),
+        None,
+    )
+    if learner is None:
+        return []
+    replaced = [
+        peer
+        for peer in state.membership.peers
+        if peer.voter and peer.name == learner.name
+    ]
+    if replaced:
+        kept = [peer for peer in state.membership.peers if peer is not replaced[0]]
+        return _change(state, 0, kept)
+    return _change(state, 0, _promoted(state, learner))
+
+
+def _caught_up(state: RaftState, peer: cpb.Peer) -> bool:
+    progress = state.progress_by_peer.get(peer.identity)
+    if progress is None:
+        return False
+    return progress.match_index + CAUGHT_UP_RECORDS >= state.last_index > 0 and (
+        progress.match_index > 0
+    )
+
+
+def _promoted(state: RaftState, learner: cpb.Peer) -> list[cpb.Peer]:
+    voter = cpb.Peer()
+    voter.CopyFrom(learner)
+    voter.voter = True
+    return [peer if peer is not learner else voter for peer in state.membership.peers]
+
+
+def _change(state: RaftState, ticket: int, peers: list[cpb.Peer]) -> Effects:
+    if change_pending(state):
+        return [Refused(ticket, "another change of members is in progress", "")]
+    command = cpb.Command(membership=cpb.Membership(peers=peers))
+    effects = append(state, command)
+    if ticket:
+        state.ticket_by_index[state.last_index] = ticket
+    names = ",".join(
+        f"{peer.identity}{'' if peer.voter else '(non-voter)'}" for peer in peers
+    )
+    return [*effects, Log("members_changed", {"members": names})]
+
+
+__all__ = ["add_peer", "change_pending", "promote_peer", "remove_peer", "repair"]
--- /dev/null
+++ b/src/yuccareach/control/operators.py
@@ -0,0 +1,368 @@
+"""HTTP interface for operators: settings, history, status and members."""
+
+from __future__ import annotations
+
+import json
+from collections import Counter
+from typing import TYPE_CHECKING, Any
+
+import falcon
+import falcon.asgi
+import msgspec
+
+from yuccareach import __version__
+from yuccareach.control.errors import NotLeader
+from yuccareach.control.raft_types import (
+    PeerPromoted,
+    PeerRemoved,
+    ReadAsked,
+    Role,
+    Submitted,
+)
+from yuccareach.control.replication import compact
+from yuccareach.proto import control_pb2 as cpb
+from yuccareach.settings.convert import check_document
+from yuccareach.settings.errors import InvalidSettings
+from yuccareach.settings.sets import PLATFORM_TEAM, hash_key
+
+if TYPE_CHECKING:
+    from yuccareach.control.run import ControlProcess
+
+MAX_DOCUMENT_BYTES = 16 << 20
+
+
+class _Unauthorized(falcon.HTTPForbidden):  # type: ignore[misc]
+    """The token does not reach what was asked for."""
+
+
+def _authorize(process: ControlProcess, request: Any, team: str | None) -> None:
+    """Let the platform's token reach everything, a team's only its subtree."""
+    header = request.get_header("Authorization") or ""
+    digest = hash_key(header.removeprefix("Bearer ").strip())
+    if digest == process.options.platform_token_sha256:
+        return
+    teams = {
+        operator["team"]
+        for operator in _operators(process).values()
+        if digest in operator["token_sha256"]
+    }
+    if not teams:
+        raise falcon.HTTPUnauthorized(title="unknown operator token")
+    if PLATFORM_TEAM not in teams and team not in teams:
+        raise _Unauthorized(title="this token does not reach this team")
+
+
+def _operators(process: ControlProcess) -> dict[str, Any]:
+    platform = process.machine.team_by_name.get(PLATFORM_TEAM)
+    if platform is None or platform.removed:
+        return {}
+    operators: dict[str, Any] = json.loads(platform.document).get("operators", {})
+    return operators
+
+
+async def _ask(process: ControlProcess, event: Any) -> Any:
+    """Ask the log, or send the operator to the leader."""
+    try:
+        return await process.ask(event)
+    except NotLeader as error:
+        raise _not_leader(process, error) from error
+
+
+def _not_leader(process: ControlProcess, error: NotLeader) -> falcon.HTTPError:
+    """Tell where the leader is, or when to ask again."""
+    reason = str(error)
+    if reason not in ("not_leader", "lost_leadership", "disk_failed"):
+        return falcon.HTTPConflict(title=reason)
+    leader = next(
+        (
+            peer.operator_address
+            for peer in process.state.membership.peers
+            if peer.address == error.leader_address
+        ),
+        "",
+    )
+    headers = {"Leader": leader, "Retry-After": "1"}
+    return falcon.HTTPError(falcon.HTTP_421, title=reason, headers=headers)
+
+
+class SettingsResource:
+    """All teams' settings, or one team's."""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def on_get(self, request: Any, response: Any, team: str = "") -> None:
+        """Return settings, after a quorum has confirmed that they are current."""
+        _authorize(self.process, request, team or None)
+        await _ask(self.process, ReadAsked)
+        teams = self.process.machine.team_by_name
+        if not team:
+            response.media = {
+                "revision": self.process.machine.revision,
+                "teams": {
+                    name: item.revision
+                    for name, item in sorted(teams.items())
+                    if not item.removed
+                },
+            }
+            return
+        if team not in teams or teams[team].removed:
+            revision = teams[team].revision if team in teams else 0
+            response.set_header("ETag", f'"{revision}"')
+            raise falcon.HTTPNotFound(
+                title=f"team {team} has no settings",
+                headers={"ETag": f'"{revision}"'},
+            )
+        response.set_header("ETag", f'"{teams[team].revision}"')
+        response.media = json.loads(teams[team].document)
+
+    async def on_put(self, request: Any, response: Any, team: str) -> None:
+        """Replace a team's subtree, if it is still as the operator saw it."""
+        _authorize(self.process, request, team)
+        body = await request.get_media()
+        try:
+            check_document(body, team)
+        except InvalidSettings as error:
+            raise falcon.HTTPUnprocessableEntity(
+                title="invalid settings", description=str(error)
+            ) from error
+        change = _change(request, team)
+        change.document = msgspec.json.encode(body, order="sorted")
+        if request.get_param_as_bool("dry_run"):
+            response.media = {"valid": True, "bytes": len(change.document)}
+            return
+        await self._commit(change, response)
+
+    async def on_delete(self, request: Any, response: Any, team: str) -> None:
+        """Remove a team's subtree."""
+        _authorize(self.process, request, team)
+        change = _change(request, team)
+        change.removed = True
+        await self._commit(change, response)
+
+    async def _commit(self, change: cpb.SettingsChange, response: Any) -> None:
+        command = cpb.Command(settings=change)
+        answer = await _ask(self.process, lambda ticket: Submitted(ticket, command))
+        settings = answer.settings
+        response.set_header("ETag", f'"{settings.team_revision}"')
+        response.media = {
+            "accepted": settings.accepted,
+            "revision": settings.revision,
+            "team_revision": settings.team_revision,
+            "error": settings.error,
+            "winner_change_id": settings.winner_change_id,
+            "winner_author": settings.winner_author,
+        }
+        if not settings.accepted:
+            conflict = settings.error == "conflict"
+            response.status = falcon.HTTP_412 if conflict else falcon.HTTP_409
+
+
+def _change(request: Any, team: str) -> cpb.SettingsChange:
+    """Read the change id and the revision that a change was made from."""
+    change_id = request.get_header("Change-Id")
+    base = request.get_header("If-Match")
+    if not change_id:
+        raise falcon.HTTPBadRequest(title="header Change-Id is missing")
+    if base is None or not base.strip('"').isdigit():
+        raise falcon.HTTPError(
+            falcon.HTTP_428,
+            title="header If-Match must hold the revision the change was made from",
+        )
+    return cpb.SettingsChange(
+        change_id=change_id,
+        team=team,
+        base_revision=int(base.strip('"')),
+        author=request.get_header("Author") or "",
+    )
+
+
+class HistoryResource:
+    """Accepted changes."""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def on_get(self, request: Any, response: Any) -> None:
+        """Return the changes that are kept, newest last."""
+        team = request.get_param("team") or ""
+        _authorize(self.process, request, team or None)
+        await _ask(self.process, ReadAsked)
+        revision = request.get_param_as_int("revision")
+        chosen = [
+            item
+            for item in self.process.machine.history
+            if team in ("", item.team) and revision in (None, item.revision)
+        ]
+        response.media = [
+            {
+                "revision": item.revision,
+                "team": item.team,
+                "change_id": item.change_id,
+                "author": item.author,
+                "at_ms": item.at_ms,
+                "removed": item.removed,
+                "document": (
+                    json.loads(item.document or b"{}") if revision is not None else None
+                ),
+            }
+            for item in chosen
+        ]
+
+
+class StatusResource:
+    """The fleet at a glance."""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def on_get(self, request: Any, response: Any) -> None:
+        """Return what this instance knows, without asking a quorum."""
+        _authorize(self.process, request, None)
+        response.media = status(self.process)
+
+
+def status(process: ControlProcess) -> dict[str, Any]:
+    """Summarise log, members, and the settings in force in each zone."""
+    state = process.state
+    watchers = process.revisions_in_force()
+    in_force: dict[str, int] = {}
+    for watcher in watchers:
+        zone = watcher.availability_zone
+        in_force[zone] = min(watcher.revision, in_force.get(zone, watcher.revision))
+    revision = process.machine.revision
+    members = [heard.member for heard in process.members.heard_by_name.values()]
+    return {
+        "version": __version__,
+        "instance": state.identity,
+        "role": str(state.role),
+        "failure": state.failure,
+        "term": state.term,
+        "leader": state.leader,
+        "commit_index": state.commit_index,
+        "last_index": state.last_index,
+        "snapshot_index": state.snapshot.last_index,
+        "revision": revision,
+        "revision_in_force_by_availability_zone": in_force,
+        "lagging": sorted(
+            watcher.instance for watcher in watchers if watcher.revision < revision
+        ),
+        "control_instances": [_peer(peer) for peer in state.membership.peers],
+        "backend_servers": [_member(member) for member in members],
+        "backend_servers_by_availability_zone": dict(
+            Counter(member.availability_zone for member in members)
+        ),
+        "quarantined": len(process.machine.quarantine_by_fingerprint),
+    }
+
+
+def _peer(peer: cpb.Peer) -> dict[str, Any]:
+    return {
+        "name": peer.name,
+        "identity": peer.identity,
+        "address": peer.address,
+        "operator_address": peer.operator_address,
+        "voter": peer.voter,
+    }
+
+
+def _member(member: cpb.Member) -> dict[str, Any]:
+    return {
+        "name": member.backend_server,
+        "incarnation": member.incarnation,
+        "address": member.address,
+        "availability_zone": member.availability_zone,
+        "kind": member.kind,
+        "pipeline": member.pipeline,
+        "layers": [member.first_layer, member.end_layer],
+        "service": member.service,
+        "draining": member.draining,
+        "running": member.load.running,
+        "queued": member.load.queued,
+    }
+
+
+class MembersResource:
+    """The control instances themselves."""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def on_get(self, request: Any, response: Any) -> None:
+        """Return the members of the log."""
+        _authorize(self.process, request, None)
+        peers = self.process.state.membership.peers
+        response.media = [_peer(peer) for peer in peers]
+
+    async def on_delete(self, request: Any, response: Any, name: str) -> None:
+        """Remove a control instance."""
+        _authorize(self.process, request, None)
+        await _ask(self.process, lambda ticket: PeerRemoved(ticket, name))
+        response.media = {"removed": name}
+
+    async def on_post(self, request: Any, response: Any, name: str) -> None:
+        """Promote a non-voter."""
+        _authorize(self.process, request, None)
+        await _ask(self.process, lambda ticket: PeerPromoted(ticket, name))
+        response.media = {"promoted": name}
+
+
+class SnapshotResource:
+    """Snapshots of the state, for backups."""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def on_get(self, request: Any, response: Any) -> None:
+        """Return the state as of now, for a backup."""
+        _authorize(self.process, request, None)
+        await _ask(self.process, ReadAsked)
+        response.content_type = "application/octet-stream"
+        response.data = self.process.machine.dump()
+
+    async def on_post(self, request: Any, response: Any) -> None:
+        """Write a snapshot on this instance now."""
+        _authorize(self.process, request, None)
+        self.process.perform(compact(self.process.state, force=True))
+        index = self.process.state.snapshot.last_index
+        response.media = {"snapshot_index": index}
+
+
+class HealthResource:
+    """Whether the process lives, or is ready."""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def on_get(self, request: Any, response: Any) -> None:
+        """Answer that the process lives."""
+        response.media = {"alive": True}
+
+    async def on_get_ready(self, request: Any, response: Any) -> None:
+        """Answer whether a leader is known and nothing is wrong here."""
+        state = self.process.state
+        ready = bool(state.leader) and not self.process.draining
+        ready = ready and state.role is not Role.FAILED
+        response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
+        response.media = {"ready": ready, "role": str(state.role)}
+
+
+def operator_app(process: ControlProcess) -> Any:
+    """Build the HTTP application of a control instance."""
+    app = falcon.asgi.App()
+    settings = SettingsResource(process)
+    app.add_route("/v1/settings", settings)
+    app.add_route("/v1/settings/{team}", settings)
+    app.add_route("/v1/history", HistoryResource(process))
+    app.add_route("/v1/status", StatusResource(process))
+    members = MembersResource(process)
+    app.add_route("/v1/control/members", members)
+    app.add_route("/v1/control/members/{name}", members)
+    app.add_route("/v1/control/snapshot", SnapshotResource(process))
+    health = HealthResource(process)
+    app.add_route("/healthz", health)
+    app.add_route("/readyz", health, suffix="ready")
+    return app
+
+
+__all__ = ["operator_app", "status"]
--- /dev/null
+++ b/src/yuccareach/control/run.py
@@ -0,0 +1,347 @@
+"""The control process."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from random import Random
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import grpc
+
+from yuccareach.control import raft
+from yuccareach.control.errors import DiskFailed, NotLeader
+from yuccareach.control.machine import Machine, load_machine
+from yuccareach.control.members import LEASE_MS, MemberTable
+from yuccareach.control.operators import operator_app
+from yuccareach.control.peers import PeerLinks
+from yuccareach.control.raft_types import (
+    Answer,
+    AppendRecords,
+    Applied,
+    BatchEnd,
+    RaftState,
+    ReadConfirmed,
+    Refused,
+    Role,
+    SaveHardState,
+    SaveSnapshot,
+    SendPeer,
+    WriteFailed,
+)
+from yuccareach.control.server import ControlService, Watcher
+from yuccareach.control.store import DiskStore
+from yuccareach.proto import control_pb2 as cpb
+from yuccareach.proto.control_pb2_grpc import (
+    ControlStub,
+    add_ControlServicer_to_server,
+)
+from yuccareach.runtime.http import HttpServer
+from yuccareach.runtime.logs import Log, logger, write_log
+from yuccareach.runtime.reducer import Tick, monotonic_ms, wall_clock_ms
+from yuccareach.runtime.rpc import listen
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
+TICK_INTERVAL_MS = 50
+RELAY_INTERVAL_MS = 500
+JOIN_RETRY_MS = 500
+DRAIN_SETTLE_MS = 10
+_log = logger("control")
+
+
+class ControlOptions(NamedTuple):
+    """Settings of the control process."""
+
+    instance: str
+    availability_zone: str
+    data: Path
+    host: str = "127.0.0.1"
+    port: int = 0
+    http_port: int = 0
+    advertise: str = ""
+    bootstrap: bool = False
+    join: tuple[str, ...] = ()
+    platform_token_sha256: str = ""
+    snapshot_every: int = 10_000
+
+
+class ControlProcess:
+    """One control instance: its log, its members and its watchers."""
+
+    def __init__(self, options: ControlOptions) -> None:
+        self.options = options
+        self.store = DiskStore(options.data, options.instance)
+        stored = self.store.load()
+        machine = (
+            load_machine(stored.snapshot.state) if stored.snapshot.state else Machine()
+        )
+        identity = stored.hard_state.identity
+        self.state = RaftState(
+            identity, stored, machine, Random(identity), options.snapshot_every
+        )
+        self.members = MemberTable(monotonic_ms())
+        self.watchers: set[Watcher] = set()
+        self.relayed_watchers: dict[str, list[cpb.WatchRequest]] = {}
+        self.relay_heard_ms: dict[str, int] = {}
+        self.tickets = itertools.count(1)
+        self.waiting_by_ticket: dict[int, asyncio.Future[Any]] = {}
+        self.pending: list[Any] = []
+        self.flush_scheduled = False
+        self.change = asyncio.Event()
+        self.tasks: list[asyncio.Task[None]] = []
+        self.draining = False
+
+    @property
+    def machine(self) -> Machine:
+        """The replicated state, as far as it is applied here."""
+        machine: Machine = self.state.machine
+        return machine
+
+    async def start(self) -> None:
+        """Listen, and take part in the log."""
+        options = self.options
+        self.server, bound = listen(options.host, options.port)
+        self.address = options.advertise or bound
+        self.http = HttpServer(operator_app(self), options.host, options.http_port)
+        self.peers = PeerLinks(self.state, self.address)
+        add_ControlServicer_to_server(ControlService(self), self.server)
+        await self.server.start()
+        await self.http.start()
+        if options.bootstrap:
+            now = monotonic_ms()
+            self.perform(raft.bootstrap(self.state, self._own_peer(), now))
+        self.tasks = [
+            asyncio.create_task(self._tick()),
+            asyncio.create_task(self._relay()),
+        ]
+        if options.join:
+            self.tasks.append(asyncio.create_task(self._join()))
+        _log.info(
+            "started",
+            extra={"address": self.address, "http": self.http.address},
+        )
+
+    def _own_peer(self) -> cpb.Peer:
+        return cpb.Peer(
+            name=self.options.instance,
+            identity=self.state.identity,
+            address=self.address,
+            operator_address=self.http.address,
+        )
+
+    async def _join(self) -> None:
+        """Ask the cluster to be let in, until this instance is a member."""
+        targets = itertools.cycle(self.options.join)
+        leader = ""
+        while not self.state.address_of(self.state.identity):
+            target = leader or next(targets)
+            try:
+                async with grpc.aio.insecure_channel(target) as channel:
+                    reply = await ControlStub(channel).Join(
+                        self._own_peer(), timeout=JOIN_RETRY_MS * 4 / 1000
+                    )
+                leader = reply.leader_address
+            except grpc.RpcError:
+                leader = ""
+            await asyncio.sleep(JOIN_RETRY_MS / 1000)
+
+    # Events and effects.
+
+    def dispatch(self, event: Any) -> None:
+        """Queue an event; all at hand are reduced and synced together."""
+        self.pending.append(event)
+        if not self.flush_scheduled:
+            self.flush_scheduled = True
+            asyncio.get_running_loop().call_soon(self._flush)
+
+    def _flush(self) -> None:
+        self.flush_scheduled = False
+        events, self.pending = self.pending, []
+        now, wall_ms = monotonic_ms(), wall_clock_ms()
+        effects = [
+            effect
+            for event in (*events, BatchEnd())
+            for effect in raft.reduce(self.state, event, now, wall_ms)
+        ]
+        self.perform(effects)
+
+    def perform(self, effects: list[Any]) -> None:
+        """Write and sync first; only then send and answer."""
+        try:
+            self._write(effects)
+        except DiskFailed as error:
+            failure = raft.reduce(self.state, WriteFailed(str(error)), 0)
+            effects = [
+                effect for effect in effects if isinstance(effect, Refused)
+            ] + failure
+            _fail_answers(self.waiting_by_ticket)
+        for effect in effects:
+            self._perform_one(effect)
+
+    def _write(self, effects: list[Any]) -> None:
+        records: list[cpb.LogRecord] = []
+        for effect in effects:
+            if isinstance(effect, AppendRecords):
+                records += effect.records
+            elif isinstance(effect, SaveHardState):
+                self.store.save_hard_state(effect.state)
+        if records:
+            self.store.append(records)
+            self.store.sync()
+        if any(isinstance(effect, SaveSnapshot) for effect in effects):
+            self.store.save_snapshot(self.state.snapshot, self.state.records)
+
+    def _perform_one(self, effect: Any) -> None:
+        match effect:
+            case SendPeer(message=message):
+                self.peers.send(message)
+            case Answer(ticket=ticket, answer=answer):
+                self._resolve(ticket, answer)
+            case ReadConfirmed(ticket=ticket):
+                self._resolve(ticket, None)
+            case Refused(ticket=ticket, reason=reason, leader=leader):
+                self._reject(ticket, reason, leader)
+            case Applied():
+                self.changed()
+            case Log():
+                write_log(_log, effect)
+
+    def _resolve(self, ticket: int, answer: Any) -> None:
+        waiting = self.waiting_by_ticket.pop(ticket, None)
+        if waiting is not None and not waiting.done():
+            waiting.set_result(answer)
+
+    def _reject(self, ticket: int, reason: str, leader: str) -> None:
+        waiting = self.waiting_by_ticket.pop(ticket, None)
+        if waiting is not None and not waiting.done():
+            error = NotLeader(leader)
+            error.args = (reason,)
+            waiting.set_exception(error)
+
+    async def ask(self, event: Callable[[int], Any]) -> Any:
+        """Dispatch an event that carries a ticket, and wait for its answer."""
+        ticket = next(self.tickets)
+        waiting = asyncio.get_running_loop().create_future()
+        self.waiting_by_ticket[ticket] = waiting
+        try:
+            self.dispatch(event(ticket))
+            return await waiting
+        finally:
+            self.waiting_by_ticket.pop(ticket, None)
+
+    # Members and watchers.
+
+    def hear(self, heartbeat: cpb.Heartbeat) -> None:
+        """Take a heartbeat of an agent attached here."""
+        member = heartbeat.member
+        if heartbeat.leaving:
+            self.members.leave(member.backend_server, member.incarnation)
+        else:
+            now = monotonic_ms()
+            self.members.hear(member, now, revision=heartbeat.revision)
+        self.changed()
+
+    def hear_relayed(self, frame: cpb.RaftFrame) -> None:
+        """Take what another control instance has heard."""
+        now = monotonic_ms()
+        self.peers.learn(frame)
+        self.relay_heard_ms[frame.source] = now
+        if frame.watchers:
+            self.relayed_watchers[frame.source] = list(frame.watchers)
+        for heartbeat in frame.heard:
+            known = self.members.heard_by_name.get(heartbeat.member.backend_server)
+            if known is not None and not known.source and now - known.heard_ms < 1_500:
+                continue
+            self.members.hear(
+                heartbeat.member, now, frame.source, revision=heartbeat.revision
+            )
+
+    def update_for(self, watcher: Watcher) -> cpb.WatchUpdate | None:
+        """Return what a watcher lacks, or None."""
+        update = cpb.WatchUpdate()
+        if watcher.sent_revision < self.machine.revision:
+            update.settings.CopyFrom(self.machine.settings_after(watcher.sent_revision))
+            watcher.sent_revision = self.machine.revision
+        now = monotonic_ms()
+        if watcher.request.members and watcher.members_version < self.members.version:
+            delta = self.members.delta(watcher.members_version, now)
+            update.members_snapshot = delta.snapshot
+            update.members.extend(delta.members)
+            update.departed.extend(delta.departed)
+            watcher.members_version = delta.version
+        return update if update.ByteSize() else None
+
+    def changed(self) -> None:
+        """Wake everyone who waits for a change; later waits get a new event."""
+        changed, self.change = self.change, asyncio.Event()
+        changed.set()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_INTERVAL_MS / 1000)
+            now = monotonic_ms()
+            self.dispatch(Tick())
+            if self.members.warm(now) and self.members.expire(now, self._silent(now)):
+                self.changed()
+
+    def _silent(self, now: int) -> set[str]:
+        """Return the control instances that have stopped relaying."""
+        return {
+            source
+            for source, heard_ms in self.relay_heard_ms.items()
+            if now - heard_ms > LEASE_MS // 2
+        }
+
+    async def _relay(self) -> None:
+        """Tell the other control instances who is attached here."""
+        while True:
+            await asyncio.sleep(RELAY_INTERVAL_MS / 1000)
+            heard = [
+                cpb.Heartbeat(member=item.member, revision=item.revision)
+                for item in self.members.direct()
+            ]
+            watchers = [watcher.request for watcher in self.watchers]
+            self.peers.relay(heard, watchers)
+
+    def revisions_in_force(self) -> list[cpb.WatchRequest]:
+        """Return what every watching process reports, here and elsewhere."""
+        relayed = itertools.chain.from_iterable(self.relayed_watchers.values())
+        own = (watcher.request for watcher in self.watchers)
+        return [*own, *relayed]
+
+    async def drain(self) -> None:
+        """Hand over leadership by going silent; nothing here is in flight long."""
+        self.draining = True
+        await asyncio.sleep(DRAIN_SETTLE_MS / 1000)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.http.stop()
+        await self.server.stop(0.2)
+        await self.peers.close()
+        self.store.close()
+        _log.info("stopped")
+
+    @property
+    def leads(self) -> bool:
+        """Whether this instance is the leader as far as it knows."""
+        return self.state.role is Role.LEADER
+
+
+def _fail_answers(waiting_by_ticket: dict[int, asyncio.Future[Any]]) -> None:
+    """Reject everyone who waits, since nothing is acknowledged any more."""
+    for waiting in waiting_by_ticket.values():
+        if not waiting.done():
+            error = NotLeader("")
+            error.args = ("disk_failed",)
+            waiting.set_exception(error)
+    waiting_by_ticket.clear()
+
+
+__all__ = ["ControlOptions", "ControlProcess"]
--- /dev/null
+++ b/src/yuccareach/control/server.py
@@ -0,0 +1,117 @@
+"""gRPC service of a control instance."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, Any
+
+import grpc
+
+from yuccareach.control.errors import NotLeader
+from yuccareach.control.members import LEASE_MS
+from yuccareach.control.raft_types import PeerAdded, RaftReceived, Submitted
+from yuccareach.proto import control_pb2 as cpb
+from yuccareach.proto.control_pb2_grpc import ControlServicer
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from yuccareach.control.run import ControlProcess
+
+PUSH_INTERVAL_MS = 200
+
+
+class Watcher:
+    """One entry or agent that watches settings here."""
+
+    def __init__(self, request: cpb.WatchRequest) -> None:
+        self.request = request
+        self.sent_revision: int = request.revision
+        self.members_version = 0
+
+
+class ControlService(ControlServicer):  # type: ignore[misc]
+    """Answers entries, agents and the other control instances."""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def Announce(
+        self, request_iterator: AsyncIterator[cpb.Heartbeat], context: Any
+    ) -> AsyncIterator[cpb.HeartbeatReply]:
+        """Take an agent's heartbeats."""
+        async for heartbeat in request_iterator:
+            self.process.hear(heartbeat)
+            yield cpb.HeartbeatReply(
+                revision=self.process.machine.revision, lease_ms=LEASE_MS
+            )
+
+    async def Watch(
+        self, request_iterator: AsyncIterator[cpb.WatchRequest], context: Any
+    ) -> AsyncIterator[cpb.WatchUpdate]:
+        """Push settings and members to a process as they change."""
+        watcher = Watcher(await anext(request_iterator))
+        reader = asyncio.create_task(_read_acknowledgements(watcher, request_iterator))
+        self.process.watchers.add(watcher)
+        try:
+            while not reader.done():
+                change = self.process.change
+                update = self.process.update_for(watcher)
+                if update is not None:
+                    yield update
+                await change.wait()
+                await asyncio.sleep(PUSH_INTERVAL_MS / 1000)
+        finally:
+            self.process.watchers.discard(watcher)
+            reader.cancel()
+
+    async def Submit(self, request: cpb.SubmitRequest, context: Any) -> cpb.SubmitReply:
+        """Commit a command, or name the leader."""
+        try:
+            answer = await self.process.ask(
+                lambda ticket: Submitted(ticket, request.command)
+            )
+        except NotLeader as error:
+            return _not_leader(error)
+        return cpb.SubmitReply(answer=answer)
+
+    async def Join(self, request: cpb.Peer, context: Any) -> cpb.SubmitReply:
+        """Let a control instance join as a non-voter."""
+        try:
+            answer = await self.process.ask(lambda ticket: PeerAdded(ticket, request))
+        except NotLeader as error:
+            return _not_leader(error)
+        return cpb.SubmitReply(answer=answer)
+
+    async def Raft(
+        self, request_iterator: AsyncIterator[cpb.RaftFrame], context: Any
+    ) -> AsyncIterator[cpb.RaftFrame]:
+        """Take messages of another control instance."""
+        async for frame in request_iterator:
+            self.process.hear_relayed(frame)
+            for message in frame.messages:
+                self.process.dispatch(RaftReceived(message))
+        for _ in ():
+            yield cpb.RaftFrame()
+
+
+def _not_leader(error: NotLeader) -> cpb.SubmitReply:
+    reply = cpb.SubmitReply(not_leader=True, leader_address=error.leader_address)
+    if str(error) == "lost_leadership":
+        # The command may still be committed by the next leader.
+        reply.answer.error = "lost_leadership"
+    return reply
+
+
+async def _read_acknowledgements(
+    watcher: Watcher, requests: AsyncIterator[cpb.WatchRequest]
+) -> None:
+    """Note the revision in force at a watcher until its stream ends."""
+    try:
+        async for request in requests:
+            watcher.request = request
+    except grpc.RpcError:
+        pass
+
+
+__all__ = ["ControlService", "Watcher"]
--- /dev/null
+++ b/src/yuccareach/demo.py
@@ -0,0 +1,265 @@
+"""A whole small system in one process, for a first look and for tests."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import tempfile
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import aiohttp
+import click
+
+from yuccareach.agent.run import AgentOptions, AgentProcess
+from yuccareach.cli.apply import put_team
+from yuccareach.cli.operator_client import Operator, checked
+from yuccareach.control.run import ControlOptions, ControlProcess
+from yuccareach.entry.run import EntryProcess, EntryProcessOptions
+from yuccareach.load.client import Target, Verdict, complete
+from yuccareach.settings.sets import hash_key
+from yuccareach.standin.engine import EngineOptions
+from yuccareach.standin.run import EngineProcess, ServiceProcess
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from yuccareach.runtime.process import Service
+
+PIPELINE = "drafting"
+LAYERS = 24
+KEY = "demo-key-of-the-landlords-workspace"
+TOKEN = "demo-operator-token"
+READY_TIMEOUT_S = 20.0
+ZONES = ("windhoek-1", "windhoek-2", "windhoek-3")
+
+
+class Held(NamedTuple):
+    """The kind and the layers of one engine."""
+
+    kind: str
+    first_layer: int
+    end_layer: int
+
+
+ENGINES = (
+    Held("a100", 0, 12),
+    Held("l40s", 0, 12),
+    Held("l40s", 12, 24),
+    Held("a10", 12, 18),
+    Held("a10", 18, 24),
+)
+SETTINGS: dict[str, Any] = {
+    "kalahari": {
+        "pipelines": {PIPELINE: {"layers": LAYERS, "max_tokens": 1024}},
+        "services": {
+            "ledger": {
+                "routes": [
+                    {"method": "GET", "path": "/balances/*", "idempotent": True},
+                    {"method": "GET", "path": "/executions", "idempotent": True},
+                    {"method": "POST", "path": "/payouts", "idempotent": False},
+                ]
+            }
+        },
+        "classes": {"interactive": {"priority": 20, "deadline_ms": 60_000}},
+        "workspaces": {
+            "landlords": {"key_sha256": [hash_key(KEY)], "class": "interactive"}
+        },
+    }
+}
+
+
+class Fleet(NamedTuple):
+    """The running parts of a small system."""
+
+    control: list[ControlProcess]
+    entries: list[EntryProcess]
+    agents: list[AgentProcess]
+    engines: list[EngineProcess]
+    services: list[ServiceProcess]
+
+    @property
+    def url(self) -> str:
+        """Base URL of the first entry."""
+        return f"http://{self.entries[0].http.address}"
+
+    @property
+    def operator(self) -> Operator:
+        """An operator with the platform's token."""
+        addresses = tuple(control.http.address for control in self.control)
+        return Operator(addresses, TOKEN)
+
+    @property
+    def target(self) -> Target:
+        """What a load client needs to know."""
+        return Target(self.url, KEY, PIPELINE, LAYERS)
+
+
+@asynccontextmanager
+async def small_fleet(
+    folder: Path,
+    *,
+    port: int = 0,
+    entries: int = 1,
+    engines: tuple[Held, ...] = ENGINES,
+    services: int = 1,
+    speed: float = 1.0,
+    resume: bool = True,
+) -> AsyncIterator[Fleet]:
+    """Start control, entries, agents, engines and services on this loop."""
+    started: list[Service] = []
+
+    async def _start(service: Any) -> Any:
+        await service.start()
+        started.append(service)
+        return service
+
+    fleet = Fleet([], [], [], [], [])
+    try:
+        control = await _start(
+            ControlProcess(
+                ControlOptions(
+                    "control-1",
+                    ZONES[0],
+                    folder / "control-1",
+                    bootstrap=True,
+                    platform_token_sha256=hash_key(TOKEN),
+                )
+            )
+        )
+        fleet.control.append(control)
+        for number, held in enumerate(engines):
+            engine = await _start(_engine(held, number, speed))
+            fleet.engines.append(engine)
+            agent = _agent(f"engine-{number}", number, control, engine=engine.address)
+            fleet.agents.append(await _start(agent))
+        for number in range(services):
+            service = await _start(ServiceProcess("127.0.0.1", 0, 0))
+            fleet.services.append(service)
+            url = f"http://{service.http.address}"
+            agent = _agent(
+                f"ledger-{number}", number, control, service="ledger", service_url=url
+            )
+            fleet.agents.append(await _start(agent))
+        for number in range(entries):
+            options = EntryProcessOptions(
+                f"entry-{number}",
+                ZONES[number % len(ZONES)],
+                (control.address,),
+                port=port,
+                resume=resume,
+            )
+            fleet.entries.append(await _start(EntryProcess(options)))
+        for team, document in SETTINGS.items():
+            checked(await put_team(fleet.operator, team, document, 0))
+        await _ready(fleet)
+        yield fleet
+    finally:
+        await asyncio.gather(*(service.stop() for service in started))
+
+
+def _engine(held: Held, number: int, speed: float) -> EngineProcess:
+    options = EngineOptions(
+        PIPELINE,
+        LAYERS,
+        held.first_layer,
+        held.end_layer,
+        held.kind,
+        speed,
+        seed=number,
+    )
+    return EngineProcess(options, "127.0.0.1", 0, 0)
+
+
+def _agent(
+    name: str,
+    number: int,
+    control: ControlProcess,
+    engine: str = "",
+    service: str = "",
+    service_url: str = "",
+) -> AgentProcess:
+    zone = ZONES[number % len(ZONES)]
+    addresses = (control.address,)
+    return AgentProcess(
+        AgentOptions(name, zone, addresses, engine, service, service_url)
+    )
+
+
+async def _ready(fleet: Fleet) -> None:
+    """Wait until every entry knows the settings and all backend servers."""
+
+    def _complete(entry: EntryProcess) -> bool:
+        known = len(entry.state.server_by_name) == len(fleet.agents)
+        return known and entry.state.settings.revision > 0
+
+    async with asyncio.timeout(READY_TIMEOUT_S):
+        while not all(map(_complete, fleet.entries)):
+            await asyncio.sleep(0.02)
+
+
+async def run_demo() -> bool:
+    """Send real requests, check the answers, and return whether all was right."""
+    with tempfile.TemporaryDirectory() as folder:
+        async with small_fleet(Path(folder)) as fleet, aiohttp.ClientSession() as http:
+            right = await _check_answers(fleet, http)
+            right = await _check_payout(fleet, http) and right
+    click.echo("everything was right" if right else "something was WRONG")
+    return right
+
+
+async def _check_answers(fleet: Fleet, http: aiohttp.ClientSession) -> bool:
+    """Ask for answers all at once and compare each with its own computation."""
+    prompts = [
+        f"Explain arrears number {number} to the landlord." for number in range(8)
+    ]
+    results = await asyncio.gather(
+        *(complete(http, fleet.target, prompt, 16) for prompt in prompts)
+    )
+    for prompt, result in zip(prompts, results):
+        first_ms = result.first_token_s * 1000
+        click.echo(
+            f"{prompt}  {result.tokens} tokens, first after {first_ms:.0f} ms: "
+            f"{result.verdict}"
+        )
+    return all(result.verdict is Verdict.RIGHT for result in results)
+
+
+async def _check_payout(fleet: Fleet, http: aiohttp.ClientSession) -> bool:
+    """Send one payout twice under one key and see that it ran once."""
+    url = f"{fleet.url}/v1/services/ledger/payouts"
+    headers = {"Authorization": f"Bearer {KEY}", "Idempotency-Key": "claim-17"}
+    body = {"account": "landlord-9", "amount": 1250}
+    replies = []
+    for _ in range(2):
+        async with http.post(url, json=body, headers=headers) as response:
+            replies.append((response.status, await response.json()))
+            replayed = response.headers.get("Yuccareach-Replayed", "false")
+            click.echo(f"payout claim-17: {response.status}, replayed {replayed}")
+    runs = sum(item.ledger.executions_by_key["claim-17"] for item in fleet.services)
+    click.echo(f"payout claim-17 ran {runs} time(s)")
+    return runs == 1 and replies[0] == replies[1] and replies[0][0] == 201
+
+
+async def serve_demo(port: int) -> None:
+    """Serve until Ctrl-C, then finish what is in flight."""
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stop.set)
+    with tempfile.TemporaryDirectory() as folder:
+        async with small_fleet(Path(folder), port=port) as fleet:
+            click.echo(f"serving on {fleet.url}, key {KEY}")
+            click.echo(
+                f"curl -N {fleet.url}/v1/chat/completions "
+                f"-H 'Authorization: Bearer {KEY}' "
+                f'-d \'{{"model": "{PIPELINE}", "stream": true, '
+                '"messages": [{"role": "user", "content": "hello"}]}\''
+            )
+            await stop.wait()
+            await asyncio.gather(*(entry.drain() for entry in fleet.entries))
+    click.echo("stopped")
+
+
+__all__ = ["Fleet", "Held", "run_demo", "serve_demo", "small_fleet"]
--- /dev/null
+++ b/src/yuccareach/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: callers, admission, attempts and answers."""
--- /dev/null
+++ b/src/yuccareach/entry/fleet.py
@@ -0,0 +1,176 @@
+"""Backend servers as the entry sees them, and the choice among them."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from yuccareach.entry.state import BackendServer
+from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
+from yuccareach.route.choice import choose_chain, load_cost
+from yuccareach.runtime.logs import Log
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from yuccareach.entry.state import EntryState, Request
+
+SUSPECT_MS = 5_000
+SUSPECT_COST_S = 1_000.0
+OTHER_ZONE_COST_S = 0.002
+SURVIVOR_DISCOUNT = 0.01
+
+
+def update_members(state: EntryState, update: cpb.WatchUpdate) -> list[Any]:
+    """Take over members from control and return the effects of the change."""
+    if update.members_snapshot:
+        kept = {member.backend_server for member in update.members}
+        departed = set(state.server_by_name) - kept
+    else:
+        departed = set(update.departed)
+    for name in departed:
+        _remove(state, name)
+    for member in update.members:
+        _put(state, member)
+    if not departed:
+        return []
+    return [Log("backend_servers_left", {"names": ",".join(sorted(departed))})]
+
+
+def _put(state: EntryState, member: cpb.Member) -> None:
+    name = member.backend_server
+    known = state.server_by_name.get(name)
+    if known is None or known.member.incarnation != member.incarnation:
+        _remove(state, name)
+        known = state.server_by_name[name] = BackendServer(member)
+    else:
+        _unindex(state, known.member)
+    known.member = member
+    known.draining = member.draining
+    known.others_running = max(0, member.load.running - known.own_running)
+    if member.pipeline:
+        state.names_by_pipeline.setdefault(member.pipeline, set()).add(name)
+    if member.service:
+        state.names_by_service.setdefault(member.service, set()).add(name)
+
+
+def _remove(state: EntryState, name: str) -> None:
+    known = state.server_by_name.pop(name, None)
+    if known is not None:
+        _unindex(state, known.member)
+
+
+def _unindex(state: EntryState, member: cpb.Member) -> None:
+    for index, key in (
+        (state.names_by_pipeline, member.pipeline),
+        (state.names_by_service, member.service),
+    ):
+        names = index.get(key)
+        if names is not None:
+            names.discard(member.backend_server)
+
+
+def load_reported(state: EntryState, report: pb.LoadReport) -> None:
+    """Take over what an agent said in-band."""
+    known = state.server_by_name.get(report.backend_server)
+    if known is not None:
+        known.draining = known.draining or report.draining
+
+
+def suspect(state: EntryState, name: str, now: int) -> None:
+    """Avoid a backend server for a while."""
+    known = state.server_by_name.get(name)
+    if known is not None:
+        known.suspected_until_ms = now + SUSPECT_MS
+
+
+def is_present(state: EntryState, member: cpb.Member) -> bool:
+    """Return whether just this incarnation is still announced."""
+    known = state.server_by_name.get(member.backend_server)
+    return known is not None and known.member.incarnation == member.incarnation
+
+
+def choose_for(
+    state: EntryState, request: Request, now: int
+) -> tuple[cpb.Member, ...] | None:
+    """Choose a chain; stages that hold the request's state are preferred."""
+    survivors = {member.incarnation for member in request.chain}
+
+    def _cost(member: cpb.Member) -> float:
+        server = state.server_by_name[member.backend_server]
+        cost = server_cost(server, now)
+        return cost * SURVIVOR_DISCOUNT if member.incarnation in survivors else cost
+
+    candidates = [
+        state.server_by_name[name].member
+        for name in state.names_by_pipeline.get(request.pipeline, ())
+    ]
+    usable = (
+        member
+        for member in candidates
+        if member.layers == request.layers
+        and (
+            member.incarnation in survivors
+            or not state.server_by_name[member.backend_server].draining
+        )
+    )
+    return choose_chain(
+        usable, request.layers, _cost, _zone_cost, state.options.availability_zone
+    )
+
+
+def server_cost(server: BackendServer, now: int) -> float:
+    """Return the expected seconds for a token at a backend server."""
+    member = server.member
+    running = server.own_running + server.others_running
+    cost = load_cost(running, member.max_batch, member.decode_rate)
+    return cost + (SUSPECT_COST_S if now < server.suspected_until_ms else 0.0)
+
+
+def _zone_cost(first: str, second: str) -> float:
+    return 0.0 if first == second else OTHER_ZONE_COST_S
+
+
+def choose_service(
+    state: EntryState, service: str, tried: set[str], now: int
+) -> cpb.Member | None:
+    """Choose the least loaded backend server of a plain service."""
+    servers = [
+        state.server_by_name[name] for name in state.names_by_service.get(service, ())
+    ]
+    usable = [
+        server
+        for server in servers
+        if not server.draining and server.member.incarnation not in tried
+    ]
+    state.turn += 1
+    best = min(
+        usable,
+        key=lambda server: (
+            now < server.suspected_until_ms,
+            server.own_running + server.others_running,
+            server.member.availability_zone != state.options.availability_zone,
+            hash((state.turn, server.member.backend_server)) % 1024,
+        ),
+        default=None,
+    )
+    return best.member if best is not None else None
+
+
+def occupy(state: EntryState, members: Iterable[cpb.Member], change: int) -> None:
+    """Count requests that this entry has running at some backend servers."""
+    for member in members:
+        if is_present(state, member):
+            server = state.server_by_name[member.backend_server]
+            server.own_running = max(0, server.own_running + change)
+
+
+__all__ = [
+    "choose_for",
+    "choose_service",
+    "is_present",
+    "load_reported",
+    "occupy",
+    "server_cost",
+    "suspect",
+    "update_members",
+]
--- /dev/null
+++ b/src/yuccareach/entry/requests.py
@@ -0,0 +1,350 @@
+"""Model requests: attempts in epochs, delivery in order, recovery."""
+
+from __future__ import annotations
+
+import logging
+from typing import TYPE_CHECKING, Any
+
+from yuccareach.entry import admission, fleet
+from yuccareach.entry.events import (
+    CompletionAsked,
+    Count,
+    Deliver,
+    Finish,
+    Observe,
+    Refusal,
+    Refuse,
+)
+from yuccareach.entry.state import Request
+from yuccareach.outcome import Outcome
+from yuccareach.proto import data_pb2 as pb
+from yuccareach.runtime.links import Send
+from yuccareach.runtime.logs import Log
+
+if TYPE_CHECKING:
+    from yuccareach.entry.state import EntryState
+
+Effects = list[Any]
+FAILURES_ALLOWED = 6
+REROUTES_ALLOWED = 20
+RETRY_PAUSE_MS = 100
+NO_CHAIN_WAIT_MS = 10_000
+RETRY_AFTER_S = 2
+DEFAULT_MAX_TOKENS = 256
+
+
+def ask(state: EntryState, asked: CompletionAsked, now: int) -> Effects:
+    """Admit a request and open its first attempt, or refuse it."""
+    if state.draining:
+        text = "this entry is shutting down"
+        return _refuse_early(asked, Refusal(503, "draining", text, retry_after_s=1))
+    pipeline = state.settings.find_pipeline(asked.workspace.team, asked.pipeline)
+    if pipeline is None:
+        text = f"the model {asked.pipeline!r} does not exist"
+        return _refuse_early(asked, Refusal(404, "model_not_found", text))
+    if len(asked.prompt.encode()) > pipeline.max_prompt_bytes:
+        text = f"the prompt is longer than {pipeline.max_prompt_bytes} bytes"
+        return _refuse_early(asked, Refusal(400, "prompt_too_long", text))
+    max_tokens = asked.max_tokens or min(DEFAULT_MAX_TOKENS, pipeline.max_tokens)
+    if max_tokens > pipeline.max_tokens:
+        text = f"max_tokens is above {pipeline.max_tokens}"
+        return _refuse_early(asked, Refusal(400, "max_tokens_too_large", text))
+    charge = admission.estimate_charge(asked.prompt, max_tokens)
+    refusal = admission.charge(state, asked.workspace, charge, now)
+    if refusal is not None:
+        return _refuse_early(asked, refusal)
+    request = Request(
+        asked.request,
+        asked.workspace,
+        state.settings.find_class(asked.workspace),
+        asked.prompt,
+        max_tokens,
+        charge,
+        now,
+    )
+    request.pipeline = pipeline.name
+    request.layers = pipeline.layers
+    state.request_by_id[request.identifier] = request
+    return _open(state, request, now)
+
+
+def _refuse_early(asked: CompletionAsked, refusal: Refusal) -> Effects:
+    fields = {
+        "request": asked.request,
+        "workspace": asked.workspace.name,
+        "reason": refusal.reason,
+    }
+    return [
+        Refuse(asked.request, refusal),
+        Count("refused", refusal.reason),
+        Log("request_refused", fields),
+    ]
+
+
+def _open(state: EntryState, request: Request, now: int) -> Effects:
+    """Open the next attempt; wait a moment where no chain is whole."""
+    previous = request.chain
+    chain = fleet.choose_for(state, request, now)
+    fleet.occupy(state, previous, -1)
+    if chain is None:
+        request.chain = ()
+        request.retry_ms = now + RETRY_PAUSE_MS
+        if now - max(request.started_ms, request.interrupted_ms) < NO_CHAIN_WAIT_MS:
+            return _cancel_at(request, previous)
+        text = "no chain of backend servers covers every layer"
+        refusal = Refusal(503, "no_chain", text, retry_after_s=RETRY_AFTER_S)
+        return _cancel_at(request, previous) + fail(state, request, refusal, now)
+    left = [
+        member
+        for member in previous
+        if member.incarnation not in {kept.incarnation for kept in chain}
+    ]
+    effects = _cancel_at(request, left)
+    request.epoch += 1
+    request.chain = chain
+    request.retry_ms = 0
+    request.progress_ms = now
+    request.probed_ms = 0
+    request.previous_replies = {}
+    request.sent = True
+    fleet.occupy(state, chain, 1)
+    opened = _open_message(state, request)
+    request.resume = True
+    return [
+        *effects,
+        Send(chain[0].address, opened),
+        Log("attempt", _fields(request) | {"chain": _names(chain)}, logging.DEBUG),
+    ]
+
+
+def _open_message(state: EntryState, request: Request) -> pb.Open:
+    return pb.Open(
+        request=request.identifier,
+        epoch=request.epoch,
+        workspace=request.workspace.name,
+        pipeline=request.pipeline,
+        layers=request.layers,
+        chain=[
+            pb.Stage(
+                backend_server=member.backend_server,
+                incarnation=member.incarnation,
+                address=member.address,
+                first_layer=member.first_layer,
+                end_layer=member.end_layer,
+            )
+            for member in request.chain
+        ],
+        prompt=request.prompt,
+        delivered=request.delivered,
+        max_tokens=request.max_tokens,
+        priority=request.request_class.priority,
+        resume=request.resume and request.epoch > 1 and state.options.resume,
+        prompt_tokens=request.prompt_tokens,
+    )
+
+
+def _cancel_at(request: Request, members: Any) -> Effects:
+    message = pb.Cancel(
+        request=request.identifier, epoch=request.epoch, reason="left_by_entry"
+    )
+    return [Send(member.address, message) for member in members]
+
+
+def token(state: EntryState, message: pb.Token, now: int) -> Effects:
+    """Deliver the next token; drop late and repeated ones."""
+    request = state.request_by_id.get(message.request)
+    if request is None or message.epoch != request.epoch:
+        return [Count("late_tokens", "epoch")]
+    if message.index != len(request.delivered):
+        return [Count("late_tokens", "index")]
+    effects = _observe_progress(request, now)
+    request.delivered.append(message.token)
+    request.prompt_tokens = message.prompt_tokens
+    request.progress_ms = now
+    request.probed_ms = 0
+    effects.append(Deliver(request.identifier, message.index, message.text))
+    if message.finish_reason:
+        effects += _finish(state, request, message.finish_reason, now)
+    return effects
+
+
+def _observe_progress(request: Request, now: int) -> Effects:
+    workspace, name = request.workspace.name, request.request_class.name
+    first = not request.delivered
+    since = request.started_ms if first else request.progress_ms
+    metric = "first_token" if first else "between_tokens"
+    effects: Effects = [Observe(metric, workspace, name, now - since)]
+    if request.interrupted_ms:
+        waited = now - request.interrupted_ms
+        effects.append(Observe("recovery", workspace, name, waited))
+        request.interrupted_ms = 0
+    return effects
+
+
+def _finish(state: EntryState, request: Request, reason: str, now: int) -> Effects:
+    used = request.prompt_tokens + len(request.delivered)
+    _forget(state, request, used)
+    workspace, name = request.workspace.name, request.request_class.name
+    duration_ms = now - request.started_ms
+    return [
+        Finish(
+            request.identifier, reason, request.prompt_tokens, len(request.delivered)
+        ),
+        Observe("whole_answer", workspace, name, duration_ms),
+        Count("finished", reason),
+        Log(
+            "request_finished",
+            _fields(request)
+            | {
+                "reason": reason,
+                "duration_ms": duration_ms,
+                "tokens": len(request.delivered),
+                "chain": _names(request.chain),
+            },
+        ),
+    ]
+
+
+def _forget(state: EntryState, request: Request, used: int) -> None:
+    del state.request_by_id[request.identifier]
+    fleet.occupy(state, request.chain, -1)
+    admission.settle(state, request.workspace, request.charge, used)
+
+
+def fail(state: EntryState, request: Request, refusal: Refusal, now: int) -> Effects:
+    """End a request without a whole answer; the outcome says whether it ran."""
+    outcome = refusal.outcome
+    if request.delivered:
+        outcome = Outcome.RAN
+    elif request.sent and outcome is Outcome.NOT_RUN and refusal.reason != "draining":
+        outcome = Outcome.UNKNOWN
+    _forget(state, request, request.prompt_tokens + len(request.delivered))
+    return [
+        Refuse(request.identifier, refusal._replace(outcome=outcome)),
+        Count("failed", refusal.reason),
+        Log(
+            "request_failed",
+            _fields(request)
+            | {"reason": refusal.reason, "outcome": outcome, "text": refusal.text},
+        ),
+        *_cancel_at(request, request.chain),
+    ]
+
+
+def failed(state: EntryState, message: pb.Failed, now: int) -> Effects:
+    """Open another attempt after one has failed."""
+    request = state.request_by_id.get(message.request)
+    if request is None or message.epoch != request.epoch:
+        return []
+    if message.outcome == pb.NOT_RUN:
+        return _reroute(state, request, message, now)
+    if message.reason not in ("resume_gap", "inputs_not_retained"):
+        fleet.suspect(state, message.backend_server, now)
+    else:
+        # No state can be carried on, so every stage starts anew.
+        request.resume = False
+    return recover(state, request, message.reason, now)
+
+
+def _reroute(
+    state: EntryState, request: Request, message: pb.Failed, now: int
+) -> Effects:
+    """Choose again after a refusal; our view of that backend server was old."""
+    server = state.server_by_name.get(message.backend_server)
+    if server is not None and message.reason == "draining":
+        server.draining = True
+    elif server is not None:
+        fleet.suspect(state, message.backend_server, now)
+    request.reroutes += 1
+    if request.reroutes > REROUTES_ALLOWED:
+        text = "backend servers kept refusing the request"
+        refusal = Refusal(503, "refused", text, retry_after_s=RETRY_AFTER_S)
+        return fail(state, request, refusal, now)
+    return _open(state, request, now)
+
+
+def recover(state: EntryState, request: Request, reason: str, now: int) -> Effects:
+    """Carry a request on in a new epoch after part of its chain was lost."""
+    request.failures += 1
+    request.interrupted_ms = request.interrupted_ms or now
+    if request.failures > FAILURES_ALLOWED:
+        text = f"the request failed {request.failures} times, last by {reason}"
+        refusal = Refusal(
+            502, "failed_repeatedly", text, Outcome.UNKNOWN, RETRY_AFTER_S
+        )
+        return fail(state, request, refusal, now)
+    fields = _fields(request) | {"reason": reason, "chain": _names(request.chain)}
+    return [
+        Log("recovering", fields),
+        Count("recoveries", reason),
+        *_open(state, request, now),
+    ]
+
+
+def link_lost(state: EntryState, address: str, now: int) -> Effects:
+    """Recover the requests whose first stage cannot be reached."""
+    effects: Effects = []
+    for request in list(state.request_by_id.values()):
+        if request.chain and request.chain[0].address == address:
+            fleet.suspect(state, request.chain[0].backend_server, now)
+            effects += recover(state, request, "link_lost", now)
+    return effects
+
+
+def members_changed(state: EntryState, now: int) -> Effects:
+    """Recover the requests whose chain holds a backend server that is gone."""
+    effects: Effects = []
+    for request in list(state.request_by_id.values()):
+        if not all(fleet.is_present(state, member) for member in request.chain):
+            effects += recover(state, request, "member_gone", now)
+    return effects
+
+
+def caller_left(state: EntryState, identifier: str) -> Effects:
+    """Cancel everywhere the work of a caller who has gone."""
+    request = state.request_by_id.get(identifier)
+    if request is None:
+        return []
+    _forget(state, request, request.prompt_tokens + len(request.delivered))
+    return [
+        Count("cancelled", "caller_left"),
+        Log("caller_left", _fields(request)),
+        *_cancel_at(request, request.chain),
+    ]
+
+
+def tick(state: EntryState, now: int) -> Effects:
+    """End requests past their deadline and retry those without a chain."""
+    effects: Effects = []
+    for request in list(state.request_by_id.values()):
+        if now - request.started_ms > request.request_class.deadline_ms:
+            refusal = Refusal(504, "deadline", "the deadline has passed")
+            effects += fail(state, request, refusal, now)
+        elif request.retry_ms and now >= request.retry_ms:
+            effects += _open(state, request, now)
+    return effects
+
+
+def _names(chain: Any) -> str:
+    return ",".join(member.backend_server for member in chain)
+
+
+def _fields(request: Request) -> dict[str, Any]:
+    return {
+        "request": request.identifier,
+        "workspace": request.workspace.name,
+        "epoch": request.epoch,
+    }
+
+
+__all__ = [
+    "ask",
+    "caller_left",
+    "fail",
+    "failed",
+    "link_lost",
+    "members_changed",
+    "recover",
+    "tick",
+    "token",
+]
--- /dev/null
+++ b/src/yuccareach/entry/run.py
@@ -0,0 +1,166 @@
+"""The entry process."""
+
+from __future__ import annotations
+
+import asyncio
+import functools
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from yuccareach.control.client import ControlClient
+from yuccareach.control.errors import ControlUnavailable
+from yuccareach.entry.events import (
+    AcquirePermit,
+    Count,
+    Deliver,
+    DrainAsked,
+    Finish,
+    Observe,
+    PermitAnswered,
+    Refuse,
+    ReturnReply,
+    SettlePermit,
+)
+from yuccareach.entry.http import entry_app, request_ids
+from yuccareach.entry.reducer import reduce
+from yuccareach.entry.state import EntryOptions, EntryState
+from yuccareach.entry.waiters import Waiters
+from yuccareach.metrics.registry import Registry
+from yuccareach.proto import control_pb2 as cpb
+from yuccareach.runtime.http import HttpServer
+from yuccareach.runtime.links import Links, Send
+from yuccareach.runtime.logs import Log, logger, write_log
+from yuccareach.runtime.process import new_incarnation
+from yuccareach.runtime.reducer import Dispatcher
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+PERMIT_TIMEOUT_MS = 5_000
+SETTLE_TIMEOUT_MS = 30_000
+
+
+class EntryProcessOptions(NamedTuple):
+    """Settings of the entry process."""
+
+    instance: str
+    availability_zone: str
+    control: tuple[str, ...]
+    host: str = "127.0.0.1"
+    port: int = 0
+    resume: bool = True
+    policy: str = "load"
+
+
+class EntryProcess:
+    """One entry: its HTTP server, its links to agents and its reducer."""
+
+    def __init__(self, options: EntryProcessOptions) -> None:
+        self.options = options
+        self.log = logger("entry")
+        incarnation = f"{options.instance}-{new_incarnation()}"
+        self.state = EntryState(
+            EntryOptions(
+                incarnation,
+                options.availability_zone,
+                options.resume,
+                options.policy,
+            )
+        )
+        self.new_request_id = request_ids(incarnation)
+        self.metrics = Registry()
+        self.waiters = Waiters()
+        self.dispatcher = Dispatcher(functools.partial(reduce, self.state))
+        self.dispatch = self.dispatcher.dispatch
+        self.links = Links(incarnation, self.dispatch, self._revision)
+        self.control = ControlClient(
+            options.control,
+            options.instance,
+            options.availability_zone,
+            self.dispatch,
+            self._revision,
+            members=True,
+        )
+        self.background: set[asyncio.Task[None]] = set()
+
+    def _revision(self) -> int:
+        return self.state.settings.revision
+
+    async def start(self) -> None:
+        """Watch control and serve callers."""
+        self.dispatcher.perform_with(
+            {
+                Send: self.links.send,
+                Log: functools.partial(write_log, self.log),
+                Deliver: self.waiters.put,
+                Finish: self.waiters.put,
+                Refuse: self.waiters.put,
+                ReturnReply: self.waiters.put,
+                Observe: self._observe,
+                Count: lambda effect: self.metrics.count(*effect),
+                AcquirePermit: lambda effect: self._spawn(self._acquire(effect)),
+                SettlePermit: lambda effect: self._spawn(self._settle(effect)),
+            }
+        )
+        self.http = HttpServer(entry_app(self), self.options.host, self.options.port)
+        self.control.start()
+        self.dispatcher.start_ticks()
+        await self.http.start()
+        self.log.info("started", extra={"http": self.http.address})
+
+    def _observe(self, effect: Observe) -> None:
+        self.metrics.observe(*effect)
+
+    def _spawn(self, work: Any) -> None:
+        task = asyncio.ensure_future(work)
+        self.background.add(task)
+        task.add_done_callback(self.background.discard)
+
+    async def _acquire(self, effect: AcquirePermit) -> None:
+        """Ask control for a permit and dispatch its answer."""
+        command = cpb.Command(permit_acquire=effect.acquire)
+        answer = None
+        try:
+            reply = await self.control.submit(command, PERMIT_TIMEOUT_MS)
+            answer = reply.permit
+        except ControlUnavailable as error:
+            self.log.warning(
+                "permit_unavailable",
+                extra={"request": effect.request, "reason": str(error)},
+            )
+        self.dispatch(PermitAnswered(effect.request, answer))
+
+    async def _settle(self, effect: SettlePermit) -> None:
+        """Tell control how a call ended; the agent's own record stands without it."""
+        try:
+            await self.control.submit(effect.command, SETTLE_TIMEOUT_MS)
+        except ControlUnavailable as error:
+            self.log.warning("permit_not_settled", extra={"reason": str(error)})
+
+    def gauges(self) -> Mapping[str, float]:
+        """Return the current numbers for metrics."""
+        return {
+            "requests_in_flight": len(self.state.request_by_id),
+            "calls_in_flight": len(self.state.call_by_id),
+            "backend_servers": len(self.state.server_by_name),
+            "settings_revision": self.state.settings.revision,
+        }
+
+    async def drain(self) -> None:
+        """Refuse new work and wait until every answer in flight is whole."""
+        self.dispatch(DrainAsked())
+        await self.waiters.idle.wait()
+        if self.background:
+            await asyncio.wait(self.background)
+
+    async def stop(self) -> None:
+        """Close everything."""
+        await self.http.stop()
+        for task in self.background:
+            task.cancel()
+        await self.dispatcher.stop_ticks()
+        await self.control.close()
+        await self.links.close()
+        self.log.info("stopped")
+
+
+__all__ = ["EntryProcess", "EntryProcessOptions"]
--- /dev/null
+++ b/src/yuccareach/entry/stalls.py
@@ -0,0 +1,89 @@
+"""Finding the stage or link that holds up a request without failing.
+
+A request without progress asks every stage how far it has come. A stage that does not
+answer, an engine that does not finish what it was given, and a link that does not carry
+what was sent are told apart by the counts.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from yuccareach.entry import fleet, requests
+from yuccareach.proto import data_pb2 as pb
+from yuccareach.runtime.links import Send
+
+if TYPE_CHECKING:
+    from yuccareach.entry.state import EntryState, Request
+
+Effects = list[Any]
+STALL_MS = 1_000
+PROBE_TIMEOUT_MS = 1_000
+ENGINE_STUCK_MS = 8_000
+
+
+def tick(state: EntryState, now: int) -> Effects:
+    """Probe stalled requests and recover those whose culprit is found."""
+    effects: Effects = []
+    for request in list(state.request_by_id.values()):
+        if not request.chain or now - request.progress_ms < STALL_MS:
+            continue
+        if not request.probed_ms:
+            effects += _probe(request, now)
+        elif now - request.probed_ms >= PROBE_TIMEOUT_MS:
+            effects += _judge(state, request, now)
+    return effects
+
+
+def _probe(request: Request, now: int) -> Effects:
+    request.probed_ms = now
+    request.replies_by_stage = {}
+    message = pb.Probe(request=request.identifier, epoch=request.epoch)
+    return [Send(member.address, message) for member in request.chain]
+
+
+def replied(state: EntryState, message: pb.ProbeReply) -> Effects:
+    """Note how far a stage has come."""
+    request = state.request_by_id.get(message.request)
+    if request is not None and request.epoch == message.epoch and message.known:
+        request.replies_by_stage[message.stage] = message
+    return []
+
+
+def _judge(state: EntryState, request: Request, now: int) -> Effects:
+    """Recover if a culprit shows, else probe again."""
+    culprit = _culprit(request, now)
+    if culprit is None:
+        request.previous_replies = request.replies_by_stage
+        return _probe(request, now)
+    fleet.suspect(state, request.chain[culprit].backend_server, now)
+    return requests.recover(state, request, "stalled", now)
+
+
+def _culprit(request: Request, now: int) -> int | None:
+    """Return the stage to leave out, or None while it cannot be told."""
+    replies, previous = request.replies_by_stage, request.previous_replies
+    stages = range(len(request.chain))
+    silent = next((stage for stage in stages if stage not in replies), None)
+    if silent is not None:
+        return silent
+    for stage in stages[:-1]:
+        sent, received = replies[stage].sent, replies[stage + 1].received
+        stood_still = stage + 1 in previous and previous[stage + 1].received == received
+        if sent > received and stood_still:
+            return stage + 1
+    if now - request.progress_ms < ENGINE_STUCK_MS:
+        return None
+    return next(
+        (
+            stage
+            for stage in stages
+            if replies[stage].received > replies[stage].done
+            and stage in previous
+            and previous[stage].done == replies[stage].done
+        ),
+        None,
+    )
+
+
+__all__ = ["replied", "tick"]
--- /dev/null
+++ b/src/yuccareach/entry/state.py
@@ -0,0 +1,127 @@
+"""State of the entry."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from yuccareach.settings.sets import RequestClass, SettingsStore, Workspace
+
+if TYPE_CHECKING:
+    from yuccareach.entry.events import CallAsked
+    from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
+
+
+class EntryOptions(NamedTuple):
+    """What the entry's decisions depend on."""
+
+    incarnation: str
+    availability_zone: str
+    resume: bool = True
+    policy: str = "load"
+    seed: int = 0
+
+
+class BackendServer:
+    """One backend server as this entry sees it."""
+
+    def __init__(self, member: cpb.Member) -> None:
+        self.member = member
+        self.own_running = 0
+        self.others_running = 0
+        self.suspected_until_ms = 0
+        self.draining = False
+
+
+class Request:
+    """One model request and its current attempt."""
+
+    def __init__(
+        self,
+        identifier: str,
+        workspace: Workspace,
+        request_class: RequestClass,
+        prompt: str,
+        max_tokens: int,
+        charge: int,
+        now_ms: int,
+    ) -> None:
+        self.identifier = identifier
+        self.workspace = workspace
+        self.request_class = request_class
+        self.prompt = prompt
+        self.max_tokens = max_tokens
+        self.charge = charge
+        self.pipeline = ""
+        self.layers = 0
+        self.epoch = 0
+        self.chain: tuple[cpb.Member, ...] = ()
+        self.delivered: list[int] = []
+        self.prompt_tokens = 0
+        self.failures = 0
+        self.reroutes = 0
+        self.sent = False
+        self.resume = True
+        self.started_ms = now_ms
+        self.progress_ms = now_ms
+        self.probed_ms = 0
+        self.replies_by_stage: dict[int, pb.ProbeReply] = {}
+        self.previous_replies: dict[int, pb.ProbeReply] = {}
+        self.stuck_since_ms = 0
+        self.interrupted_ms = 0
+        self.retry_ms = 0
+
+
+class PlainCall:
+    """One call to a plain service."""
+
+    def __init__(self, asked: CallAsked, request_class: RequestClass, now: int) -> None:
+        self.asked = asked
+        self.request_class = request_class
+        self.started_ms = now
+        self.deadline_ms = now + asked.service.timeout_ms
+        self.tries = 0
+        self.server: cpb.Member | None = None
+        self.permit = 0
+        self.permit_asked = False
+        self.fresh_permit = False
+        self.sent_under_permit = False
+        self.resend_ms = 0
+        self.tried: set[str] = set()
+
+
+class Usage:
+    """What one workspace has in flight, and its token allowance."""
+
+    def __init__(self, allowance: float, now_ms: int) -> None:
+        self.requests = 0
+        self.tokens = 0
+        self.allowance = allowance
+        self.refilled_ms = now_ms
+
+
+class EntryState:
+    """Everything the entry knows."""
+
+    def __init__(self, options: EntryOptions) -> None:
+        self.options = options
+        self.settings = SettingsStore()
+        self.server_by_name: dict[str, BackendServer] = {}
+        self.names_by_pipeline: dict[str, set[str]] = {}
+        self.names_by_service: dict[str, set[str]] = {}
+        self.request_by_id: dict[str, Request] = {}
+        self.call_by_id: dict[str, PlainCall] = {}
+        self.usage_by_workspace: dict[str, Usage] = {}
+        self.entries = 1
+        self.turn = 0
+        self.draining = False
+        self.retry_credit_by_pipeline: dict[str, float] = {}
+
+
+__all__ = [
+    "BackendServer",
+    "EntryOptions",
+    "EntryState",
+    "PlainCall",
+    "Request",
+    "Usage",
+]
--- /dev/null
+++ b/src/yuccareach/load/__init__.py
@@ -0,0 +1,1 @@
+"""Open-loop load, answer checks and experiments."""
--- /dev/null
+++ b/src/yuccareach/load/client.py
@@ -0,0 +1,155 @@
+"""One request as a caller makes it, with its answer checked."""
+
+from __future__ import annotations
+
+import time
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
+
+import aiohttp
+import msgspec
+
+from yuccareach.standin import model
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+_DATA = b"data: "
+_DONE = b"[DONE]"
+
+
+class Verdict(StrEnum):
+    """What became of one request."""
+
+    RIGHT = "right"
+    WRONG = "wrong"
+    MISSING = "missing"
+    REFUSED = "refused"
+    FAILED = "failed"
+
+
+class Target(NamedTuple):
+    """Where to send requests and as whom."""
+
+    url: str
+    key: str
+    pipeline: str
+    layers: int
+
+
+class Result(NamedTuple):
+    """One finished request; times in seconds."""
+
+    verdict: Verdict
+    status: int
+    tokens: int
+    first_token_s: float
+    gaps_s: tuple[float, ...]
+    total_s: float
+    reason: str = ""
+
+
+class StreamEnded(NamedTuple):
+    """How a stream of server-sent events ended."""
+
+    finish_reason: str
+    done: bool
+    error: str
+
+
+async def stream_events(response: aiohttp.ClientResponse) -> AsyncIterator[bytes]:
+    """Yield the data of each server-sent event."""
+    async for line in response.content:
+        if line.startswith(_DATA):
+            yield line[len(_DATA) :].strip()
+
+
+async def complete(
+    session: aiohttp.ClientSession,
+    target: Target,
+    prompt: str,
+    max_tokens: int,
+    started: float | None = None,
+) -> Result:
+    """Ask for one streamed answer and check every token of it.
+
+    started is when the request was due, so that waiting before it was sent counts.
+    """
+    started = time.monotonic() if started is None else started
+    try:
+        async with session.post(
+            f"{target.url}/v1/completions",
+            headers={"Authorization": f"Bearer {target.key}"},
+            json={
+                "model": target.pipeline,
+                "prompt": prompt,
+                "max_tokens": max_tokens,
+                "stream": True,
+            },
+        ) as response:
+            if response.status != 200:
+                body = await response.json(content_type=None)
+                reason = str(body.get("error", {}).get("code", ""))
+                return _without_answer(
+                    Verdict.REFUSED, response.status, started, reason
+                )
+            return await _check(response, target, prompt, max_tokens, started)
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        return _without_answer(Verdict.FAILED, 0, started, type(error).__name__)
+
+
+def _without_answer(
+    verdict: Verdict, status: int, started: float, reason: str
+) -> Result:
+    total_s = time.monotonic() - started
+    return Result(verdict, status, 0, 0.0, (), total_s, reason)
+
+
+async def _check(
+    response: aiohttp.ClientResponse,
+    target: Target,
+    prompt: str,
+    max_tokens: int,
+    started: float,
+) -> Result:
+    texts: list[str] = []
+    moments: list[float] = []
+    ended = StreamEnded("", False, "")
+    async for data in stream_events(response):
+        if data == _DONE:
+            ended = ended._replace(done=True)
+            continue
+        event = msgspec.json.decode(data)
+        if "error" in event:
+            ended = ended._replace(error=str(event["error"].get("code")))
+            continue
+        choice = event["choices"][0]
+        if choice["finish_reason"]:
+            ended = ended._replace(finish_reason=choice["finish_reason"])
+        else:
+            texts.append(choice["text"])
+            moments.append(time.monotonic())
+    total_s = time.monotonic() - started
+    verdict = _judge(texts, ended, target, prompt, max_tokens)
+    first_s = moments[0] - started if moments else 0.0
+    gaps = tuple(after - before for before, after in zip(moments, moments[1:]))
+    return Result(verdict, 200, len(texts), first_s, gaps, total_s, ended.error)
+
+
+def _judge(
+    texts: list[str],
+    ended: StreamEnded,
+    target: Target,
+    prompt: str,
+    max_tokens: int,
+) -> Verdict:
+    """Compare with the answer computed alone; a cut answer must say so."""
+    expected = model.answer(prompt, target.layers, max_tokens)
+    if texts != expected[: len(texts)]:
+        return Verdict.WRONG
+    if ended.done and ended.finish_reason:
+        return Verdict.RIGHT if texts == expected else Verdict.WRONG
+    return Verdict.FAILED if ended.error else Verdict.MISSING
+
+
+__all__ = ["Result", "Target", "Verdict", "complete", "stream_events"]
--- /dev/null
+++ b/src/yuccareach/metrics/__init__.py
@@ -0,0 +1,1 @@
+"""Histograms and counters."""
--- /dev/null
+++ b/src/yuccareach/proto/__init__.py
@@ -0,0 +1,1 @@
+"""Protocol messages and the code generated from them."""
--- /dev/null
+++ b/src/yuccareach/route/__init__.py
@@ -0,0 +1,1 @@
+"""Placement of layers and choice of backend servers."""
--- /dev/null
+++ b/src/yuccareach/route/errors.py
@@ -0,0 +1,20 @@
+"""Errors of route choice and placement."""
+
+from __future__ import annotations
+
+from yuccareach.errors import YuccareachError
+
+
+class RouteError(YuccareachError):
+    """Base of the errors of this layer."""
+
+
+class ChainGap(RouteError):
+    """A chain whose layer ranges leave a gap, overlap, or miss an end."""
+
+
+class NoChain(RouteError):
+    """No chain of live backend servers covers every layer."""
+
+
+__all__ = ["ChainGap", "NoChain", "RouteError"]
--- /dev/null
+++ b/src/yuccareach/runtime/__init__.py
@@ -0,0 +1,1 @@
+"""Event loop, effects, links, logs and process life cycle."""
--- /dev/null
+++ b/src/yuccareach/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Loading, checking and merging of declared settings."""
--- /dev/null
+++ b/src/yuccareach/standin/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for engines, services and faulty networks."""
--- /dev/null
+++ b/src/yuccareach/standin/engine.py
@@ -0,0 +1,341 @@
+"""A stand-in model engine that holds a range of layers."""
+
+from __future__ import annotations
+
+import asyncio
+import struct
+from collections import Counter, OrderedDict, deque
+from random import Random
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+import grpc
+import xxhash
+
+from yuccareach.proto import engine_pb2 as epb
+from yuccareach.proto.engine_pb2_grpc import EngineServicer
+from yuccareach.runtime.reducer import monotonic_ms, wall_clock_ms
+from yuccareach.standin import model
+from yuccareach.standin.kinds import find_kind
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+REPORT_INTERVAL_MS = 500
+REPORT_LAG_MS = 700
+PREFIX_TOKENS = 16
+PREFIXES_KEPT = 256
+
+
+class EngineOptions(NamedTuple):
+    """What the stand-in pretends to be."""
+
+    model: str
+    layers: int
+    first_layer: int
+    end_layer: int
+    kind: str = "a100"
+    speed: float = 1.0
+    checks_fencing: bool = True
+    event_loss: float = 0.1
+    seed: int = 0
+    crash_word: str = ""
+
+
+class Sequence:
+    """KV state of one sequence."""
+
+    def __init__(self, layers: int) -> None:
+        self.states = [0] * layers
+        self.positions = 0
+
+
+class Executions:
+    """Counts of positions run, for each request, epoch and position.
+
+    All held layers of a position run together, so one count stands for each of them.
+    """
+
+    def __init__(self) -> None:
+        self.count_by_position: Counter[tuple[str, int]] = Counter()
+        self.out_of_order = 0
+        self.total = 0
+
+    def note(self, sequence: str, expected: int, position: int, count: int) -> None:
+        """Count the positions of one step."""
+        self.total += count
+        self.out_of_order += expected != position
+        self.count_by_position.update(
+            (sequence, position + offset) for offset in range(count)
+        )
+
+    def summary(self) -> dict[str, int]:
+        """Return totals; repeated and out_of_order must stay 0."""
+        return {
+            "total": self.total,
+            "positions": len(self.count_by_position),
+            "repeated": sum(
+                count - 1 for count in self.count_by_position.values() if count > 1
+            ),
+            "out_of_order": self.out_of_order,
+        }
+
+
+class StandinEngine(EngineServicer):  # type: ignore[misc]
+    """Batches continuously, with the time model of its kind."""
+
+    def __init__(self, options: EngineOptions) -> None:
+        self.options = options
+        self.kind = find_kind(options.kind)
+        self.first_layer = options.first_layer
+        self.end_layer = options.end_layer
+        self.model = options.model
+        self.layers = options.layers
+        self.random = Random(options.seed)
+        self.sequence_by_id: dict[str, Sequence] = {}
+        self.queue: deque[tuple[epb.Step, asyncio.Queue[Any]]] = deque()
+        self.work = asyncio.Event()
+        self.running = 0
+        self.executions = Executions()
+        self.prefix_cache: OrderedDict[int, None] = OrderedDict()
+        self.cached: list[int] = []
+        self.evicted: list[int] = []
+        self.fencing_number = 0
+        self.stuck = False
+        self.free_at = 0.0
+        self.task: asyncio.Task[None] | None = None
+
+    def start(self) -> None:
+        """Run batches until stop."""
+        self.task = asyncio.create_task(self._run_batches())
+
+    async def stop(self) -> None:
+        """Stop running batches."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    @property
+    def held(self) -> int:
+        """Number of layers held."""
+        return self.end_layer - self.first_layer
+
+    @property
+    def kv_used(self) -> int:
+        """Positions whose state is kept."""
+        return sum(item.positions for item in self.sequence_by_id.values())
+
+    # The engine's port.
+
+    async def Info(self, request: epb.InfoRequest, context: Any) -> epb.InfoReply:
+        """Tell what this engine holds."""
+        return epb.InfoReply(
+            model=self.model,
+            layers=self.layers,
+            first_layer=self.first_layer,
+            end_layer=self.end_layer,
+            kind=self.kind.name,
+            kv_capacity_tokens=self.kind.kv_capacity_tokens,
+            max_batch=self.kind.max_batch,
+            checks_fencing=self.options.checks_fencing,
+            decode_rate=self.kind.decode_rate(self.held) * self.options.speed,
+        )
+
+    async def Run(
+        self, request_iterator: AsyncIterator[epb.StepBatch], context: Any
+    ) -> AsyncIterator[epb.StepResultBatch]:
+        """Run steps and return their results batch by batch."""
+        results: asyncio.Queue[Any] = asyncio.Queue()
+        reader = asyncio.create_task(self._read(request_iterator, results))
+        try:
+            while True:
+                batch = await results.get()
+                if batch is None:
+                    return
+                yield epb.StepResultBatch(results=batch)
+        finally:
+            reader.cancel()
+
+    async def _read(
+        self, batches: AsyncIterator[epb.StepBatch], results: asyncio.Queue[Any]
+    ) -> None:
+        try:
+            async for batch in batches:
+                for step in batch.steps:
+                    if step.cancel:
+                        self._cancel(step.sequence)
+                    else:
+                        self.queue.append((step, results))
+                self.work.set()
+        except grpc.RpcError:
+            pass
+        results.put_nowait(None)
+
+    def _cancel(self, sequence: str) -> None:
+        """Free a sequence and drop its steps that have not run."""
+        self.sequence_by_id.pop(sequence, None)
+        if any(step.sequence == sequence for step, _ in self.queue):
+            self.queue = deque(
+                item for item in self.queue if item[0].sequence != sequence
+            )
+
+    async def Export(self, request: epb.KvRequest, context: Any) -> epb.KvBlob:
+        """Return the KV state of a sequence."""
+        sequence = self.sequence_by_id.get(request.sequence)
+        if sequence is None:
+            return epb.KvBlob(sequence=request.sequence, error="unknown_sequence")
+        return epb.KvBlob(
+            sequence=request.sequence,
+            positions=sequence.positions,
+            first_layer=self.first_layer,
+            end_layer=self.end_layer,
+            state=struct.pack(f"<{self.held}Q", *sequence.states),
+        )
+
+    async def Import(self, request: epb.KvBlob, context: Any) -> epb.ImportReply:
+        """Take over the KV state of a sequence."""
+        if (request.first_layer, request.end_layer) != (
+            self.first_layer,
+            self.end_layer,
+        ):
+            return epb.ImportReply(error="other_layers")
+        sequence = Sequence(self.held)
+        sequence.states = list(struct.unpack(f"<{self.held}Q", request.state))
+        sequence.positions = request.positions
+        self.sequence_by_id[request.sequence] = sequence
+        return epb.ImportReply()
+
+    async def Load(self, request: epb.Order, context: Any) -> epb.OrderReply:
+        """Hold another range of layers; an old fencing number is refused."""
+        if self.options.checks_fencing and request.fencing_number < self.fencing_number:
+            return epb.OrderReply(
+                accepted=False,
+                error="old_fencing_number",
+                highest_fencing_number=self.fencing_number,
+            )
+        self.fencing_number = max(self.fencing_number, request.fencing_number)
+        self.model, self.layers = request.model, request.layers
+        self.first_layer, self.end_layer = request.first_layer, request.end_layer
+        self.sequence_by_id.clear()
+        return epb.OrderReply(accepted=True, highest_fencing_number=self.fencing_number)
+
+    async def Watch(
+        self, request: epb.WatchRequest, context: Any
+    ) -> AsyncIterator[epb.EngineEvent]:
+        """Publish load and cache changes, late and with gaps."""
+        number = 0
+        while True:
+            await asyncio.sleep(REPORT_INTERVAL_MS / 1000)
+            number += 1
+            report = epb.EngineEvent(
+                number=number,
+                measured_at_ms=wall_clock_ms(),
+                running=self.running,
+                queued=len(self.queue),
+                kv_used_tokens=self.kv_used,
+                cached_prefixes=self.cached,
+                evicted_prefixes=self.evicted,
+            )
+            self.cached, self.evicted = [], []
+            await asyncio.sleep(REPORT_LAG_MS / 1000)
+            if self.random.random() >= self.options.event_loss:
+                yield report
+
+    # Batches.
+
+    async def _run_batches(self) -> None:
+        while True:
+            await self.work.wait()
+            if not self.queue or self.stuck:
+                self.work.clear()
+                continue
+            batch = self._take_batch()
+            self.running = len(batch)
+            await self._wait_for(batch)
+            self._compute(batch)
+            self.running = 0
+
+    def _take_batch(self) -> list[tuple[epb.Step, asyncio.Queue[Any]]]:
+        """Take the steps of highest priority, each sequence in its own order."""
+        order = sorted(self.queue, key=lambda item: -item[0].priority)
+        batch = order[: self.kind.max_batch]
+        taken = {id(step) for step, _ in batch}
+        self.queue = deque(item for item in self.queue if id(item[0]) not in taken)
+        return batch
+
+    async def _wait_for(self, batch: list[tuple[epb.Step, asyncio.Queue[Any]]]) -> None:
+        """Let the time pass that the accelerator would need."""
+        positions = sum(max(1, self._new_positions(step)) for step, _ in batch)
+        seconds = self.kind.batch_seconds(self.held, positions) / self.options.speed
+        now = monotonic_ms() / 1000
+        self.free_at = max(self.free_at, now) + seconds
+        await asyncio.sleep(max(0.0, self.free_at - now))
+
+    def _new_positions(self, step: epb.Step) -> int:
+        """Return the positions to compute, less those the prefix cache holds."""
+        if self.first_layer or step.position:
+            return step.count
+        words = step.prompt.split()
+        known = 0
+        for end in range(PREFIX_TOKENS, len(words) + 1, PREFIX_TOKENS):
+            prefix = xxhash.xxh3_64_intdigest(" ".join(words[:end]).encode())
+            if prefix in self.prefix_cache:
+                self.prefix_cache.move_to_end(prefix)
+                known = end
+                continue
+            self.prefix_cache[prefix] = None
+            self.cached.append(prefix)
+            if len(self.prefix_cache) > PREFIXES_KEPT:
+                self.evicted.append(self.prefix_cache.popitem(last=False)[0])
+        return len(words) + len(step.tokens) - known
+
+    def _compute(self, batch: list[tuple[epb.Step, asyncio.Queue[Any]]]) -> None:
+        """Run the layers and hand out the results, one list for each stream."""
+        results_by_stream: dict[int, list[epb.StepResult]] = {}
+        streams = {id(stream): stream for _, stream in batch}
+        for step, stream in batch:
+            result = self._run_step(step)
+            results_by_stream.setdefault(id(stream), []).append(result)
+        for key, results in results_by_stream.items():
+            streams[key].put_nowait(results)
+
+    def _run_step(self, step: epb.Step) -> epb.StepResult:
+        if self.options.crash_word and self.options.crash_word in step.prompt:
+            raise SystemExit("the stand-in engine was crashed by a request")
+        sequence = self.sequence_by_id.get(step.sequence)
+        if sequence is None:
+            sequence = self.sequence_by_id[step.sequence] = Sequence(self.held)
+        if self.kv_used + step.count > self.kind.kv_capacity_tokens:
+            return epb.StepResult(
+                sequence=step.sequence, position=step.position, error="kv_full"
+            )
+        inputs = self._inputs(step)
+        self.executions.note(
+            step.sequence, sequence.positions, step.position, len(inputs)
+        )
+        outputs = [
+            model.run_layers(sequence.states, self.first_layer, value)
+            for value in inputs
+        ]
+        sequence.positions = step.position + len(inputs)
+        result = epb.StepResult(
+            sequence=step.sequence, position=step.position, count=len(inputs)
+        )
+        if self.end_layer == self.layers:
+            sampled = model.sample(outputs[-1])
+            result.token, result.text = sampled.token, sampled.text
+            result.end_of_sequence = sampled.end_of_sequence
+        else:
+            result.activation = model.pack_activations(outputs)
+        return result
+
+    def _inputs(self, step: epb.Step) -> list[int]:
+        """Return the first held layer's input for each position."""
+        if self.first_layer:
+            return model.unpack_activations(step.activation)
+        tokens = list(step.tokens)
+        if step.position == 0:
+            tokens = model.tokenize(step.prompt) + tokens
+        return [model.embed(token) for token in tokens]
+
+
+__all__ = ["EngineOptions", "StandinEngine"]
--- /dev/null
+++ b/src/yuccareach/standin/service.py
@@ -0,0 +1,82 @@
+"""A stand-in plain service: a ledger with idempotent and other routes."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from typing import Any
+
+import falcon
+import falcon.asgi
+
+
+class Ledger:
+    """Balances, and how often each payout has run."""
+
+    def __init__(self, delay_ms: int = 0) -> None:
+        self.delay_ms = delay_ms
+        self.balance_by_account: Counter[str] = Counter()
+        self.executions_by_key: Counter[str] = Counter()
+        self.reads = 0
+        self.stuck = False
+
+
+class Balances:
+    """Idempotent look-ups."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+
+    async def on_get(self, request: Any, response: Any, account: str) -> None:
+        """Return an account's balance."""
+        self.ledger.reads += 1
+        response.media = {
+            "account": account,
+            "balance": self.ledger.balance_by_account[account],
+        }
+
+
+class Payouts:
+    """Payouts, which must not be repeated."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+
+    async def on_post(self, request: Any, response: Any) -> None:
+        """Pay once for each time it is asked, whatever the key."""
+        key = request.get_header("Idempotency-Key") or ""
+        body = await request.get_media()
+        self.ledger.executions_by_key[key] += 1
+        self.ledger.balance_by_account[body["account"]] += body["amount"]
+        while self.ledger.stuck:
+            await asyncio.sleep(0.05)
+        await asyncio.sleep(self.ledger.delay_ms / 1000)
+        response.status = falcon.HTTP_201
+        response.media = {
+            "paid": body["amount"],
+            "account": body["account"],
+            "key": key,
+        }
+
+
+class ExecutionCounts:
+    """What a test looks at."""
+
+    def __init__(self, ledger: Ledger) -> None:
+        self.ledger = ledger
+
+    async def on_get(self, request: Any, response: Any) -> None:
+        """Return how often each key has run."""
+        response.media = dict(self.ledger.executions_by_key)
+
+
+def service_app(ledger: Ledger) -> Any:
+    """Build the HTTP application of the ledger."""
+    app = falcon.asgi.App()
+    app.add_route("/balances/{account}", Balances(ledger))
+    app.add_route("/payouts", Payouts(ledger))
+    app.add_route("/executions", ExecutionCounts(ledger))
+    return app
+
+
+__all__ = ["Ledger", "service_app"]
