--- /dev/null
+++ b/src/yuccareach/cli/load.py
@@ -0,0 +1,103 @@
+"""The yuccareach-load command."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import sys
+from pathlib import Path
+
+import click
+
+from yuccareach import __version__
+from yuccareach.cli.options import CONTEXT, EXIT_FAILURE, clear_errors, option
+from yuccareach.load.arrivals import Arrivals
+from yuccareach.load.client import Target, Verdict
+from yuccareach.load.report import lines, summary
+from yuccareach.load.runner import Workload, run_load
+
+BAD_VERDICTS = (Verdict.WRONG, Verdict.MISSING, Verdict.FAILED)
+
+
+@click.group(context_settings=CONTEXT)
+@click.version_option(__version__, prog_name="yuccareach-load")
+def main() -> None:
+    """Send load, check every answer, and report."""
+
+
+@main.command(context_settings=CONTEXT)
+@option("--url", "LOAD", required=True, help="Entries, separated by commas.")
+@option("--key", "LOAD", required=True, help="Workspaces' keys, separated by commas.")
+@option("--pipeline", "LOAD", required=True, help="Model to ask.")
+@option("--layers", "LOAD", type=int, required=True, help="Layers of the model.")
+@option("--rate", "LOAD", type=float, default=10.0, help="Requests per second.")
+@option("--duration", "LOAD", type=float, default=10.0, help="Seconds of arrivals.")
+@option(
+    "--at-once",
+    "LOAD",
+    type=int,
+    default=0,
+    help="Send so many requests at once, in place of --rate.",
+)
+@option(
+    "--arrivals",
+    "LOAD",
+    type=click.Choice([str(item) for item in Arrivals]),
+    default=str(Arrivals.POISSON),
+    help="Process by which requests arrive.",
+)
+@option("--prompt-words", "LOAD", type=int, default=24, help="Mean words of a prompt.")
+@option("--max-tokens", "LOAD", type=int, default=32, help="Mean tokens asked for.")
+@option("--prefixes", "LOAD", type=int, default=0, help="Shared starts of prompts.")
+@option("--seed", "LOAD", type=int, default=1, help="Seed of the whole run.")
+@option("--json", "LOAD", "as_json", is_flag=True, help="Print JSON.")
+@option(
+    "--output",
+    "LOAD",
+    type=click.Path(dir_okay=False, path_type=Path),
+    help="File for the raw results, one JSON line each.",
+)
+@clear_errors
+def run(
+    url: str,
+    key: str,
+    pipeline: str,
+    layers: int,
+    rate: float,
+    duration: float,
+    at_once: int,
+    arrivals: str,
+    prompt_words: int,
+    max_tokens: int,
+    prefixes: int,
+    seed: int,
+    as_json: bool,
+    output: Path | None,
+) -> None:
+    """Send an open-loop load; the exit status is 1 if any answer was bad."""
+    targets = [
+        Target(one_url.rstrip("/"), one_key, pipeline, layers)
+        for one_url in url.split(",")
+        for one_key in key.split(",")
+    ]
+    workload = Workload(
+        rate,
+        duration,
+        Arrivals(arrivals),
+        prompt_words,
+        max_tokens,
+        prefixes,
+        seed,
+        at_once,
+    )
+    outcome = asyncio.run(run_load(targets, workload))
+    figures = summary(outcome)
+    if output is not None:
+        rows = (json.dumps(result._asdict()) for _, result in outcome.results)
+        output.write_text("\n".join(rows) + "\n", encoding="utf-8")
+    click.echo(json.dumps(figures) if as_json else "\n".join(lines(figures)))
+    if any(outcome.counts[str(verdict)] for verdict in BAD_VERDICTS):
+        sys.exit(EXIT_FAILURE)
+
+
+__all__ = ["main"]
--- a/src/yuccareach/control/replication.py
+++ b/src/yuccareach/control/replication.py
@@ -290,13 +290,20 @@
 
 
 def _install(state: RaftState, request: cpb.SnapshotRequest) -> Effects:
+    """Take a snapshot over, keeping the records after it that agree with it.
+
+    They may have been acknowledged, if the snapshot arrives late.
+    """
+    rest: list[cpb.LogRecord] = []
+    if state.term_at(request.last_index) == request.last_term:
+        rest = state.records[request.last_index - state.snapshot.last_index :]
     state.snapshot = cpb.SnapshotFile(
         last_index=request.last_index,
         last_term=request.last_term,
         membership=request.membership,
         state=bytes(state.incoming_snapshot),
     )
-    state.records.clear()
+    state.records = rest
     state.commit_index = state.applied_index = request.last_index
     state.machine = load_machine(state.snapshot.state)
     state.refresh_membership()
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -15,17 +15,15 @@
 from yuccareach.control.members import LEASE_MS, MemberTable
 from yuccareach.control.operators import operator_app
 from yuccareach.control.peers import PeerLinks
+from yuccareach.control.persistence import persist
 from yuccareach.control.raft_types import (
     Answer,
-    AppendRecords,
     Applied,
     BatchEnd,
     RaftState,
     ReadConfirmed,
     Refused,
     Role,
-    SaveHardState,
-    SaveSnapshot,
     SendPeer,
     WriteFailed,
 )
@@ -171,7 +169,7 @@
     def perform(self, effects: list[Any]) -> None:
         """Write and sync first; only then send and answer."""
         try:
-            self._write(effects)
+            persist(self.store, self.state, effects)
         except DiskFailed as error:
             failure = raft.reduce(self.state, WriteFailed(str(error)), 0)
             effects = [
@@ -181,19 +179,6 @@
         for effect in effects:
             self._perform_one(effect)
 
-    def _write(self, effects: list[Any]) -> None:
-        records: list[cpb.LogRecord] = []
-        for effect in effects:
-            if isinstance(effect, AppendRecords):
-                records += effect.records
-            elif isinstance(effect, SaveHardState):
-                self.store.save_hard_state(effect.state)
-        if records:
-            self.store.append(records)
-            self.store.sync()
-        if any(isinstance(effect, SaveSnapshot) for effect in effects):
-            self.store.save_snapshot(self.state.snapshot, self.state.records)
-
     def _perform_one(self, effect: Any) -> None:
         match effect:
             case SendPeer(message=message):
--- /dev/null
+++ b/src/yuccareach/load/report.py
@@ -0,0 +1,52 @@
+"""What a run came to, as text and as data."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from yuccareach.metrics.registry import QUANTILES
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from yuccareach.load.runner import Outcome
+
+METRICS = ("first_token", "between_tokens", "whole_answer")
+
+
+def summary(outcome: Outcome) -> dict[str, Any]:
+    """Return the figures of a run; durations in milliseconds."""
+    durations = {
+        key.metric: {
+            f"p{quantile:g}": histogram.get_value_at_percentile(quantile)
+            for quantile in QUANTILES
+        }
+        | {"max": histogram.get_max_value()}
+        for key, histogram in outcome.registry.series()
+        if not key.workspace
+    }
+    return {
+        "requests": len(outcome.results),
+        "elapsed_s": round(outcome.elapsed_s, 3),
+        "tokens_per_second": round(outcome.tokens_per_second, 1),
+        "verdicts": dict(sorted(outcome.counts.items())),
+        "durations_ms": durations,
+    }
+
+
+def lines(figures: dict[str, Any]) -> Iterator[str]:
+    """Yield a summary as lines of text."""
+    verdicts = ", ".join(
+        f"{count} {name}" for name, count in figures["verdicts"].items()
+    )
+    yield f"{figures['requests']} requests in {figures['elapsed_s']} s: {verdicts}"
+    for name in ("wrong", "missing"):
+        yield f"{name}: {figures['verdicts'].get(name, 0)}"
+    yield f"tokens per second: {figures['tokens_per_second']}"
+    for metric in METRICS:
+        durations = figures["durations_ms"].get(metric, {})
+        text = ", ".join(f"{name} {value} ms" for name, value in durations.items())
+        yield f"{metric}: {text or 'none'}"
+
+
+__all__ = ["lines", "summary"]
--- /dev/null
+++ b/tests/control/cluster.py
@@ -0,0 +1,480 @@
+"""Several control reducers joined by a faulty network and faulty disks."""
+
+from __future__ import annotations
+
+from collections import Counter
+from random import Random
+from typing import Any
+
+from yuccareach.control import raft
+from yuccareach.control.machine import Machine, load_machine
+from yuccareach.control.persistence import persist
+from yuccareach.control.raft_types import (
+    Answer,
+    BatchEnd,
+    PeerAdded,
+    RaftReceived,
+    RaftState,
+    ReadAsked,
+    ReadConfirmed,
+    Refused,
+    Role,
+    SendPeer,
+    StoredState,
+    Submitted,
+)
+from yuccareach.proto import control_pb2 as cpb
+from yuccareach.runtime.reducer import Tick
+
+TEAMS = ("kalahari", "kitamichi")
+SNAPSHOT_EVERY = 25
+MESSAGES_KEPT = 400
+
+
+class MemoryStore:
+    """A disk that loses what was not synced when its instance crashes."""
+
+    def __init__(self, identity: str) -> None:
+        self.hard_state = cpb.HardState(identity=identity)
+        self.snapshot = cpb.SnapshotFile()
+        self.frames: list[list[cpb.LogRecord]] = []
+        self.unsynced: list[list[cpb.LogRecord]] = []
+
+    def append(self, records: list[cpb.LogRecord]) -> None:
+        self.unsynced.append([_copy(record) for record in records])
+
+    def sync(self) -> None:
+        self.frames += self.unsynced
+        self.unsynced = []
+
+    def save_hard_state(self, state: cpb.HardState) -> None:
+        self.hard_state = _copy(state)
+
+    def save_snapshot(
+        self, snapshot: cpb.SnapshotFile, rest: list[cpb.LogRecord]
+    ) -> None:
+        self.snapshot = _copy(snapshot)
+        self.frames = [[_copy(record) for record in rest]]
+        self.unsynced = []
+
+    def crash(self) -> None:
+        self.unsynced = []
+
+    def load(self) -> StoredState:
+        records: list[cpb.LogRecord] = []
+        for record in (record for frame in self.frames for record in frame):
+            if record.index > self.snapshot.last_index:
+                del records[record.index - self.snapshot.last_index - 1 :]
+                records.append(_copy(record))
+        return StoredState(_copy(self.hard_state), _copy(self.snapshot), records)
+
+
+def _copy(message: Any) -> Any:
+    return type(message).FromString(message.SerializeToString(deterministic=True))
+
+
+class Node:
+    """One control instance and its disk."""
+
+    def __init__(self, name: str, identity: str) -> None:
+        self.name = name
+        self.identity = identity
+        self.store = MemoryStore(identity)
+        self.now = 0
+        self.up = True
+        self.start()
+
+    def start(self) -> None:
+        stored = self.store.load()
+        machine = (
+            load_machine(stored.snapshot.state) if stored.snapshot.state else Machine()
+        )
+        self.state = RaftState(
+            self.identity, stored, machine, Random(self.identity), SNAPSHOT_EVERY
+        )
+        self.state.election_due_ms = self.now + 700
+        self.up = True
+
+
+class Cluster:
+    """The instances, the messages between them, and the oracle."""
+
+    def __init__(self) -> None:
+        self.nodes: dict[str, Node] = {}
+        self.by_identity: dict[str, Node] = {}
+        self.messages: list[cpb.RaftMessage] = []
+        self.cut: set[frozenset[str]] = set()
+        self.tickets = 0
+        self.asked: dict[int, cpb.Command] = {}
+        self.reads: dict[int, int] = {}
+        self.generations = Counter[str]()
+        # The oracle.
+        self.leader_by_term: dict[int, str] = {}
+        self.committed: dict[int, bytes] = {}
+        self.accepted: dict[int, cpb.SettingsChange] = {}
+        self.answer_by_change: dict[str, bytes] = {}
+        self.granted: dict[str, int] = {}
+        # Permits whose revocation was asked for; a lost answer may mean success.
+        self.revoked: set[int] = set()
+        self.fencing: dict[int, str] = {}
+        for name in ("a", "b", "c"):
+            self.add_node(name, bootstrap=name == "a")
+        self.settle()
+
+    # Faults and events.
+
+    def add_node(self, name: str, *, bootstrap: bool = False) -> None:
+        """Start an instance with an empty disk, under a new identity."""
+        self.generations[name] += 1
+        node = Node(name, f"{name}{self.generations[name]}")
+        node.now = max((other.now for other in self.nodes.values()), default=0)
+        self.nodes[name] = node
+        self.by_identity[node.identity] = node
+        if bootstrap:
+            peer = cpb.Peer(name=name, identity=node.identity)
+            self._perform(node, raft.bootstrap(node.state, peer, 0))
+
+    def handle(
+        self, node: Node, event: Any, *, crash_before_sync: bool = False
+    ) -> None:
+        """Reduce one event and the end of its batch, as the process does."""
+        if not node.up:
+            return
+        effects = [
+            *raft.reduce(node.state, event, node.now, node.now),
+            *raft.reduce(node.state, BatchEnd(), node.now, node.now),
+        ]
+        if crash_before_sync:
+            self.crash(node)
+            return
+        self._perform(node, effects)
+        self._check_node(node)
+
+    def _perform(self, node: Node, effects: list[Any]) -> None:
+        persist(node.store, node.state, effects)
+        for effect in effects:
+            match effect:
+                case SendPeer(message=message):
+                    self.messages.append(_copy(message))
+                case Answer(ticket=ticket, answer=answer):
+                    self._answered(ticket, _copy(answer))
+                case ReadConfirmed(ticket=ticket):
+                    self._read(node, ticket)
+                case Refused(ticket=ticket):
+                    self.asked.pop(ticket, None)
+                    self.reads.pop(ticket, None)
+        del self.messages[:-MESSAGES_KEPT]
+
+    def tick(self, name: str, elapsed_ms: int) -> None:
+        """Let time pass at one instance only: clocks run apart."""
+        node = self.nodes[name]
+        node.now += elapsed_ms
+        self.handle(node, Tick())
+        if node.up and not _is_member(node):
+            self.join(node)
+
+    def join(self, node: Node) -> None:
+        """Ask every instance to be let in."""
+        peer = cpb.Peer(name=node.name, identity=node.identity, address=node.identity)
+        for other in list(self.nodes.values()):
+            if other is not node and self._connected(other.identity, node.identity):
+                self.handle(other, PeerAdded(self._ticket(), _copy(peer)))
+
+    def deliver(
+        self, position: int, *, keep: bool = False, crash: bool = False
+    ) -> None:
+        """Deliver a message in flight, perhaps once more later."""
+        if not self.messages:
+            return
+        position %= len(self.messages)
+        message = self.messages[position] if keep else self.messages.pop(position)
+        target = self.by_identity.get(message.target)
+        if target is None or self.nodes[target.name] is not target:
+            return
+        if self._connected(message.source, message.target):
+            self.handle(target, RaftReceived(_copy(message)), crash_before_sync=crash)
+
+    def drop(self, position: int) -> None:
+        if self.messages:
+            self.messages.pop(position % len(self.messages))
+
+    def crash(self, node: Node) -> None:
+        node.up = False
+        node.store.crash()
+
+    def restart(self, node: Node) -> None:
+        if not node.up:
+            node.start()
+
+    def replace(self, name: str) -> None:
+        """Lose a disk: the instance comes back empty, with a new identity."""
+        self.add_node(name)
+
+    def partition(self, first: str, second: str) -> None:
+        self.cut.add(frozenset((first, second)))
+
+    def heal(self) -> None:
+        self.cut.clear()
+
+    def _connected(self, first: str, second: str) -> bool:
+        names = frozenset(
+            self.by_identity[identity].name for identity in (first, second)
+        )
+        return names not in self.cut
+
+    # Commands of racing operators and entries.
+
+    def _ticket(self) -> int:
+        self.tickets += 1
+        return self.tickets
+
+    def submit(self, name: str, command: cpb.Command) -> int:
+        ticket = self._ticket()
+        self.asked[ticket] = _copy(command)
+        self.handle(self.nodes[name], Submitted(ticket, _copy(command)))
+        return ticket
+
+    def change(self, name: str, team: str, change_id: str, base: int) -> None:
+        """Submit a settings change; a change id always means the same change."""
+        document = f"{change_id}:{team}:{base}".encode()
+        self.submit(
+            name,
+            cpb.Command(
+                settings=cpb.SettingsChange(
+                    change_id=f"{change_id}:{team}:{base}",
+                    team=team,
+                    base_revision=base,
+                    document=document,
+                )
+            ),
+        )
+
+    def acquire(self, name: str, key: str, holder: str) -> None:
+        permit = cpb.PermitAcquire(
+            key=cpb.PermitKey(workspace="w", service="s", key=key),
+            digest=key.encode(),
+            backend_server=holder,
+            incarnation=holder,
+        )
+        self.submit(name, cpb.Command(permit_acquire=permit))
+
+    def revoke(self, name: str, key: str) -> None:
+        permit = self.granted.get(key)
+        if permit is not None:
+            identifier = cpb.PermitKey(workspace="w", service="s", key=key)
+            revoke = cpb.PermitRevoke(key=identifier, permit=permit)
+            self.revoked.add(permit)
+            self.submit(name, cpb.Command(permit_revoke=revoke))
+
+    def lease(self, name: str, holder: str) -> None:
+        grant = cpb.LeaseGrant(resource="r", holder=holder, duration_ms=500)
+        self.submit(name, cpb.Command(lease=grant))
+
+    def read(self, name: str) -> None:
+        """Ask for a confirmed read; it must see all accepted before now."""
+        ticket = self._ticket()
+        self.reads[ticket] = max(self.accepted, default=0)
+        self.handle(self.nodes[name], ReadAsked(ticket))
+
+    # The oracle.
+
+    def _answered(self, ticket: int, answer: cpb.CommandAnswer) -> None:
+        command = self.asked.pop(ticket, None)
+        if command is None:
+            return
+        kind = command.WhichOneof("body")
+        if kind == "settings":
+            self._settings_answered(command.settings, answer.settings)
+        elif kind == "permit_acquire":
+            self._permit_answered(command.permit_acquire, answer.permit)
+        elif kind == "lease" and answer.lease.granted:
+            holder = self.fencing.setdefault(
+                answer.lease.fencing_number, command.lease.holder
+            )
+            assert holder == command.lease.holder, "one fencing number, two holders"
+
+    def _settings_answered(
+        self, change: cpb.SettingsChange, answer: cpb.SettingsAnswer
+    ) -> None:
+        first = self.answer_by_change.setdefault(
+            change.change_id, answer.SerializeToString()
+        )
+        assert first == answer.SerializeToString(), "another answer to one change id"
+        if answer.accepted:
+            known = self.accepted.setdefault(answer.revision, change)
+            assert known.change_id == change.change_id, "two changes, one revision"
+
+    def _permit_answered(
+        self, request: cpb.PermitAcquire, answer: cpb.PermitAnswer
+    ) -> None:
+        if answer.state != cpb.PERMIT_GRANTED:
+            return
+        key = request.key.key
+        earlier = self.granted.get(key)
+        assert earlier is None or earlier in self.revoked, "permit granted twice"
+        assert earlier is None or answer.permit > earlier, "permit number reused"
+        self.granted[key] = answer.permit
+
+    def _read(self, node: Node, ticket: int) -> None:
+        wanted = self.reads.pop(ticket, 0)
+        assert node.state.machine.revision >= wanted, "a stale read was confirmed"
+
+    def _check_node(self, node: Node) -> None:
+        state = node.state
+        if state.role is Role.LEADER:
+            leader = self.leader_by_term.setdefault(state.term, node.identity)
+            assert leader == node.identity, "two leaders in one term"
+        for record in state.records:
+            if record.index > state.applied_index:
+                break
+            data = record.SerializeToString(deterministic=True)
+            known = self.committed.setdefault(record.index, data)
+            assert known == data, "committed records differ"
+        self._check_settings(state.machine)
+
+    def _check_settings(self, machine: Machine) -> None:
+        for item in machine.history:
+            accepted = self.accepted.get(item.revision)
+            if accepted is not None:
+                assert (
+                    item.change_id == accepted.change_id
+                ), "an accepted change is lost"
+
+    # Back to rest.
+
+    def settle(self, rounds: int = 400) -> None:
+        """Mend everything and run until one leader has committed a new change."""
+        self.heal()
+        for node in self.nodes.values():
+            self.restart(node)
+        # Long since any old leader's lease.
+        target = max(self.accepted, default=0)
+        for _ in range(rounds):
+            for name in list(self.nodes):
+                self.tick(name, 50)
+            while self.messages:
+                self.deliver(0)
+            if self._at_rest(target):
+                return
+        raise AssertionError("the instances did not come to rest")
+
+    def _at_rest(self, revision: int) -> bool:
+        states = [node.state for node in self.nodes.values()]
+        leaders = [state for state in states if state.role is Role.LEADER]
+        return (
+            len(leaders) == 1
+            and len({state.commit_index for state in states}) == 1
+            and leaders[0].term_at(leaders[0].commit_index) == leaders[0].term
+            and {peer.identity for peer in leaders[0].membership.peers if peer.voter}
+            == {state.identity for state in states}
+            and leaders[0].machine.revision >= revision
+        )
+
+    def check_rest(self) -> None:
+        """Check that all instances hold the same state with everything accepted."""
+        dumps = {node.state.machine.dump() for node in self.nodes.values()}
+        assert len(dumps) == 1, "replicas differ"
+        machine = next(iter(self.nodes.values())).state.machine
+        kept = {item.revision: item.change_id for item in machine.history}
+        last_by_team = Counter[str]()
+        for item in machine.history:
+            base = int(item.change_id.rpartition(":")[2])
+            assert base == last_by_team[item.team], "made from another revision"
+            last_by_team[item.team] = item.revision
+        for revision, change in self.accepted.items():
+            if revision > machine.revision - 400:
+                assert kept.get(revision) == change.change_id, "accepted change lost"
+
+
+def random_step(cluster: Cluster, random: Random) -> None:
+    """Do one thing, chosen by a seeded random source."""
+    name = random.choice(sorted(cluster.nodes))
+    if random.random() < 0.5:
+        name = random.choice(_leaders(cluster) or [name])
+    node = cluster.nodes[name]
+    position = random.randrange(1_000)
+    team = random.choice(TEAMS)
+    revision = node.state.machine.team_by_name.get(team)
+    base = revision.revision if revision and random.random() < 0.8 else 0
+    action = random.random()
+    if action < 0.60:
+        cluster.deliver(
+            position,
+            keep=random.random() < 0.05,
+            crash=random.random() < 0.004,
+        )
+    elif action < 0.78:
+        cluster.tick(name, random.choice((10, 50, 50, 150)))
+    elif action < 0.86:
+        cluster.change(name, team, f"c{random.randrange(5)}", base)
+    elif action < 0.89:
+        cluster.acquire(name, f"k{random.randrange(40)}", name)
+    elif action < 0.90:
+        cluster.revoke(name, f"k{random.randrange(40)}")
+    elif action < 0.91:
+        cluster.lease(name, random.choice("xy"))
+    elif action < 0.94:
+        cluster.read(name)
+    elif action < 0.955:
+        cluster.drop(position)
+    elif action < 0.958:
+        cluster.partition(name, random.choice(sorted(cluster.nodes)))
+    elif action < 0.960:
+        for other in set(cluster.nodes) - {name}:
+            cluster.partition(name, other)
+    elif action < 0.966:
+        cluster.heal()
+    elif action < 0.973:
+        cluster.crash(node)
+    elif action < 0.995:
+        cluster.restart(node)
+    elif _may_lose_a_disk(cluster):
+        cluster.replace(name)
+
+
+def _leaders(cluster: Cluster) -> list[str]:
+    return [
+        name
+        for name, node in cluster.nodes.items()
+        if node.up and node.state.role is Role.LEADER
+    ]
+
+
+def _may_lose_a_disk(cluster: Cluster) -> bool:
+    """Lose a disk only while all the others are whole members.
+
+    Two disks of three lost at once lose what was accepted, whatever the protocol.
+    """
+    leaders = [
+        node.state
+        for node in cluster.nodes.values()
+        if node.up and node.state.role is Role.LEADER
+    ]
+    if len(leaders) != 1:
+        return False
+    leader = leaders[0]
+    voters = {peer.identity for peer in leader.membership.peers if peer.voter}
+    present = {node.identity for node in cluster.nodes.values()}
+    return (
+        voters == present
+        and leader.membership_index <= leader.commit_index
+        and all(
+            node.state.membership_index == leader.membership_index
+            for node in cluster.nodes.values()
+        )
+    )
+
+
+def run_random(seed: int, steps: int) -> Cluster:
+    """Run one seeded history, then bring it to rest and check it."""
+    random = Random(seed)
+    cluster = Cluster()
+    for _ in range(steps):
+        random_step(cluster, random)
+    cluster.settle(2_000)
+    cluster.check_rest()
+    return cluster
+
+
+def _is_member(node: Node) -> bool:
+    return any(peer.identity == node.identity for peer in node.state.membership.peers)
--- /dev/null
+++ b/tests/control/test_store.py
@@ -0,0 +1,104 @@
+"""The files of one control instance."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+from yuccareach.control.errors import CorruptLog
+from yuccareach.control.store import DiskStore
+from yuccareach.proto import control_pb2 as cpb
+
+
+def record(index: int, term: int = 1) -> cpb.LogRecord:
+    """Return a record with some content."""
+    change = cpb.SettingsChange(change_id=f"c{index}", document=b"x" * 50)
+    return cpb.LogRecord(index=index, term=term, command=cpb.Command(settings=change))
+
+
+class DiskStoreTests(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name) / "data"
+        self.store = self.open()
+
+    def open(self) -> DiskStore:
+        """Open the folder as a restarted process would."""
+        store = DiskStore(self.folder, "c1")
+        self.stored = store.load()
+        self.addCleanup(store.close)
+        return store
+
+    def write(self, *indices: int) -> None:
+        for index in indices:
+            self.store.append([record(index)])
+            self.store.sync()
+
+    def log(self) -> Path:
+        return sorted(self.folder.glob("log-*"))[-1]
+
+    def indices(self) -> list[int]:
+        return [item.index for item in self.stored.records]
+
+    def test_records_and_vote_come_back(self) -> None:
+        self.write(1, 2, 3)
+        identity = self.stored.hard_state.identity
+        vote = cpb.HardState(identity=identity, term=7, voted_for="x")
+        self.store.save_hard_state(vote)
+        self.open()
+        self.assertEqual(self.indices(), [1, 2, 3])
+        self.assertEqual(self.stored.hard_state, vote)
+
+    def test_lower_index_replaces_the_records_after_it(self) -> None:
+        self.write(1, 2, 3)
+        self.store.append([record(2, term=5)])
+        self.store.sync()
+        self.open()
+        terms = [(item.index, item.term) for item in self.stored.records]
+        self.assertEqual(terms, [(1, 1), (2, 5)])
+
+    def test_torn_tail_is_cut_at_every_length(self) -> None:
+        self.write(1, 2)
+        whole = self.log().read_bytes()
+        self.write(3)
+        longer = self.log().read_bytes()
+        for size in range(len(whole), len(longer)):
+            with self.subTest(size=size):
+                self.log().write_bytes(longer[:size])
+                store = self.open()
+                self.assertEqual(self.indices(), [1, 2])
+                store.append([record(3)])
+                store.sync()
+                self.open()
+                self.assertEqual(self.indices(), [1, 2, 3])
+
+    def test_every_flipped_byte_before_the_last_frame_is_refused(self) -> None:
+        self.write(1)
+        first = len(self.log().read_bytes())
+        self.write(2)
+        data = self.log().read_bytes()
+        for position in range(first):
+            with self.subTest(position=position):
+                damaged = bytearray(data)
+                damaged[position] ^= 0x40
+                self.log().write_bytes(damaged)
+                with self.assertRaises(CorruptLog):
+                    self.open()
+
+    def test_vote_lost_beside_a_log_is_refused(self) -> None:
+        self.write(1)
+        (self.folder / "vote").unlink()
+        with self.assertRaises(CorruptLog):
+            self.open()
+
+    def test_snapshot_replaces_the_log_before_it(self) -> None:
+        self.write(1, 2, 3, 4)
+        snapshot = cpb.SnapshotFile(last_index=3, last_term=1, state=b"state")
+        self.store.save_snapshot(snapshot, [record(4)])
+        self.write(5)
+        self.open()
+        self.assertEqual(self.stored.snapshot, snapshot)
+        self.assertEqual(self.indices(), [4, 5])
+        self.assertEqual(len(list(self.folder.glob("log-*"))), 1)
