Fuzz entries and agents together and mend what that found

Change: a refused resend asks control whether an earlier call ran; giving a permit up and asking for the next is one command; a lost neighbour is reported once; a repeated Open repeats Ready; suspects are blocked for 250 ms, doubling; hash order no longer decides.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: all demo test check format proto bench-slopes capacity clean
+.PHONY: all demo test fuzz check format proto bench-slopes capacity clean
 
 all: $(STAMP)
 
@@ -29,6 +29,12 @@
 	$(BIN)/isort --quiet src tests bench
 	$(BIN)/black --quiet src tests bench
 
+# Long fuzzing: make fuzz FUZZ_SEED=1000 FUZZ_RUNS=500 FUZZ_STEPS=5000
+fuzz: $(STAMP)
+	FUZZ_SEED=$${FUZZ_SEED:-1000} FUZZ_RUNS=$${FUZZ_RUNS:-200} \
+	FUZZ_STEPS=$${FUZZ_STEPS:-3000} $(BIN)/python -m unittest \
+	tests.control.test_raft.SeededHistoryTests tests.test_system.SeededHistoryTests
+
 proto: $(STAMP)
 	$(BIN)/python bench/check_proto.py --write
 
--- a/src/yuccareach/agent/attempts.py
+++ b/src/yuccareach/agent/attempts.py
@@ -35,7 +35,7 @@
     known = state.attempt_by_request.get(opened.request)
     if known is not None and opened.epoch <= known.opened.epoch:
         state.counters.duplicates += 1
-        return []
+        return _repeat_ready(known, opened)
     if known is not None and opened.resume and known.own.end_layer == _own(opened):
         return _resume(known, peer, opened, now)
     effects = _drop(state, known) if known is not None else []
@@ -52,6 +52,12 @@
     return effects + _forward_open(attempt)
 
 
+def _repeat_ready(known: Attempt, opened: pb.Open) -> Effects:
+    """Tell the stage before again what is needed: the link may have lost it."""
+    current = opened.epoch == known.opened.epoch and opened.resume
+    return [_ready(known)] if current and not known.first else []
+
+
 def _own(opened: pb.Open) -> int:
     return opened.chain[opened.stage].end_layer
 
@@ -448,9 +454,13 @@
 
 def _neighbour_lost(state: AgentState, attempt: Attempt) -> Effects:
     attempt.link_failures += 1
+    if attempt.link_failures > LINK_RETRIES + 1:
+        return []
     if attempt.link_failures > LINK_RETRIES:
-        stages = attempt.opened.chain
-        lost = stages[0 if attempt.last else attempt.opened.stage + 1]
+        if attempt.last:
+            # Only the entry can tell that the first stage is lost.
+            return []
+        lost = attempt.opened.chain[attempt.opened.stage + 1]
         return _fail(attempt, "stage_lost", lost)
     if attempt.last:
         return [Send(attempt.next_address, item) for item in attempt.sent_tokens[-1:]]
--- a/src/yuccareach/agent/calls.py
+++ b/src/yuccareach/agent/calls.py
@@ -18,10 +18,10 @@
 
 def call(state: AgentState, peer: str, message: pb.Call) -> Effects:
     """Start a call, or answer it from the record of an earlier one."""
-    if message.service != state.member.service:
-        return _refuse(peer, message, "other_service")
     if message.permit:
         return _permitted_call(state, peer, message)
+    if message.service != state.member.service:
+        return _refuse(peer, message, "other_service")
     if state.draining:
         return _refuse(peer, message, "draining")
     return _start(state, peer, message)
--- a/src/yuccareach/cli/load.py
+++ b/src/yuccareach/cli/load.py
@@ -50,7 +50,7 @@
 @option("--max-tokens", "LOAD", type=int, default=32, help="Mean tokens asked for.")
 @option("--prefixes", "LOAD", type=int, default=0, help="Shared starts of prompts.")
 @option("--seed", "LOAD", type=int, default=1, help="Seed of the whole run.")
-@option("--json", "LOAD", "as_json", is_flag=True, help="Print JSON.")
+@click.option("--json", "as_json", is_flag=True, help="Print JSON.")
 @option(
     "--output",
     "LOAD",
--- a/src/yuccareach/control/machine.py
+++ b/src/yuccareach/control/machine.py
@@ -53,8 +53,6 @@
                 return self._acquire(command.permit_acquire)
             case "permit_finish":
                 return self._finish(command.permit_finish)
-            case "permit_revoke":
-                return self._revoke(command.permit_revoke)
             case "lease":
                 return self._lease(command.lease)
             case "quarantine":
@@ -158,12 +156,16 @@
         self._advance(request.at_ms)
         identifier = permit_id(request.key)
         record = self.permit_by_id.get(identifier)
-        if record is not None and record.digest != request.digest:
-            return _permit_answer(cpb.PermitAnswer(state=cpb.PERMIT_MISMATCH))
+        if record is not None and _gives_up(record, request):
+            record.answer.state = cpb.PERMIT_REVOKED
         if record is not None and record.answer.state != cpb.PERMIT_REVOKED:
+            if record.digest != request.digest:
+                return _permit_answer(cpb.PermitAnswer(state=cpb.PERMIT_MISMATCH))
             return _permit_answer(record.answer)
         if _digest(identifier) in self.tombstone_by_digest:
             return _permit_answer(cpb.PermitAnswer(state=cpb.PERMIT_EXPIRED))
+        if not request.backend_server:
+            return _permit_answer(cpb.PermitAnswer(state=cpb.PERMIT_REVOKED))
         answer = cpb.PermitAnswer(
             state=cpb.PERMIT_GRANTED,
             permit=self.next_permit,
@@ -194,14 +196,6 @@
             record.answer.status = request.status
         return _permit_answer(record.answer)
 
-    def _revoke(self, request: cpb.PermitRevoke) -> cpb.CommandAnswer:
-        record = self.permit_by_id.get(permit_id(request.key))
-        if record is None or record.answer.permit != request.permit:
-            return _permit_answer(cpb.PermitAnswer(state=cpb.PERMIT_EXPIRED))
-        if record.answer.state == cpb.PERMIT_EXISTS:
-            record.answer.state = cpb.PERMIT_REVOKED
-        return _permit_answer(record.answer)
-
     # Leases and fencing numbers.
 
     def _lease(self, request: cpb.LeaseGrant) -> cpb.CommandAnswer:
@@ -325,6 +319,14 @@
     )
 
 
+def _gives_up(record: cpb.PermitRecord, request: cpb.PermitAcquire) -> bool:
+    """Return whether a request gives up just the permit that is held."""
+    return (
+        record.answer.state == cpb.PERMIT_EXISTS
+        and record.answer.permit == request.revoked_permit
+    )
+
+
 def _permit_answer(answer: cpb.PermitAnswer) -> cpb.CommandAnswer:
     return cpb.CommandAnswer(permit=answer)
 
--- a/src/yuccareach/entry/calls.py
+++ b/src/yuccareach/entry/calls.py
@@ -36,7 +36,8 @@
     call = PlainCall(asked, state.settings.find_class(asked.workspace), now)
     state.call_by_id[asked.request] = call
     if state.draining:
-        return _fail(state, call, Refusal(503, "draining", "shutting down"))
+        text = "this entry is shutting down"
+        return _give_up(state, call, Refusal(503, "draining", text, retry_after_s=1))
     return _try(state, call, now)
 
 
@@ -47,17 +48,31 @@
     if server is None:
         text = "no backend server of this service is available"
         refusal = Refusal(503, "no_backend_server", text, retry_after_s=RETRY_AFTER_S)
-        return _fail(state, call, refusal)
+        return _give_up(state, call, refusal)
     if call.asked.idempotent:
         return _send(state, call, server, now)
-    call.permit_asked = True
+    return [_acquire(call, server.backend_server, server.incarnation)]
+
+
+def _acquire(call: PlainCall, name: str, incarnation: str) -> AcquirePermit:
+    """Ask for a permit, or without a name only whether there is one."""
     acquire = cpb.PermitAcquire(
         key=_key(call),
         digest=call.asked.message.digest,
-        backend_server=server.backend_server,
-        incarnation=server.incarnation,
+        backend_server=name,
+        incarnation=incarnation,
+        revoked_permit=call.revoked_permit,
     )
-    return [AcquirePermit(call.asked.request, acquire)]
+    return AcquirePermit(call.asked.request, acquire)
+
+
+def _give_up(state: EntryState, call: PlainCall, refusal: Refusal) -> Effects:
+    """Refuse a call; under a caller's key, ask first whether an earlier one ran."""
+    if call.asked.idempotent or not call.asked.key_given:
+        outcome = Outcome.UNKNOWN if call.may_have_run else Outcome.NOT_RUN
+        return _fail(state, call, refusal._replace(outcome=outcome))
+    call.refusal = refusal
+    return [_acquire(call, "", "")]
 
 
 def _key(call: PlainCall) -> cpb.PermitKey:
@@ -73,7 +88,7 @@
     call.server = server
     call.tried.add(server.incarnation)
     call.resend_ms = now + RESEND_MS
-    call.sent_under_permit = True
+    call.may_have_run = True
     message = pb.Call()
     message.CopyFrom(call.asked.message)
     message.permit = call.permit
@@ -92,7 +107,6 @@
     answer = event.answer
     match answer.state:
         case cpb.PERMIT_GRANTED | cpb.PERMIT_EXISTS:
-            call.fresh_permit = answer.state == cpb.PERMIT_GRANTED
             return _use_permit(state, call, answer, now)
         case cpb.PERMIT_FINISHED:
             return _return(state, call, _recorded(answer), now)
@@ -103,6 +117,8 @@
             text = "this Idempotency-Key is too old to tell whether the call ran"
             refusal = Refusal(409, "key_expired", text, Outcome.UNKNOWN)
             return _fail(state, call, refusal)
+        case cpb.PERMIT_REVOKED if call.refusal is not None:
+            return _fail(state, call, call.refusal)
     text = "control gave an answer that this version does not know"
     return _fail(state, call, Refusal(500, "bad_permit", text, Outcome.UNKNOWN))
 
@@ -122,10 +138,8 @@
     call.permit = answer.permit
     server = state.server_by_name.get(answer.backend_server)
     if server is not None and server.member.incarnation == answer.incarnation:
+        call.refusal = None
         return _send(state, call, server.member, now)
-    if call.fresh_permit:
-        # Nobody else holds this permit yet and nothing was sent.
-        return [_revoke(call), *_try_again(state, call, "member_gone", now)]
     text = "the backend server that may have run this call is gone"
     return _fail(state, call, Refusal(502, "lost", text, Outcome.UNKNOWN))
 
@@ -149,8 +163,9 @@
     if message.outcome == pb.RAN:
         return _return(state, call, message, now)
     if message.outcome == pb.NOT_RUN:
-        revoke = [_revoke(call)] if call.permit else []
-        return [*revoke, *_try_again(state, call, message.reason, now)]
+        call.may_have_run = False
+        call.revoked_permit = call.permit
+        return _try_again(state, call, message.reason, now)
     if call.asked.idempotent:
         return _try_again(state, call, message.reason, now)
     text = f"the call may have run: {message.reason}"
@@ -159,18 +174,12 @@
 
 
 def _try_again(state: EntryState, call: PlainCall, reason: str, now: int) -> Effects:
-    call.sent_under_permit = False
     call.permit = 0
     if call.tries < TRIES_ALLOWED:
         return [Count("call_retries", reason), *_try(state, call, now)]
-    outcome = Outcome.UNKNOWN if call.asked.idempotent else Outcome.NOT_RUN
     text = f"the call was tried {call.tries} times, last refused by {reason}"
-    return _fail(state, call, Refusal(503, reason, text, outcome, RETRY_AFTER_S))
-
-
-def _revoke(call: PlainCall) -> SettlePermit:
-    revoke = cpb.PermitRevoke(key=_key(call), permit=call.permit)
-    return SettlePermit(cpb.Command(permit_revoke=revoke))
+    refusal = Refusal(503, reason, text, retry_after_s=RETRY_AFTER_S)
+    return _give_up(state, call, refusal)
 
 
 def _return(state: EntryState, call: PlainCall, message: pb.Reply, now: int) -> Effects:
@@ -244,8 +253,8 @@
     effects: Effects = []
     for call in list(state.call_by_id.values()):
         if now >= call.deadline_ms:
-            ran = call.sent_under_permit or call.permit_asked
-            outcome = Outcome.UNKNOWN if ran else Outcome.NOT_RUN
+            known = call.asked.idempotent and not call.may_have_run
+            outcome = Outcome.NOT_RUN if known else Outcome.UNKNOWN
             refusal = Refusal(504, "timeout", "no reply in time", outcome)
             effects += _fail(state, call, refusal)
         elif call.permit and call.server is not None and now >= call.resend_ms:
--- a/src/yuccareach/entry/fleet.py
+++ b/src/yuccareach/entry/fleet.py
@@ -4,6 +4,8 @@
 
 from typing import TYPE_CHECKING, Any
 
+import xxhash
+
 from yuccareach.entry.state import BackendServer
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
 from yuccareach.route.choice import choose_chain, load_cost
@@ -15,6 +17,8 @@
     from yuccareach.entry.state import EntryState, Request
 
 SUSPECT_MS = 5_000
+BLOCK_MS = 250
+LONGEST_BLOCK_MS = 4_000
 SUSPECT_COST_S = 1_000.0
 OTHER_ZONE_COST_S = 0.002
 SURVIVOR_DISCOUNT = 0.01
@@ -48,9 +52,9 @@
     known.draining = member.draining
     known.others_running = max(0, member.load.running - known.own_running)
     if member.pipeline:
-        state.names_by_pipeline.setdefault(member.pipeline, set()).add(name)
+        state.names_by_pipeline.setdefault(member.pipeline, {})[name] = None
     if member.service:
-        state.names_by_service.setdefault(member.service, set()).add(name)
+        state.names_by_service.setdefault(member.service, {})[name] = None
 
 
 def _remove(state: EntryState, name: str) -> None:
@@ -66,7 +70,7 @@
     ):
         names = index.get(key)
         if names is not None:
-            names.discard(member.backend_server)
+            names.pop(member.backend_server, None)
 
 
 def load_reported(state: EntryState, report: pb.LoadReport) -> None:
@@ -77,10 +81,26 @@
 
 
 def suspect(state: EntryState, name: str, now: int) -> None:
-    """Avoid a backend server for a while."""
+    """Avoid a backend server for a while, and use it for nothing at first.
+
+    Failures in a row block it longer each time; those at one moment count once.
+    """
     known = state.server_by_name.get(name)
-    if known is not None:
-        known.suspected_until_ms = now + SUSPECT_MS
+    if known is None:
+        return
+    known.suspected_until_ms = now + SUSPECT_MS
+    if now >= known.blocked_until_ms:
+        block_ms = min(BLOCK_MS << known.failures, LONGEST_BLOCK_MS)
+        known.blocked_until_ms = now + block_ms
+        known.failures += 1
+
+
+def clear(state: EntryState, members: Iterable[cpb.Member]) -> None:
+    """End the suspicion of backend servers that have just done their part."""
+    for member in members:
+        if is_present(state, member):
+            server = state.server_by_name[member.backend_server]
+            server.failures = server.blocked_until_ms = server.suspected_until_ms = 0
 
 
 def is_present(state: EntryState, member: cpb.Member) -> bool:
@@ -93,7 +113,8 @@
     state: EntryState, request: Request, now: int
 ) -> tuple[cpb.Member, ...] | None:
     """Choose a chain; stages that hold the request's state are preferred."""
-    survivors = {member.incarnation for member in request.chain}
+    chain_held = {member.incarnation for member in request.chain}
+    survivors = chain_held - request.refused_by
 
     def _cost(member: cpb.Member) -> float:
         server = state.server_by_name[member.backend_server]
@@ -113,9 +134,16 @@
             or not state.server_by_name[member.backend_server].draining
         )
     )
-    return choose_chain(
+    chain = choose_chain(
         usable, request.layers, _cost, _zone_cost, state.options.availability_zone
     )
+    if chain is not None and any(_is_blocked(state, item, now) for item in chain):
+        return None
+    return chain
+
+
+def _is_blocked(state: EntryState, member: cpb.Member, now: int) -> bool:
+    return now < state.server_by_name[member.backend_server].blocked_until_ms
 
 
 def server_cost(server: BackendServer, now: int) -> float:
@@ -149,13 +177,19 @@
             now < server.suspected_until_ms,
             server.own_running + server.others_running,
             server.member.availability_zone != state.options.availability_zone,
-            hash((state.turn, server.member.backend_server)) % 1024,
+            _turn(state, server),
         ),
         default=None,
     )
     return best.member if best is not None else None
 
 
+def _turn(state: EntryState, server: BackendServer) -> int:
+    """Return a number that spreads equal choices over backend servers."""
+    name = server.member.backend_server.encode()
+    return xxhash.xxh32_intdigest(name, seed=state.turn)
+
+
 def occupy(state: EntryState, members: Iterable[cpb.Member], change: int) -> None:
     """Count requests that this entry has running at some backend servers."""
     for member in members:
@@ -165,6 +199,7 @@
 
 
 __all__ = [
+    "clear",
     "choose_for",
     "choose_service",
     "is_present",
--- a/src/yuccareach/entry/requests.py
+++ b/src/yuccareach/entry/requests.py
@@ -110,6 +110,7 @@
     fleet.occupy(state, chain, 1)
     opened = _open_message(state, request)
     request.resume = True
+    request.awaits_first = True
     return [
         *effects,
         Send(chain[0].address, opened),
@@ -158,6 +159,9 @@
     if message.index != len(request.delivered):
         return [Count("late_tokens", "index")]
     effects = _observe_progress(request, now)
+    if request.awaits_first:
+        request.awaits_first = False
+        fleet.clear(state, request.chain)
     request.delivered.append(message.token)
     request.prompt_tokens = message.prompt_tokens
     request.progress_ms = now
@@ -256,6 +260,7 @@
     elif server is not None:
         fleet.suspect(state, message.backend_server, now)
     request.reroutes += 1
+    request.refused_by.add(message.incarnation)
     if request.reroutes > REROUTES_ALLOWED:
         text = "backend servers kept refusing the request"
         refusal = Refusal(503, "refused", text, retry_after_s=RETRY_AFTER_S)
--- a/src/yuccareach/entry/stalls.py
+++ b/src/yuccareach/entry/stalls.py
@@ -53,6 +53,10 @@
 def _judge(state: EntryState, request: Request, now: int) -> Effects:
     """Recover if a culprit shows, else probe again."""
     culprit = _culprit(request, now)
+    if culprit is None and _stands_still(request, now):
+        # Everyone waits for a message that was lost: start anew everywhere.
+        request.resume = False
+        return requests.recover(state, request, "stalled", now)
     if culprit is None:
         request.previous_replies = request.replies_by_stage
         return _probe(request, now)
@@ -60,6 +64,13 @@
     return requests.recover(state, request, "stalled", now)
 
 
+def _stands_still(request: Request, now: int) -> bool:
+    """Return whether nothing has moved between two probes, for long."""
+    return now - request.progress_ms >= ENGINE_STUCK_MS and (
+        request.replies_by_stage == request.previous_replies
+    )
+
+
 def _culprit(request: Request, now: int) -> int | None:
     """Return the stage to leave out, or None while it cannot be told."""
     replies, previous = request.replies_by_stage, request.previous_replies
--- a/src/yuccareach/entry/state.py
+++ b/src/yuccareach/entry/state.py
@@ -7,7 +7,7 @@
 from yuccareach.settings.sets import RequestClass, SettingsStore, Workspace
 
 if TYPE_CHECKING:
-    from yuccareach.entry.events import CallAsked
+    from yuccareach.entry.events import CallAsked, Refusal
     from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
 
 
@@ -28,6 +28,8 @@
         self.member = member
         self.own_running = 0
         self.others_running = 0
+        self.failures = 0
+        self.blocked_until_ms = 0
         self.suspected_until_ms = 0
         self.draining = False
 
@@ -59,8 +61,11 @@
         self.prompt_tokens = 0
         self.failures = 0
         self.reroutes = 0
+        # Incarnations that refused this request, and so hold none of its state.
+        self.refused_by: set[str] = set()
         self.sent = False
         self.resume = True
+        self.awaits_first = True
         self.started_ms = now_ms
         self.progress_ms = now_ms
         self.probed_ms = 0
@@ -82,9 +87,11 @@
         self.tries = 0
         self.server: cpb.Member | None = None
         self.permit = 0
-        self.permit_asked = False
-        self.fresh_permit = False
-        self.sent_under_permit = False
+        self.revoked_permit = 0
+        # Whether it was sent to a backend server that has not denied running it.
+        self.may_have_run = False
+        # Set while only the fate of earlier calls under the key is asked for.
+        self.refusal: Refusal | None = None
         self.resend_ms = 0
         self.tried: set[str] = set()
 
@@ -106,8 +113,9 @@
         self.options = options
         self.settings = SettingsStore()
         self.server_by_name: dict[str, BackendServer] = {}
-        self.names_by_pipeline: dict[str, set[str]] = {}
-        self.names_by_service: dict[str, set[str]] = {}
+        # Dictionaries in place of sets, for an order that replays the same.
+        self.names_by_pipeline: dict[str, dict[str, None]] = {}
+        self.names_by_service: dict[str, dict[str, None]] = {}
         self.request_by_id: dict[str, Request] = {}
         self.call_by_id: dict[str, PlainCall] = {}
         self.usage_by_workspace: dict[str, Usage] = {}
--- a/src/yuccareach/settings/convert.py
+++ b/src/yuccareach/settings/convert.py
@@ -18,6 +18,8 @@
     from yuccareach.settings.loaders import KeyPath, LoadedFile
 
 Document = dict[str, dict[str, Any]]
+FAULTS_PER_DECLARATION = 100
+_MISSING = re.compile("missing required field `(.*)`")
 _PLACE = re.compile(r"^(.*?) - at `(.*)`$")
 _NESTED_SHAPES: dict[str, type] = {"limits": LimitsDeclaration}
 
@@ -120,15 +122,20 @@
     yield from _unknown_fields(path, declaration, SECTIONS[section])
     # Conversion stops at its first fault, so each faulty field is taken out in turn.
     remaining = msgspec.to_builtins(declaration)
-    for _ in range(100):
+    removed: set[str] = set()
+    for _ in range(FAULTS_PER_DECLARATION):
         try:
             msgspec.convert(remaining, SECTIONS[section])
             return
         except msgspec.ValidationError as error:
             place, text = _split_message(str(error))
-            yield (*path, *place), text
+        missing = _MISSING.search(text)
+        if missing and missing[1] in removed:
+            return
+        yield (*path, *place), text
         if not place or not _remove(remaining, place):
             return
+        removed.add(place[-1])
 
 
 def _unknown_fields(
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -104,6 +104,8 @@
         self.by_identity: dict[str, Node] = {}
         self.messages: list[cpb.RaftMessage] = []
         self.cut: set[frozenset[str]] = set()
+        # The instance that is stopped for a while, and goes on as if no time passed.
+        self.frozen = ""
         self.tickets = 0
         self.asked: dict[int, cpb.Command] = {}
         self.reads: dict[int, int] = {}
@@ -168,6 +170,8 @@
     def tick(self, name: str, elapsed_ms: int) -> None:
         """Let time pass at one instance only: clocks run apart."""
         node = self.nodes[name]
+        if name == self.frozen:
+            return
         node.now += elapsed_ms
         self.handle(node, Tick())
         if node.up and not _is_member(node):
@@ -191,7 +195,9 @@
         target = self.by_identity.get(message.target)
         if target is None or self.nodes[target.name] is not target:
             return
-        if self._connected(message.source, message.target):
+        if target.name == self.frozen:
+            self.messages.append(message)
+        elif self._connected(message.source, message.target):
             self.handle(target, RaftReceived(_copy(message)), crash_before_sync=crash)
 
     def drop(self, position: int) -> None:
@@ -215,6 +221,7 @@
 
     def heal(self) -> None:
         self.cut.clear()
+        self.frozen = ""
 
     def _connected(self, first: str, second: str) -> bool:
         names = frozenset(
@@ -249,22 +256,24 @@
             ),
         )
 
-    def acquire(self, name: str, key: str, holder: str) -> None:
+    def acquire(
+        self, name: str, key: str, holder: str, revoked_permit: int = 0
+    ) -> None:
         permit = cpb.PermitAcquire(
             key=cpb.PermitKey(workspace="w", service="s", key=key),
             digest=key.encode(),
             backend_server=holder,
             incarnation=holder,
+            revoked_permit=revoked_permit,
         )
         self.submit(name, cpb.Command(permit_acquire=permit))
 
     def revoke(self, name: str, key: str) -> None:
+        """Give up the permit last granted under a key, and ask for another."""
         permit = self.granted.get(key)
         if permit is not None:
-            identifier = cpb.PermitKey(workspace="w", service="s", key=key)
-            revoke = cpb.PermitRevoke(key=identifier, permit=permit)
             self.revoked.add(permit)
-            self.submit(name, cpb.Command(permit_revoke=revoke))
+            self.acquire(name, key, name, permit)
 
     def lease(self, name: str, holder: str) -> None:
         grant = cpb.LeaseGrant(resource="r", holder=holder, duration_ms=500)
@@ -404,7 +413,7 @@
             crash=random.random() < 0.004,
         )
     elif action < 0.78:
-        cluster.tick(name, random.choice((10, 50, 50, 150)))
+        cluster.tick(name, random.choice((10, 50, 50, 150, 800)))
     elif action < 0.86:
         cluster.change(name, team, f"c{random.randrange(5)}", base)
     elif action < 0.89:
@@ -422,10 +431,15 @@
     elif action < 0.960:
         for other in set(cluster.nodes) - {name}:
             cluster.partition(name, other)
-    elif action < 0.966:
+    elif action < 0.963:
+        cluster.frozen = name
+    elif action < 0.968:
         cluster.heal()
-    elif action < 0.973:
+    elif action < 0.971:
         cluster.crash(node)
+    elif action < 0.978:
+        cluster.crash(node)
+        cluster.restart(node)
     elif action < 0.995:
         cluster.restart(node)
     elif _may_lose_a_disk(cluster):
