Bound what membership costs: wake only whom a change concerns, relay changes

Change: settings and members wake separately; heartbeats are answered every 10 s; relays carry changes and everything every 5 s; load is forwarded within 8,000 bytes/s for each watcher whatever the number of members; idle processes tick every 250 ms. A test found on the way that a load change that was not due was never forwarded; it is compared with what was forwarded last now.

--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Benchmarks and checks that are not part of the product."""
--- a/src/yuccareach/agent/run.py
+++ b/src/yuccareach/agent/run.py
@@ -85,6 +85,9 @@
             return apply_push(self.state.settings, event.update.settings)
         return reduce(self.state, event, now)
 
+    def _busy(self) -> bool:
+        return bool(self.state.attempt_by_request or self.state.call_by_id)
+
     def _revision(self) -> int:
         return self.state.settings.revision
 
@@ -114,7 +117,7 @@
             self.engine.start()
         if options.service:
             self.service.start()
-        self.dispatcher.start_ticks()
+        self.dispatcher.start_ticks(self._busy)
         self.log.info(
             "started",
             extra={
--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -14,6 +14,9 @@
 
 LEASE_MS = 3_000
 LOAD_FORWARD_MS = 1_000
+LOAD_BYTES_PER_S = 8_000
+MEMBER_BYTES = 100
+SILENT_SOURCE_MS = 10_000
 DEPARTURES_KEPT = 10_000
 
 
@@ -26,7 +29,10 @@
         self.source = source
         self.version = 0
         self.forwarded_ms = 0
+        self.forwarded_load = (0, 0)
         self.revision = 0
+        # Whether its agent's stream to this instance is open.
+        self.attached = False
 
 
 class Departure(NamedTuple):
@@ -69,19 +75,34 @@
             )
             self._mark(known, now_ms)
         changed = _visible(known.member) != _visible(member)
-        load_due = now_ms - known.forwarded_ms >= LOAD_FORWARD_MS
-        loaded = _loaded(known.member) != _loaded(member)
+        load_due = now_ms - known.forwarded_ms >= self._load_interval_ms()
+        loaded = known.forwarded_load != _loaded(member)
         known.member = member
         known.heard_ms = now_ms
         known.source = source
+        known.attached = not source
         known.revision = max(known.revision, revision)
         if changed or (loaded and load_due):
             self._mark(known, now_ms)
 
+    def _load_interval_ms(self) -> int:
+        """Return how often one member's load is forwarded.
+
+        The interval grows with the members, so that a watcher's traffic is bounded.
+        """
+        budgeted = len(self.heard_by_name) * MEMBER_BYTES * 1000 // LOAD_BYTES_PER_S
+        return max(LOAD_FORWARD_MS, budgeted)
+
     def _mark(self, known: HeardMember, now_ms: int) -> None:
         self.version += 1
         known.version = self.version
         known.forwarded_ms = now_ms
+        known.forwarded_load = _loaded(known.member)
+
+    def detach(self, name: str) -> None:
+        """Note that an agent's stream has ended; its lease runs on."""
+        if name in self.heard_by_name:
+            self.heard_by_name[name].attached = False
 
     def leave(self, name: str, incarnation: str) -> None:
         """Take out a backend server that said good-bye."""
@@ -89,16 +110,38 @@
         if known is not None and known.member.incarnation == incarnation:
             self._depart(name)
 
-    def expire(self, now_ms: int, silent_sources: set[str]) -> list[str]:
+    def hear_relayed(self, frame: cpb.RaftFrame, now_ms: int) -> None:
+        """Take what another control instance has heard, all of it or the changes."""
+        for heartbeat in frame.heard:
+            known = self.heard_by_name.get(heartbeat.member.backend_server)
+            if known is not None and known.attached:
+                if now_ms - known.heard_ms < LEASE_MS // 2:
+                    continue
+            self.hear(heartbeat.member, now_ms, frame.source, heartbeat.revision)
+        gone = set(frame.departed)
+        if frame.heard_all:
+            present = {item.member.backend_server for item in frame.heard}
+            gone |= set(self.heard_by_name) - present
+        for name in gone:
+            known = self.heard_by_name.get(name)
+            if known is not None and known.source == frame.source:
+                self._depart(name)
+
+    def expire(self, now_ms: int, heard_ms_by_source: dict[str, int]) -> list[str]:
         """Take out members whose lease has expired.
 
-        Members relayed by a control instance that is silent itself are kept, since
-        the cut may be on our side.
+        A member attached elsewhere lasts as long as its control instance is heard,
+        and a while longer, in which its agent finds another instance.
         """
         expired = [
             name
             for name, heard in self.heard_by_name.items()
-            if now_ms - heard.heard_ms > LEASE_MS and heard.source not in silent_sources
+            if (
+                now_ms - heard.heard_ms > LEASE_MS
+                if not heard.source
+                else now_ms - max(heard.heard_ms, heard_ms_by_source[heard.source])
+                > SILENT_SOURCE_MS
+            )
         ]
         for name in expired:
             self._depart(name)
@@ -116,13 +159,21 @@
             for heard in self.heard_by_name.values()
             if heard.version > version
         ]
-        departed = [item.name for item in self.departures if item.version > version]
+        departed = self.departed_after(version) if version else []
         snapshot = version == 0 and self.warm(now_ms)
-        return Delta(self.version, members, departed if version else [], snapshot)
+        return Delta(self.version, members, departed, snapshot)
+
+    def direct_after(self, version: int) -> list[HeardMember]:
+        """Return the members announced here that changed after a version."""
+        return [
+            heard
+            for heard in self.heard_by_name.values()
+            if not heard.source and heard.version > version
+        ]
 
-    def direct(self) -> list[HeardMember]:
-        """Return the members whose agents announce themselves here."""
-        return [heard for heard in self.heard_by_name.values() if not heard.source]
+    def departed_after(self, version: int) -> list[str]:
+        """Return the members that departed after a version."""
+        return [item.name for item in self.departures if item.version > version]
 
 
 def _visible(member: cpb.Member) -> tuple[object, ...]:
--- a/src/yuccareach/control/peers.py
+++ b/src/yuccareach/control/peers.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, Any
 
 import grpc
 
@@ -39,18 +39,27 @@
             await self.ready.wait()
             self.ready.clear()
             frames, self.frames = self.frames, []
-            merged = cpb.RaftFrame(
-                source=frames[-1].source if frames else "",
-                source_address=frames[-1].source_address if frames else "",
-            )
-            for frame in frames:
-                merged.messages.extend(frame.messages)
-                if frame.heard or frame.watchers:
-                    del merged.heard[:]
-                    del merged.watchers[:]
-                    merged.heard.extend(frame.heard)
-                    merged.watchers.extend(frame.watchers)
-            yield merged
+            merged = _merge(frames)
+            if merged is not None:
+                yield merged
+
+
+def _merge(frames: list[cpb.RaftFrame]) -> cpb.RaftFrame | None:
+    """Join queued frames; the newest list of watchers replaces older ones."""
+    if not frames:
+        return None
+    merged = frames[0]
+    for frame in frames[1:]:
+        merged.messages.extend(frame.messages)
+        merged.departed.extend(frame.departed)
+        if frame.heard_all:
+            del merged.heard[:]
+            merged.heard_all = True
+        merged.heard.extend(frame.heard)
+        if frame.watchers:
+            del merged.watchers[:]
+            merged.watchers.extend(frame.watchers)
+    return merged
 
 
 class PeerLinks:
@@ -71,12 +80,10 @@
         if address:
             self._outbox(address).put(self._frame(messages=[message]))
 
-    def relay(
-        self, heard: list[cpb.Heartbeat], watchers: list[cpb.WatchRequest]
-    ) -> None:
+    def relay(self, **content: Any) -> None:
         """Tell every other instance who is attached here."""
         for identity in self.state.others:
-            frame = self._frame(heard=heard, watchers=watchers)
+            frame = self._frame(**content)
             self._outbox(self.state.address_of(identity)).put(frame)
 
     def learn(self, frame: cpb.RaftFrame) -> None:
@@ -84,18 +91,9 @@
         if frame.source_address:
             self.address_by_identity[frame.source] = frame.source_address
 
-    def _frame(
-        self,
-        messages: list[cpb.RaftMessage] | None = None,
-        heard: list[cpb.Heartbeat] | None = None,
-        watchers: list[cpb.WatchRequest] | None = None,
-    ) -> cpb.RaftFrame:
+    def _frame(self, **content: Any) -> cpb.RaftFrame:
         return cpb.RaftFrame(
-            source=self.state.identity,
-            source_address=self.address,
-            messages=messages,
-            heard=heard,
-            watchers=watchers,
+            source=self.state.identity, source_address=self.address, **content
         )
 
     def _outbox(self, address: str) -> _PeerOutbox:
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -12,7 +12,7 @@
 from yuccareach.control import raft
 from yuccareach.control.errors import DiskFailed, NotLeader
 from yuccareach.control.machine import Machine, load_machine
-from yuccareach.control.members import LEASE_MS, MemberTable
+from yuccareach.control.members import MemberTable
 from yuccareach.control.operators import operator_app
 from yuccareach.control.peers import PeerLinks
 from yuccareach.control.persistence import persist
@@ -45,6 +45,7 @@
 
 TICK_INTERVAL_MS = 50
 RELAY_INTERVAL_MS = 500
+RELAYS_PER_FULL = 10
 JOIN_RETRY_MS = 500
 DRAIN_SETTLE_MS = 10
 _log = logger("control")
@@ -88,7 +89,9 @@
         self.waiting_by_ticket: dict[int, asyncio.Future[Any]] = {}
         self.pending: list[Any] = []
         self.flush_scheduled = False
-        self.change = asyncio.Event()
+        self.settings_change = asyncio.Event()
+        self.members_change = asyncio.Event()
+        self.signalled_revision = self.machine.revision
         self.tasks: list[asyncio.Task[None]] = []
         self.draining = False
 
@@ -189,8 +192,10 @@
                 self._resolve(ticket, None)
             case Refused(ticket=ticket, reason=reason, leader=leader):
                 self._reject(ticket, reason, leader)
-            case Applied():
-                self.changed()
+            case Applied(revision=revision):
+                if revision != self.signalled_revision:
+                    self.signalled_revision = revision
+                    self.settings_changed()
             case Log():
                 write_log(_log, effect)
 
@@ -222,27 +227,26 @@
     def hear(self, heartbeat: cpb.Heartbeat) -> None:
         """Take a heartbeat of an agent attached here."""
         member = heartbeat.member
+        version = self.members.version
         if heartbeat.leaving:
             self.members.leave(member.backend_server, member.incarnation)
         else:
             now = monotonic_ms()
             self.members.hear(member, now, revision=heartbeat.revision)
-        self.changed()
+        if self.members.version != version:
+            self.members_changed()
 
     def hear_relayed(self, frame: cpb.RaftFrame) -> None:
         """Take what another control instance has heard."""
         now = monotonic_ms()
         self.peers.learn(frame)
         self.relay_heard_ms[frame.source] = now
+        version = self.members.version
         if frame.watchers:
             self.relayed_watchers[frame.source] = list(frame.watchers)
-        for heartbeat in frame.heard:
-            known = self.members.heard_by_name.get(heartbeat.member.backend_server)
-            if known is not None and not known.source and now - known.heard_ms < 1_500:
-                continue
-            self.members.hear(
-                heartbeat.member, now, frame.source, revision=heartbeat.revision
-            )
+        self.members.hear_relayed(frame, now)
+        if self.members.version != version:
+            self.members_changed()
 
     def update_for(self, watcher: Watcher) -> cpb.WatchUpdate | None:
         """Return what a watcher lacks, or None."""
@@ -259,37 +263,54 @@
             watcher.members_version = delta.version
         return update if update.ByteSize() else None
 
-    def changed(self) -> None:
-        """Wake everyone who waits for a change; later waits get a new event."""
-        changed, self.change = self.change, asyncio.Event()
+    def settings_changed(self) -> None:
+        """Wake every watcher; later waits get a new event."""
+        changed, self.settings_change = self.settings_change, asyncio.Event()
         changed.set()
+        self.members_changed()
+
+    def members_changed(self) -> None:
+        """Wake the watchers of members; later waits get a new event."""
+        changed, self.members_change = self.members_change, asyncio.Event()
+        changed.set()
+
+    def change_for(self, watcher: Watcher) -> asyncio.Event:
+        """Return the event that a watcher has to wait for."""
+        if watcher.request.members:
+            return self.members_change
+        return self.settings_change
 
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_INTERVAL_MS / 1000)
             now = monotonic_ms()
             self.dispatch(Tick())
-            if self.members.warm(now) and self.members.expire(now, self._silent(now)):
-                self.changed()
-
-    def _silent(self, now: int) -> set[str]:
-        """Return the control instances that have stopped relaying."""
-        return {
-            source
-            for source, heard_ms in self.relay_heard_ms.items()
-            if now - heard_ms > LEASE_MS // 2
-        }
+            if not self.members.warm(now) or not self.state.leader:
+                # Cut off from the others: the silence may be on this side.
+                continue
+            if self.members.expire(now, self.relay_heard_ms):
+                self.members_changed()
 
     async def _relay(self) -> None:
-        """Tell the other control instances who is attached here."""
-        while True:
+        """Tell the other control instances who is attached here, mostly changes."""
+        relayed_version = 0
+        for turn in itertools.count():
             await asyncio.sleep(RELAY_INTERVAL_MS / 1000)
+            everything = turn % RELAYS_PER_FULL == 0
+            after = 0 if everything else relayed_version
             heard = [
                 cpb.Heartbeat(member=item.member, revision=item.revision)
-                for item in self.members.direct()
+                for item in self.members.direct_after(after)
             ]
+            departed = self.members.departed_after(relayed_version)
+            relayed_version = self.members.version
             watchers = [watcher.request for watcher in self.watchers]
-            self.peers.relay(heard, watchers)
+            self.peers.relay(
+                heard=heard,
+                departed=departed,
+                heard_all=everything,
+                watchers=watchers,
+            )
 
     def revisions_in_force(self) -> list[cpb.WatchRequest]:
         """Return what every watching process reports, here and elsewhere."""
--- a/src/yuccareach/control/server.py
+++ b/src/yuccareach/control/server.py
@@ -12,6 +12,7 @@
 from yuccareach.control.raft_types import PeerAdded, RaftReceived, Submitted
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlServicer
+from yuccareach.runtime.reducer import monotonic_ms
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -19,6 +20,7 @@
     from yuccareach.control.run import ControlProcess
 
 PUSH_INTERVAL_MS = 200
+REPLY_INTERVAL_MS = 10_000
 
 
 class Watcher:
@@ -40,11 +42,20 @@
         self, request_iterator: AsyncIterator[cpb.Heartbeat], context: Any
     ) -> AsyncIterator[cpb.HeartbeatReply]:
         """Take an agent's heartbeats."""
-        async for heartbeat in request_iterator:
-            self.process.hear(heartbeat)
-            yield cpb.HeartbeatReply(
-                revision=self.process.machine.revision, lease_ms=LEASE_MS
-            )
+        replied_ms = 0
+        name = ""
+        try:
+            async for heartbeat in request_iterator:
+                self.process.hear(heartbeat)
+                name = heartbeat.member.backend_server
+                now = monotonic_ms()
+                if now - replied_ms >= REPLY_INTERVAL_MS:
+                    replied_ms = now
+                    yield cpb.HeartbeatReply(
+                        revision=self.process.machine.revision, lease_ms=LEASE_MS
+                    )
+        finally:
+            self.process.members.detach(name)
 
     async def Watch(
         self, request_iterator: AsyncIterator[cpb.WatchRequest], context: Any
@@ -55,7 +66,7 @@
         self.process.watchers.add(watcher)
         try:
             while not reader.done():
-                change = self.process.change
+                change = self.process.change_for(watcher)
                 update = self.process.update_for(watcher)
                 if update is not None:
                     yield update
--- a/src/yuccareach/entry/run.py
+++ b/src/yuccareach/entry/run.py
@@ -103,10 +103,13 @@
         )
         self.http = HttpServer(entry_app(self), self.options.host, self.options.port)
         self.control.start()
-        self.dispatcher.start_ticks()
+        self.dispatcher.start_ticks(self._busy)
         await self.http.start()
         self.log.info("started", extra={"http": self.http.address})
 
+    def _busy(self) -> bool:
+        return bool(self.state.request_by_id or self.state.call_by_id)
+
     def _observe(self, effect: Observe) -> None:
         self.metrics.observe(*effect)
 
--- a/src/yuccareach/runtime/reducer.py
+++ b/src/yuccareach/runtime/reducer.py
@@ -11,10 +11,11 @@
     from collections.abc import Callable, Iterable, Mapping
 
 TICK_INTERVAL_MS = 50
+IDLE_TICK_INTERVAL_MS = 250
 
 
 class Tick(NamedTuple):
-    """Time has passed; sent every TICK_INTERVAL_MS."""
+    """Time has passed; sent every TICK_INTERVAL_MS, less often when idle."""
 
 
 def wall_clock_ms() -> int:
@@ -59,9 +60,9 @@
         finally:
             self.running = False
 
-    def start_ticks(self) -> None:
-        """Dispatch a Tick at a fixed interval until stop_ticks."""
-        self.ticker = asyncio.create_task(self._tick())
+    def start_ticks(self, busy: Callable[[], bool]) -> None:
+        """Dispatch a Tick at an interval until stop_ticks, less often when not busy."""
+        self.ticker = asyncio.create_task(self._tick(busy))
 
     async def stop_ticks(self) -> None:
         """Stop the ticks and wait until the timer has ended."""
@@ -70,10 +71,18 @@
         self.ticker.cancel()
         await asyncio.gather(self.ticker, return_exceptions=True)
 
-    async def _tick(self) -> None:
+    async def _tick(self, busy: Callable[[], bool]) -> None:
         while True:
-            await asyncio.sleep(TICK_INTERVAL_MS / 1000)
+            interval_ms = TICK_INTERVAL_MS if busy() else IDLE_TICK_INTERVAL_MS
+            await asyncio.sleep(interval_ms / 1000)
             self.dispatch(Tick())
 
 
-__all__ = ["TICK_INTERVAL_MS", "Dispatcher", "Tick", "monotonic_ms", "wall_clock_ms"]
+__all__ = [
+    "IDLE_TICK_INTERVAL_MS",
+    "TICK_INTERVAL_MS",
+    "Dispatcher",
+    "Tick",
+    "monotonic_ms",
+    "wall_clock_ms",
+]
--- /dev/null
+++ b/tests/control/test_members.py
@@ -0,0 +1,85 @@
+"""Which backend servers are alive."""
+
+from __future__ import annotations
+
+import unittest
+
+from yuccareach.control.members import (
+    LEASE_MS,
+    LOAD_FORWARD_MS,
+    SILENT_SOURCE_MS,
+    MemberTable,
+)
+from yuccareach.proto import control_pb2 as cpb
+
+
+def member(name: str, running: int = 0) -> cpb.Member:
+    load = cpb.Load(running=running)
+    return cpb.Member(backend_server=name, incarnation="i", load=load)
+
+
+class MemberTableTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = MemberTable(0)
+
+    def relay(self, *names: str, now: int, **fields: object) -> None:
+        heard = [cpb.Heartbeat(member=member(name)) for name in names]
+        frame = cpb.RaftFrame(source="other", heard=heard, **fields)
+        self.table.hear_relayed(frame, now)
+
+    def test_silent_member_departs_after_its_lease(self) -> None:
+        self.table.hear(member("a"), 0)
+        version = self.table.version
+        self.assertEqual(self.table.expire(LEASE_MS, {}), [])
+        self.assertEqual(self.table.expire(LEASE_MS + 1, {}), ["a"])
+        self.assertEqual(self.table.delta(version, 0).departed, ["a"])
+
+    def test_member_elsewhere_lasts_while_its_control_instance_is_heard(self) -> None:
+        self.relay("a", now=0)
+        late = 100_000
+        self.assertEqual(self.table.expire(late, {"other": late}), [])
+        silent = late + SILENT_SOURCE_MS + 1
+        self.assertEqual(self.table.expire(silent, {"other": late}), ["a"])
+
+    def test_member_that_moved_does_not_depart(self) -> None:
+        self.table.hear(member("a"), 0)
+        self.table.detach("a")
+        self.relay("a", now=500)
+        self.assertEqual(self.table.expire(LEASE_MS + 1, {"other": 3_000}), [])
+        self.relay(now=600, departed=["a"])
+        self.assertEqual(self.table.heard_by_name, {})
+
+    def test_attached_member_is_not_taken_over_by_an_old_relay(self) -> None:
+        self.table.hear(member("a"), 0)
+        self.relay("a", now=10)
+        self.relay(now=20, heard_all=True)
+        self.relay(now=20, departed=["a"])
+        self.assertEqual(list(self.table.heard_by_name), ["a"])
+
+    def test_full_relay_takes_out_what_it_does_not_hold(self) -> None:
+        self.relay("a", "b", now=0)
+        self.relay("b", now=10, heard_all=True)
+        self.assertEqual(list(self.table.heard_by_name), ["b"])
+
+    def test_load_is_forwarded_less_often_the_more_members_there_are(self) -> None:
+        for number in range(1_000):
+            self.table.hear(member(f"m{number}"), 0)
+        version = self.table.version
+        for number in range(1_000):
+            self.table.hear(member(f"m{number}", 3), LOAD_FORWARD_MS + 1)
+        self.assertEqual(self.table.delta(version, 0).members, [])
+        for number in range(1_000):
+            self.table.hear(member(f"m{number}", 3), 20_000)
+        self.assertEqual(len(self.table.delta(version, 0).members), 1_000)
+
+    def test_change_that_matters_is_forwarded_at_once(self) -> None:
+        self.table.hear(member("a"), 0)
+        version = self.table.version
+        draining = member("a")
+        draining.draining = True
+        self.table.hear(draining, 1)
+        self.assertEqual(len(self.table.delta(version, 1).members), 1)
+
+    def test_nothing_is_called_a_snapshot_before_all_could_announce(self) -> None:
+        self.assertFalse(self.table.delta(0, LEASE_MS).snapshot)
+        self.assertTrue(self.table.delta(0, LEASE_MS + 1).snapshot)
