Plan placements by flow, queue fairly, share limits among entries

Cause: nothing decided which engine holds which layers, overload had no bound but the workspace limits, and each entry took a workspace's whole limit for itself. Policies random, round robin and least outstanding stand as baselines.

--- a/src/yuccareach/agent/reducer.py
+++ b/src/yuccareach/agent/reducer.py
@@ -95,6 +95,7 @@
     member.kind = info.kind
     member.max_batch = info.max_batch
     member.decode_rate = info.decode_rate
+    member.memory_layers = info.memory_layers
     member.checks_fencing = info.checks_fencing
     member.load.kv_capacity_tokens = info.kv_capacity_tokens
     state.engine_ready = True
--- a/src/yuccareach/cli/entry.py
+++ b/src/yuccareach/cli/entry.py
@@ -12,6 +12,7 @@
     option,
     serve,
 )
+from yuccareach.entry.fleet import POLICY_BY_NAME
 from yuccareach.entry.run import EntryProcess, EntryProcessOptions
 
 
@@ -33,6 +34,13 @@
     default="resume",
     help="Whether stages that still hold a request's state carry on from it.",
 )
+@option(
+    "--policy",
+    "ENTRY",
+    type=click.Choice(sorted(POLICY_BY_NAME)),
+    default="load",
+    help="How backend servers are chosen; all but load are baselines to measure by.",
+)
 @common("ENTRY")
 @clear_errors
 def main(
@@ -41,12 +49,13 @@
     control: tuple[str, ...],
     port: int,
     recovery: str,
+    policy: str,
     host: str,
     log_level: str,
 ) -> None:
     """Serve callers: HTTP in, streams to agents out."""
     options = EntryProcessOptions(
-        instance, availability_zone, control, host, port, recovery == "resume"
+        instance, availability_zone, control, host, port, recovery == "resume", policy
     )
     serve(EntryProcess(options), instance, log_level)
 
--- a/src/yuccareach/cli/main.py
+++ b/src/yuccareach/cli/main.py
@@ -12,6 +12,7 @@
 from yuccareach.cli.get import get
 from yuccareach.cli.history import history
 from yuccareach.cli.options import CONTEXT
+from yuccareach.cli.plan import plan
 from yuccareach.cli.rollback import rollback
 from yuccareach.cli.status import status
 from yuccareach.cli.validate import validate
@@ -30,6 +31,7 @@
     diff,
     get,
     history,
+    plan,
     rollback,
     status,
     validate,
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -261,6 +261,9 @@
             update.members.extend(delta.members)
             update.departed.extend(delta.departed)
             watcher.members_version = delta.version
+        entries = len(self.entries_watching())
+        if watcher.request.members and watcher.sent_entries != entries:
+            update.entries = watcher.sent_entries = entries
         return update if update.ByteSize() else None
 
     def settings_changed(self) -> None:
@@ -318,6 +321,11 @@
         own = (watcher.request for watcher in self.watchers)
         return [*own, *relayed]
 
+    def entries_watching(self) -> set[str]:
+        """Return the entries that watch members, here and elsewhere."""
+        watchers = self.revisions_in_force()
+        return {watcher.instance for watcher in watchers if watcher.members}
+
     async def drain(self) -> None:
         """Hand over leadership by going silent; nothing here is in flight long."""
         self.draining = True
--- a/src/yuccareach/control/server.py
+++ b/src/yuccareach/control/server.py
@@ -30,6 +30,7 @@
         self.request = request
         self.sent_revision: int = request.revision
         self.members_version = 0
+        self.sent_entries = 0
 
 
 class ControlService(ControlServicer):  # type: ignore[misc]
--- a/src/yuccareach/entry/fleet.py
+++ b/src/yuccareach/entry/fleet.py
@@ -12,7 +12,7 @@
 from yuccareach.runtime.logs import Log
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from yuccareach.entry.state import EntryState, Request
 
@@ -116,9 +116,14 @@
     chain_held = {member.incarnation for member in request.chain}
     survivors = chain_held - request.refused_by
 
+    policy = POLICY_BY_NAME[state.options.policy]
+    state.turn += 1
+
     def _cost(member: cpb.Member) -> float:
         server = state.server_by_name[member.backend_server]
-        cost = server_cost(server, now)
+        cost = policy(state, server)
+        if now < server.suspected_until_ms:
+            cost += SUSPECT_COST_S
         return cost * SURVIVOR_DISCOUNT if member.incarnation in survivors else cost
 
     candidates = [
@@ -146,12 +151,34 @@
     return now < state.server_by_name[member.backend_server].blocked_until_ms
 
 
-def server_cost(server: BackendServer, now: int) -> float:
-    """Return the expected seconds for a token at a backend server."""
-    member = server.member
+def _by_load(state: EntryState, server: BackendServer) -> float:
+    """Return the expected seconds for a token, from batch, speed and load."""
     running = server.own_running + server.others_running
-    cost = load_cost(running, member.max_batch, member.decode_rate)
-    return cost + (SUSPECT_COST_S if now < server.suspected_until_ms else 0.0)
+    member = server.member
+    return load_cost(running, member.max_batch, member.decode_rate)
+
+
+def _by_outstanding(state: EntryState, server: BackendServer) -> float:
+    """Return the requests running, whatever the speed."""
+    return server.own_running + server.others_running
+
+
+def _by_turn(state: EntryState, server: BackendServer) -> float:
+    """Return how often this backend server was chosen."""
+    return server.assigned
+
+
+def _by_chance(state: EntryState, server: BackendServer) -> float:
+    """Return a number that has nothing to do with the backend server."""
+    return _turn(state, server)
+
+
+POLICY_BY_NAME: dict[str, Callable[[EntryState, BackendServer], float]] = {
+    "load": _by_load,
+    "least-outstanding": _by_outstanding,
+    "round-robin": _by_turn,
+    "random": _by_chance,
+}
 
 
 def _zone_cost(first: str, second: str) -> float:
@@ -196,16 +223,17 @@
         if is_present(state, member):
             server = state.server_by_name[member.backend_server]
             server.own_running = max(0, server.own_running + change)
+            server.assigned += max(0, change)
 
 
 __all__ = [
+    "POLICY_BY_NAME",
     "clear",
     "choose_for",
     "choose_service",
     "is_present",
     "load_reported",
     "occupy",
-    "server_cost",
     "suspect",
     "update_members",
 ]
--- a/src/yuccareach/entry/reducer.py
+++ b/src/yuccareach/entry/reducer.py
@@ -37,7 +37,7 @@
         case PermitAnswered():
             return calls.permit_answered(state, event, now)
         case CallerLeft(request=request):
-            return requests.caller_left(state, request) + calls.caller_left(
+            return requests.caller_left(state, request, now) + calls.caller_left(
                 state, request
             )
         case LinkLost(peer=peer):
@@ -73,6 +73,7 @@
 def _watch_updated(state: EntryState, update: Any, now: int) -> Effects:
     effects = apply_push(state.settings, update.settings)
     effects += fleet.update_members(state, update)
+    state.entries = update.entries or state.entries
     if update.departed or update.members or update.members_snapshot:
         effects += requests.members_changed(state, now)
         effects += calls.members_changed(state, now)
--- a/src/yuccareach/entry/requests.py
+++ b/src/yuccareach/entry/requests.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from yuccareach.entry import admission, fleet
+from yuccareach.entry import admission, fleet, queueing
 from yuccareach.entry.events import (
     CompletionAsked,
     Count,
@@ -64,8 +64,25 @@
     )
     request.pipeline = pipeline.name
     request.layers = pipeline.layers
+    refusal = queueing.admit(state, request)
+    if refusal is not None:
+        admission.settle(state, request.workspace, charge, 0)
+        return _refuse_early(asked, refusal)
     state.request_by_id[request.identifier] = request
-    return _open(state, request, now)
+    return start_ready(state, request.pipeline, now)
+
+
+def start_ready(state: EntryState, pipeline: str, now: int) -> Effects:
+    """Open the requests of a pipeline for which there is room."""
+    effects: Effects = []
+    for identifier in queueing.take_ready(state, pipeline):
+        request = state.request_by_id[identifier]
+        request.opened_ms = request.progress_ms = now
+        waited_ms = now - request.started_ms
+        workspace, name = request.workspace.name, request.request_class.name
+        effects.append(Observe("queueing", workspace, name, waited_ms))
+        effects += _open(state, request, now)
+    return effects
 
 
 def _refuse_early(asked: CompletionAsked, refusal: Refusal) -> Effects:
@@ -89,7 +106,7 @@
     if chain is None:
         request.chain = ()
         request.retry_ms = now + RETRY_PAUSE_MS
-        if now - max(request.started_ms, request.interrupted_ms) < NO_CHAIN_WAIT_MS:
+        if now - max(request.opened_ms, request.interrupted_ms) < NO_CHAIN_WAIT_MS:
             return _cancel_at(request, previous)
         text = "no chain of backend servers covers every layer"
         refusal = Refusal(503, "no_chain", text, retry_after_s=RETRY_AFTER_S)
@@ -187,7 +204,7 @@
 
 def _finish(state: EntryState, request: Request, reason: str, now: int) -> Effects:
     used = request.prompt_tokens + len(request.delivered)
-    _forget(state, request, used)
+    _forget(state, request, used, now)
     workspace, name = request.workspace.name, request.request_class.name
     duration_ms = now - request.started_ms
     return [
@@ -206,11 +223,13 @@
                 "chain": _names(request.chain),
             },
         ),
+        *start_ready(state, request.pipeline, now),
     ]
 
 
-def _forget(state: EntryState, request: Request, used: int) -> None:
+def _forget(state: EntryState, request: Request, used: int, now: int) -> None:
     del state.request_by_id[request.identifier]
+    queueing.release(state, request, now)
     fleet.occupy(state, request.chain, -1)
     admission.settle(state, request.workspace, request.charge, used)
 
@@ -222,7 +241,8 @@
         outcome = Outcome.RAN
     elif request.sent and outcome is Outcome.NOT_RUN and refusal.reason != "draining":
         outcome = Outcome.UNKNOWN
-    _forget(state, request, request.prompt_tokens + len(request.delivered))
+    used = request.prompt_tokens + len(request.delivered)
+    _forget(state, request, used, now)
     return [
         Refuse(request.identifier, refusal._replace(outcome=outcome)),
         Count("failed", refusal.reason),
@@ -232,6 +252,7 @@
             | {"reason": refusal.reason, "outcome": outcome, "text": refusal.text},
         ),
         *_cancel_at(request, request.chain),
+        *start_ready(state, request.pipeline, now),
     ]
 
 
@@ -305,22 +326,28 @@
     return effects
 
 
-def caller_left(state: EntryState, identifier: str) -> Effects:
+def caller_left(state: EntryState, identifier: str, now: int) -> Effects:
     """Cancel everywhere the work of a caller who has gone."""
     request = state.request_by_id.get(identifier)
     if request is None:
         return []
-    _forget(state, request, request.prompt_tokens + len(request.delivered))
+    used = request.prompt_tokens + len(request.delivered)
+    _forget(state, request, used, now)
     return [
         Count("cancelled", "caller_left"),
         Log("caller_left", _fields(request)),
         *_cancel_at(request, request.chain),
+        *start_ready(state, request.pipeline, now),
     ]
 
 
 def tick(state: EntryState, now: int) -> Effects:
     """End requests past their deadline and retry those without a chain."""
-    effects: Effects = []
+    effects: Effects = [
+        effect
+        for pipeline in state.queue_by_pipeline
+        for effect in start_ready(state, pipeline, now)
+    ]
     for request in list(state.request_by_id.values()):
         if now - request.started_ms > request.request_class.deadline_ms:
             refusal = Refusal(504, "deadline", "the deadline has passed")
@@ -344,6 +371,7 @@
 
 __all__ = [
     "ask",
+    "start_ready",
     "caller_left",
     "fail",
     "failed",
--- a/src/yuccareach/entry/state.py
+++ b/src/yuccareach/entry/state.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from yuccareach.entry.events import CallAsked, Refusal
+    from yuccareach.entry.queueing import PipelineQueue
     from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
 
 
@@ -27,6 +28,7 @@
     def __init__(self, member: cpb.Member) -> None:
         self.member = member
         self.own_running = 0
+        self.assigned = 0
         self.others_running = 0
         self.failures = 0
         self.blocked_until_ms = 0
@@ -67,6 +69,7 @@
         self.resume = True
         self.awaits_first = True
         self.started_ms = now_ms
+        self.opened_ms = now_ms
         self.progress_ms = now_ms
         self.probed_ms = 0
         self.replies_by_stage: dict[int, pb.ProbeReply] = {}
@@ -122,7 +125,7 @@
         self.entries = 1
         self.turn = 0
         self.draining = False
-        self.retry_credit_by_pipeline: dict[str, float] = {}
+        self.queue_by_pipeline: dict[str, PipelineQueue] = {}
 
 
 __all__ = [
--- a/src/yuccareach/standin/engine.py
+++ b/src/yuccareach/standin/engine.py
@@ -137,6 +137,7 @@
             kv_capacity_tokens=self.kind.kv_capacity_tokens,
             max_batch=self.kind.max_batch,
             checks_fencing=self.options.checks_fencing,
+            memory_layers=self.kind.memory_layers,
             decode_rate=self.kind.decode_rate(self.held) * self.options.speed,
         )
 
