--- a/src/yuccareach/control/raft_types.py
+++ b/src/yuccareach/control/raft_types.py
@@ -192,6 +192,7 @@
         self.reads: list[PendingRead] = []
         self.round = 0
         self.incoming_snapshot = bytearray()
+        self.incoming_index = 0
         self.membership_index = 0
         self.membership = cpb.Membership()
         self.failure = ""
--- a/src/yuccareach/control/replication.py
+++ b/src/yuccareach/control/replication.py
@@ -272,8 +272,10 @@
         reply = cpb.SnapshotReply(term=state.term, round=request.round)
         return [message(state, source, snapshot_reply=reply)]
     effects = follow(state, request.term, source, now)
-    if request.offset == 0:
+    if request.offset == 0 or request.last_index != state.incoming_index:
+        # Chunks of two snapshots must never be joined.
         state.incoming_snapshot = bytearray()
+        state.incoming_index = request.last_index
     if request.offset == len(state.incoming_snapshot):
         state.incoming_snapshot += request.data
     whole = len(state.incoming_snapshot) == request.total
