Serve new callers for a moment after SIGTERM, restore backups, unite health routes

Cause: an entry refused callers at once on SIGTERM though the balancer had not noticed; a backup could not be restored; three roles had twins of the same health resources.

--- a/src/yuccareach/agent/http.py
+++ b/src/yuccareach/agent/http.py
@@ -1,71 +1,67 @@
-"""Health and metrics of an agent."""
+"""HTTP of an agent: health, metrics and drain."""
 
 from __future__ import annotations
 
 from typing import TYPE_CHECKING, Any
 
-import falcon
 import falcon.asgi
 
 from yuccareach.agent.events import DrainAsked
-from yuccareach.metrics.exposition import expose
 from yuccareach.metrics.registry import Registry
+from yuccareach.runtime.platform import Readiness, add_platform_routes
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
     from yuccareach.agent.run import AgentProcess
+    from yuccareach.agent.state import AgentState
 
 
-class Platform:
-    """Health, readiness, metrics and drain."""
+class Drain:
+    """Leaving on request, without a signal."""
 
     def __init__(self, process: AgentProcess) -> None:
         self.process = process
 
-    async def on_get(self, request: Any, response: Any) -> None:
-        """Answer that the process lives."""
-        response.media = {"alive": True}
-
-    async def on_get_ready(self, request: Any, response: Any) -> None:
-        """Answer whether this backend server takes new work."""
-        state = self.process.state
-        ready = state.engine_ready and not state.draining
-        response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
-        response.media = {"ready": ready, "draining": state.draining}
-
-    async def on_post_drain(self, request: Any, response: Any) -> None:
+    async def on_post(self, request: Any, response: Any) -> None:
         """Stop taking new work; the process goes on until it is stopped."""
         self.process.dispatch(DrainAsked())
         response.media = {"draining": True}
 
-    async def on_get_metrics(self, request: Any, response: Any) -> None:
-        """Return Prometheus metrics."""
-        registry = Registry()
-        for name, value in vars(self.process.state.counters).items():
-            registry.count(f"agent_{name}", "total", value)
-        response.content_type = "text/plain; version=0.0.4; charset=utf-8"
-        response.data = expose(registry, self._gauges)
-
-    def _gauges(self) -> Mapping[str, float]:
-        state = self.process.state
-        return {
-            "attempts": len(state.attempt_by_request),
-            "calls": len(state.call_by_id),
-            "retained_bytes": state.retained_bytes,
-            "settings_revision": state.settings.revision,
-            "draining": int(state.draining),
-        }
+
+def _readiness(state: AgentState) -> Readiness:
+    ready = state.engine_ready and not state.draining
+    return Readiness(ready, {"draining": state.draining})
+
+
+def _gauges(state: AgentState) -> Mapping[str, float]:
+    return {
+        "attempts": len(state.attempt_by_request),
+        "calls": len(state.call_by_id),
+        "retained_bytes": state.retained_bytes,
+        "settings_revision": state.settings.revision,
+        "draining": int(state.draining),
+    }
+
+
+def _registry(state: AgentState) -> Registry:
+    registry = Registry()
+    for name, value in vars(state.counters).items():
+        registry.count(f"agent_{name}", "total", value)
+    return registry
 
 
 def agent_app(process: AgentProcess) -> Any:
     """Build the HTTP application of an agent."""
     app = falcon.asgi.App()
-    platform = Platform(process)
-    app.add_route("/healthz", platform)
-    app.add_route("/readyz", platform, suffix="ready")
-    app.add_route("/metrics", platform, suffix="metrics")
-    app.add_route("/drain", platform, suffix="drain")
+    state = process.state
+    add_platform_routes(
+        app,
+        lambda: _readiness(state),
+        lambda: _gauges(state),
+        lambda: _registry(state),
+    )
+    app.add_route("/drain", Drain(process))
     return app
 
 
--- a/src/yuccareach/cli/control.py
+++ b/src/yuccareach/cli/control.py
@@ -43,6 +43,12 @@
     is_flag=True,
     help="Start a new cluster if the data folder is empty.",
 )
+@option(
+    "--restore",
+    "CONTROL",
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="Start a new cluster from this backup if the data folder is empty.",
+)
 @option(
     "--join",
     "CONTROL",
@@ -73,6 +79,7 @@
     http_port: int,
     advertise: str | None,
     bootstrap: bool,
+    restore: Path | None,
     join: tuple[str, ...] | None,
     platform_token_sha256: str,
     snapshot_every: int,
@@ -92,6 +99,7 @@
         join or (),
         platform_token_sha256,
         snapshot_every,
+        restore,
     )
     serve(ControlProcess(options), instance, log_level)
 
--- a/src/yuccareach/cli/entry.py
+++ b/src/yuccareach/cli/entry.py
@@ -41,6 +41,13 @@
     default="load",
     help="How backend servers are chosen; all but load are baselines to measure by.",
 )
+@option(
+    "--drain-grace-ms",
+    "ENTRY",
+    type=click.IntRange(0, 600_000),
+    default=2_000,
+    help="Time to go on serving new callers after SIGTERM, in milliseconds.",
+)
 @common("ENTRY")
 @clear_errors
 def main(
@@ -50,12 +57,20 @@
     port: int,
     recovery: str,
     policy: str,
+    drain_grace_ms: int,
     host: str,
     log_level: str,
 ) -> None:
     """Serve callers: HTTP in, streams to agents out."""
     options = EntryProcessOptions(
-        instance, availability_zone, control, host, port, recovery == "resume", policy
+        instance,
+        availability_zone,
+        control,
+        host,
+        port,
+        recovery == "resume",
+        policy,
+        drain_grace_ms,
     )
     serve(EntryProcess(options), instance, log_level)
 
--- a/src/yuccareach/control/operators.py
+++ b/src/yuccareach/control/operators.py
@@ -21,11 +21,14 @@
 )
 from yuccareach.control.replication import compact
 from yuccareach.proto import control_pb2 as cpb
+from yuccareach.runtime.platform import Readiness, add_platform_routes
 from yuccareach.settings.convert import check_document
 from yuccareach.settings.errors import InvalidSettings
 from yuccareach.settings.sets import PLATFORM_TEAM, hash_key
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from yuccareach.control.run import ControlProcess
 
 MAX_DOCUMENT_BYTES = 16 << 20
@@ -328,23 +331,25 @@
         response.media = {"snapshot_index": index}
 
 
-class HealthResource:
-    """Whether the process lives, or is ready."""
+def _readiness(process: ControlProcess) -> Readiness:
+    """Ready where a leader is known and nothing is wrong here."""
+    state = process.state
+    ready = bool(state.leader) and not process.draining
+    return Readiness(ready and state.role is not Role.FAILED, {"role": str(state.role)})
 
-    def __init__(self, process: ControlProcess) -> None:
-        self.process = process
 
-    async def on_get(self, request: Any, response: Any) -> None:
-        """Answer that the process lives."""
-        response.media = {"alive": True}
-
-    async def on_get_ready(self, request: Any, response: Any) -> None:
-        """Answer whether a leader is known and nothing is wrong here."""
-        state = self.process.state
-        ready = bool(state.leader) and not self.process.draining
-        ready = ready and state.role is not Role.FAILED
-        response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
-        response.media = {"ready": ready, "role": str(state.role)}
+def _gauges(process: ControlProcess) -> Mapping[str, float]:
+    state = process.state
+    return {
+        "control_term": state.term,
+        "control_leads": int(state.role is Role.LEADER),
+        "control_failed": int(state.role is Role.FAILED),
+        "control_commit_index": state.commit_index,
+        "settings_revision": process.machine.revision,
+        "backend_servers": len(process.members.heard_by_name),
+        "watchers": len(process.watchers),
+        "permits": len(process.machine.permit_by_id),
+    }
 
 
 def operator_app(process: ControlProcess) -> Any:
@@ -359,9 +364,7 @@
     app.add_route("/v1/control/members", members)
     app.add_route("/v1/control/members/{name}", members)
     app.add_route("/v1/control/snapshot", SnapshotResource(process))
-    health = HealthResource(process)
-    app.add_route("/healthz", health)
-    app.add_route("/readyz", health, suffix="ready")
+    add_platform_routes(app, lambda: _readiness(process), lambda: _gauges(process))
     return app
 
 
--- a/src/yuccareach/control/raft.py
+++ b/src/yuccareach/control/raft.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 from yuccareach.control import elections, membership, replication, roles
+from yuccareach.control.machine import load_machine
 from yuccareach.control.raft_types import (
     BatchEnd,
     PeerAdded,
@@ -16,6 +17,7 @@
     ReadAsked,
     Refused,
     Role,
+    SaveSnapshot,
     Submitted,
     WriteFailed,
 )
@@ -71,6 +73,24 @@
     return [roles.save_vote(state), *replication.append(state, command)]
 
 
+def restore(state: RaftState, peer: cpb.Peer, backup: bytes) -> Effects:
+    """Start a new log from a backup's state; does nothing where a log exists."""
+    if state.last_index or state.term:
+        return []
+    peer.voter = True
+    state.term = 1
+    state.machine = load_machine(backup)
+    state.snapshot = cpb.SnapshotFile(
+        last_index=1,
+        last_term=1,
+        membership=cpb.Membership(peers=[peer]),
+        state=state.machine.dump(),
+    )
+    state.commit_index = state.applied_index = 1
+    state.refresh_membership()
+    return [roles.save_vote(state), SaveSnapshot(state.snapshot)]
+
+
 def _received(state: RaftState, message: cpb.RaftMessage, now: int) -> Effects:
     """Handle a message meant for this identity; one for an older one is dropped."""
     if message.target != state.identity:
@@ -158,4 +178,4 @@
     return [] if ticket is None else [Refused(ticket, "disk_failed", "")]
 
 
-__all__ = ["bootstrap", "reduce"]
+__all__ = ["bootstrap", "reduce", "restore"]
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -8,9 +8,10 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import grpc
+from google.protobuf.message import DecodeError
 
 from yuccareach.control import raft
-from yuccareach.control.errors import DiskFailed, NotLeader
+from yuccareach.control.errors import CorruptLog, DiskFailed, NotLeader
 from yuccareach.control.machine import Machine, load_machine
 from yuccareach.control.members import MemberTable
 from yuccareach.control.operators import operator_app
@@ -65,6 +66,7 @@
     join: tuple[str, ...] = ()
     platform_token_sha256: str = ""
     snapshot_every: int = 10_000
+    restore: Path | None = None
 
 
 class ControlProcess:
@@ -72,6 +74,7 @@
 
     def __init__(self, options: ControlOptions) -> None:
         self.options = options
+        self.backup = _read_backup(options.restore)
         self.store = DiskStore(options.data, options.instance)
         stored = self.store.load()
         machine = (
@@ -111,7 +114,9 @@
         add_ControlServicer_to_server(ControlService(self), self.server)
         await self.server.start()
         await self.http.start()
-        if options.bootstrap:
+        if options.restore is not None:
+            self.perform(raft.restore(self.state, self._own_peer(), self.backup))
+        elif options.bootstrap:
             now = monotonic_ms()
             self.perform(raft.bootstrap(self.state, self._own_peer(), now))
         self.tasks = [
@@ -348,6 +353,20 @@
         return self.state.role is Role.LEADER
 
 
+def _read_backup(path: Path | None) -> bytes:
+    """Read a backup and check that it is one, or raise CorruptLog."""
+    if path is None:
+        return b""
+    try:
+        data = path.read_bytes()
+        load_machine(data)
+    except OSError as error:
+        raise CorruptLog(f"{path}: {error.strerror}") from error
+    except DecodeError as error:
+        raise CorruptLog(f"{path}: not a backup") from error
+    return data
+
+
 def _fail_answers(waiting_by_ticket: dict[int, asyncio.Future[Any]]) -> None:
     """Reject everyone who waits, since nothing is acknowledged any more."""
     for waiting in waiting_by_ticket.values():
--- a/src/yuccareach/entry/admission.py
+++ b/src/yuccareach/entry/admission.py
@@ -59,20 +59,9 @@
     return usage
 
 
-def forget_idle(state: EntryState) -> None:
-    """Drop workspaces with nothing in flight and a full allowance."""
-    idle = [
-        name
-        for name, usage in state.usage_by_workspace.items()
-        if not usage.requests and usage.allowance >= 0
-    ]
-    for name in idle:
-        del state.usage_by_workspace[name]
-
-
 def _limited(limit: str, retry_after_s: int) -> Refusal:
     text = f"the workspace has reached its limit of {limit}"
     return Refusal(429, f"limit_{limit}", text, retry_after_s=retry_after_s)
 
 
-__all__ = ["charge", "estimate_charge", "forget_idle", "settle"]
+__all__ = ["charge", "estimate_charge", "settle"]
--- a/src/yuccareach/entry/http.py
+++ b/src/yuccareach/entry/http.py
@@ -23,9 +23,9 @@
     Refuse,
     ReturnReply,
 )
-from yuccareach.metrics.exposition import expose
 from yuccareach.outcome import Outcome
 from yuccareach.proto import data_pb2 as pb
+from yuccareach.runtime.platform import Readiness, add_platform_routes
 from yuccareach.runtime.process import new_incarnation
 from yuccareach.runtime.reducer import wall_clock_ms
 from yuccareach.settings.sets import hash_key, match_route
@@ -320,27 +320,11 @@
         response.set_header(header.name, header.value)
 
 
-class Platform:
-    """Health, readiness and metrics."""
-
-    def __init__(self, process: EntryProcess) -> None:
-        self.process = process
-
-    async def on_get(self, request: Any, response: Any) -> None:
-        """Answer that the process lives."""
-        response.media = {"alive": True}
-
-    async def on_get_ready(self, request: Any, response: Any) -> None:
-        """Answer whether callers may be sent here."""
-        state = self.process.state
-        ready = state.settings.revision > 0 and not state.draining
-        response.status = falcon.HTTP_200 if ready else falcon.HTTP_503
-        response.media = {"ready": ready, "revision": state.settings.revision}
-
-    async def on_get_metrics(self, request: Any, response: Any) -> None:
-        """Return Prometheus metrics."""
-        response.content_type = "text/plain; version=0.0.4; charset=utf-8"
-        response.data = expose(self.process.metrics, self.process.gauges)
+def _readiness(process: EntryProcess) -> Readiness:
+    """Tell the balancer whether to send callers here."""
+    settings, draining = process.state.settings, process.leaving
+    ready = settings.revision > 0 and not draining
+    return Readiness(ready, {"revision": settings.revision, "draining": draining})
 
 
 def entry_app(process: EntryProcess) -> Any:
@@ -353,10 +337,12 @@
     app.add_route("/v1/models", models)
     app.add_route("/v1/models/{model}", models, suffix="one")
     app.add_route("/v1/services/{service}/{path:path}", Services(process))
-    platform = Platform(process)
-    app.add_route("/healthz", platform)
-    app.add_route("/readyz", platform, suffix="ready")
-    app.add_route("/metrics", platform, suffix="metrics")
+    add_platform_routes(
+        app,
+        lambda: _readiness(process),
+        process.gauges,
+        lambda: process.metrics,
+    )
     app.add_error_handler(Exception, _make_error_handler(process))
     return DisconnectWatch(app)
 
--- a/src/yuccareach/entry/run.py
+++ b/src/yuccareach/entry/run.py
@@ -49,6 +49,7 @@
     port: int = 0
     resume: bool = True
     policy: str = "load"
+    drain_grace_ms: int = 2_000
 
 
 class EntryProcess:
@@ -80,6 +81,7 @@
             self._revision,
             members=True,
         )
+        self.leaving = False
         self.background: set[asyncio.Task[None]] = set()
 
     def _revision(self) -> int:
@@ -149,7 +151,12 @@
         }
 
     async def drain(self) -> None:
-        """Refuse new work and wait until every answer in flight is whole."""
+        """Leave the balancer, then refuse new work, then finish what is in flight.
+
+        Callers whom the balancer still sends meanwhile are served like all others.
+        """
+        self.leaving = True
+        await asyncio.sleep(self.options.drain_grace_ms / 1000)
         self.dispatch(DrainAsked())
         await self.waiters.idle.wait()
         if self.background:
--- a/src/yuccareach/standin/service.py
+++ b/src/yuccareach/standin/service.py
@@ -9,6 +9,8 @@
 import falcon
 import falcon.asgi
 
+from yuccareach.runtime.platform import add_platform_routes
+
 
 class Ledger:
     """Balances, and how often each payout has run."""
@@ -73,6 +75,7 @@
 def service_app(ledger: Ledger) -> Any:
     """Build the HTTP application of the ledger."""
     app = falcon.asgi.App()
+    add_platform_routes(app)
     app.add_route("/balances/{account}", Balances(ledger))
     app.add_route("/payouts", Payouts(ledger))
     app.add_route("/executions", ExecutionCounts(ledger))
