Give each backend server streams in proportion to its rate; find stalls sooner

Cause: the cost of a backend server grew with the square of how full its batch would be, as if a stream waited at one stage only; in a chain it counts at all of them, so slow kinds got more than their rate. Change: cost = (running + a quarter of the batch) / rate; the old one stays as the policy batch-fill to measure against. A stall is asked about after 5 usual gaps, at least 400 ms, and an unanswered probe counts after 400 ms.

--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -56,6 +56,7 @@
 
 SETUPS = (
     Setup("planned, by load", "planned", "load"),
+    Setup("planned, by batch fill", "planned", "batch-fill"),
     Setup("planned, least outstanding", "planned", "least-outstanding"),
     Setup("planned, round robin", "planned", "round-robin"),
     Setup("planned, random", "planned", "random"),
--- a/src/yuccareach/entry/fleet.py
+++ b/src/yuccareach/entry/fleet.py
@@ -8,7 +8,7 @@
 
 from yuccareach.entry.state import BackendServer
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
-from yuccareach.route.choice import choose_chain, load_cost
+from yuccareach.route.choice import batch_fill_cost, choose_chain, load_cost
 from yuccareach.runtime.logs import Log
 
 if TYPE_CHECKING:
@@ -152,12 +152,19 @@
 
 
 def _by_load(state: EntryState, server: BackendServer) -> float:
-    """Return the expected seconds for a token, from batch, speed and load."""
+    """Return the expected seconds for a token, from speed and load."""
     running = server.own_running + server.others_running
     member = server.member
     return load_cost(running, member.max_batch, member.decode_rate)
 
 
+def _by_batch_fill(state: EntryState, server: BackendServer) -> float:
+    """Return the seconds for a token, from how full the batch would be."""
+    running = server.own_running + server.others_running
+    member = server.member
+    return batch_fill_cost(running, member.max_batch, member.decode_rate)
+
+
 def _by_outstanding(state: EntryState, server: BackendServer) -> float:
     """Return the requests running, whatever the speed."""
     return server.own_running + server.others_running
@@ -175,6 +182,7 @@
 
 POLICY_BY_NAME: dict[str, Callable[[EntryState, BackendServer], float]] = {
     "load": _by_load,
+    "batch-fill": _by_batch_fill,
     "least-outstanding": _by_outstanding,
     "round-robin": _by_turn,
     "random": _by_chance,
--- a/src/yuccareach/entry/requests.py
+++ b/src/yuccareach/entry/requests.py
@@ -28,6 +28,7 @@
 FAILURES_ALLOWED = 6
 REROUTES_ALLOWED = 20
 RETRY_PAUSE_MS = 100
+GAP_WEIGHT = 0.3
 NO_CHAIN_WAIT_MS = 10_000
 RETRY_AFTER_S = 2
 DEFAULT_MAX_TOKENS = 256
@@ -181,6 +182,7 @@
         fleet.clear(state, request.chain)
     request.delivered.append(message.token)
     request.prompt_tokens = message.prompt_tokens
+    _note_gap(request, now)
     request.progress_ms = now
     request.probed_ms = 0
     effects.append(Deliver(request.identifier, message.index, message.text))
@@ -189,6 +191,14 @@
     return effects
 
 
+def _note_gap(request: Request, now: int) -> None:
+    """Smooth the time between tokens, for finding stalls."""
+    if len(request.delivered) < 2:
+        return
+    gap_ms = now - request.progress_ms
+    request.gap_ms += GAP_WEIGHT * (gap_ms - request.gap_ms)
+
+
 def _observe_progress(request: Request, now: int) -> Effects:
     workspace, name = request.workspace.name, request.request_class.name
     first = not request.delivered
--- a/src/yuccareach/entry/stalls.py
+++ b/src/yuccareach/entry/stalls.py
@@ -17,8 +17,10 @@
     from yuccareach.entry.state import EntryState, Request
 
 Effects = list[Any]
-STALL_MS = 1_000
-PROBE_TIMEOUT_MS = 1_000
+LEAST_STALL_MS = 400
+FIRST_TOKEN_STALL_MS = 1_000
+STALL_GAPS = 5
+PROBE_TIMEOUT_MS = 400
 ENGINE_STUCK_MS = 8_000
 
 
@@ -26,7 +28,7 @@
     """Probe stalled requests and recover those whose culprit is found."""
     effects: Effects = []
     for request in list(state.request_by_id.values()):
-        if not request.chain or now - request.progress_ms < STALL_MS:
+        if not request.chain or now - request.progress_ms < _stall_ms(request):
             continue
         if not request.probed_ms:
             effects += _probe(request, now)
@@ -35,6 +37,13 @@
     return effects
 
 
+def _stall_ms(request: Request) -> float:
+    """Return how long no token may come before the stages are asked."""
+    if request.awaits_first:
+        return FIRST_TOKEN_STALL_MS if request.epoch == 1 else LEAST_STALL_MS
+    return max(LEAST_STALL_MS, STALL_GAPS * request.gap_ms)
+
+
 def _probe(request: Request, now: int) -> Effects:
     request.probed_ms = now
     request.replies_by_stage = {}
--- a/src/yuccareach/entry/state.py
+++ b/src/yuccareach/entry/state.py
@@ -71,6 +71,8 @@
         self.started_ms = now_ms
         self.opened_ms = now_ms
         self.progress_ms = now_ms
+        # Time between tokens, smoothed; 0 before the second token.
+        self.gap_ms = 0.0
         self.probed_ms = 0
         self.replies_by_stage: dict[int, pb.ProbeReply] = {}
         self.previous_replies: dict[int, pb.ProbeReply] = {}
--- a/src/yuccareach/route/choice.py
+++ b/src/yuccareach/route/choice.py
@@ -10,6 +10,7 @@
     from yuccareach.proto import control_pb2 as cpb
 
 DEFAULT_RATE = 100.0
+LATENCY_SHARE = 0.25
 
 
 class Step(NamedTuple):
@@ -74,13 +75,20 @@
 def load_cost(running: float, max_batch: int, decode_rate: float) -> float:
     """Return the expected time for one token, in seconds, under a load.
 
-    A batching engine slows little until its batch is full, and queues after that.
+    A stream that runs through several stages counts at each of them all the time, so a
+    backend server's fair share of streams grows with its rate, not with its batch. The
+    batch only says how long one token takes where nothing else runs.
     """
     rate = decode_rate or DEFAULT_RATE
+    return (running + LATENCY_SHARE * max(1, max_batch)) / rate
+
+
+def batch_fill_cost(running: float, max_batch: int, decode_rate: float) -> float:
+    """Return the time for one token if every stream waited at this backend server."""
     batch = max(1, max_batch)
-    step_s = batch / rate
+    step_s = batch / (decode_rate or DEFAULT_RATE)
     filled = running / batch
     return step_s * (1.0 + filled if filled < 1.0 else 2.0 * filled * filled)
 
 
-__all__ = ["choose_chain", "load_cost"]
+__all__ = ["batch_fill_cost", "choose_chain", "load_cost"]
