End the request generators of failed streams, which took messages of later ones

Both survivors stayed pre-candidates with different terms: a gRPC call that fails leaves its request generator waiting, and each of the forty left by a dead peer took one message when that peer came back. Heartbeats of agents and steps for an engine that reconnects had the same flaw. Change: runtime/streams.py numbers the streams; generators of ended ones end and take nothing. A stage and an entry learn that an attempt was taken (Ready in every epoch).

--- a/src/yuccareach/agent/attempts.py
+++ b/src/yuccareach/agent/attempts.py
@@ -47,15 +47,13 @@
         attempt.prompt_tokens = opened.prompt_tokens
         effects.append(_prefill(attempt))
         effects.append(Log("attempt_opened", _fields(attempt), logging.DEBUG))
-    elif opened.resume:
-        effects.append(_ready(attempt))
+    effects.append(_ready(attempt))
     return effects + _forward_open(attempt)
 
 
 def _repeat_ready(known: Attempt, opened: pb.Open) -> Effects:
     """Tell the stage before again what is needed: the link may have lost it."""
-    current = opened.epoch == known.opened.epoch and opened.resume
-    return [_ready(known)] if current and not known.first else []
+    return [_ready(known)] if opened.epoch == known.opened.epoch else []
 
 
 def _own(opened: pb.Open) -> int:
@@ -125,9 +123,13 @@
 
 
 def _ready(attempt: Attempt) -> Send:
-    before = attempt.opened.chain[attempt.opened.stage - 1]
+    """Tell the stage before, or the entry, that this stage has the attempt."""
+    stages = attempt.opened.chain
+    before = attempt.origin
+    if not attempt.first:
+        before = stages[attempt.opened.stage - 1].address
     return Send(
-        before.address,
+        before,
         pb.Ready(
             request=attempt.opened.request,
             epoch=attempt.opened.epoch,
@@ -143,9 +145,8 @@
     attempt.active_ms = now
     attempt.link_failures = 0
     attempt.waits_for_ready = not attempt.last
-    effects = _forward_open(attempt)
-    if not attempt.first:
-        effects.append(_ready(attempt))
+    attempt.next_accepted = False
+    effects = [*_forward_open(attempt), _ready(attempt)]
     if attempt.first:
         if len(attempt.generated) < len(opened.delivered):
             return effects + _fail(attempt, "resume_gap")
@@ -182,6 +183,10 @@
     if attempt is None:
         return []
     attempt.active_ms = now
+    attempt.next_accepted = True
+    if not attempt.waits_for_ready and not message.position:
+        # The first word of a new attempt; what was sent is on its way.
+        return []
     attempt.waits_for_ready = False
     if message.position < attempt.retained_from:
         return _fail(attempt, "inputs_not_retained")
@@ -389,7 +394,8 @@
 
 
 def _fail(attempt: Attempt, reason: str, stage: pb.Stage | None = None) -> Effects:
-    """Report a failure of this stage, or of the one named."""
+    """Report a failure of this stage, or of the next one."""
+    accepted = stage is None or attempt.next_accepted
     stage = stage or attempt.own
     message = pb.Failed(
         request=attempt.opened.request,
@@ -398,6 +404,7 @@
         outcome=pb.UNKNOWN,
         backend_server=stage.backend_server,
         incarnation=stage.incarnation,
+        accepted=accepted,
     )
     target = attempt.origin if attempt.first else attempt.opened.chain[0].address
     fields = _fields(attempt) | {"reason": reason, "failed": stage.backend_server}
--- a/src/yuccareach/agent/engine_client.py
+++ b/src/yuccareach/agent/engine_client.py
@@ -17,6 +17,7 @@
 from yuccareach.proto import engine_pb2 as epb
 from yuccareach.proto.engine_pb2_grpc import EngineStub
 from yuccareach.runtime.links import CHANNEL_OPTIONS
+from yuccareach.runtime.streams import StreamTurn
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -32,7 +33,7 @@
         self.address = address
         self.dispatch = dispatch
         self.steps: list[epb.Step] = []
-        self.ready = asyncio.Event()
+        self.turn = StreamTurn()
         self.tasks: list[asyncio.Task[None]] = []
 
     def start(self) -> None:
@@ -42,7 +43,7 @@
     def run(self, effect: RunStep) -> None:
         """Queue a step."""
         self.steps.append(effect.step)
-        self.ready.set()
+        self.turn.wake()
 
     async def _keep(self) -> None:
         while True:
@@ -80,9 +81,8 @@
             pass
 
     async def _batches(self) -> AsyncIterator[epb.StepBatch]:
-        while True:
-            await self.ready.wait()
-            self.ready.clear()
+        number = self.turn.begin()
+        while await self.turn.wait(number):
             steps, self.steps = self.steps, []
             yield epb.StepBatch(steps=steps)
 
--- a/src/yuccareach/agent/state.py
+++ b/src/yuccareach/agent/state.py
@@ -41,6 +41,8 @@
         self.retained_from = 0
         self.bytes_per_position = 0
         self.waits_for_ready = False
+        # Whether the next stage has answered in this epoch.
+        self.next_accepted = False
         self.sent_tokens: list[pb.Token] = []
         self.generated: list[pb.Token] = []
         self.token_by_position: dict[int, pb.Token] = {}
--- a/src/yuccareach/control/client.py
+++ b/src/yuccareach/control/client.py
@@ -12,6 +12,7 @@
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
 from yuccareach.runtime.links import CHANNEL_OPTIONS
+from yuccareach.runtime.streams import StreamTurn
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -47,7 +48,8 @@
         self.revision = revision
         self.members = members
         self.heartbeat: cpb.Heartbeat | None = None
-        self.heartbeat_ready = asyncio.Event()
+        self.announcing = StreamTurn()
+        self.watching = StreamTurn()
         self.leader = ""
         self.channel_by_address: dict[str, grpc.aio.Channel] = {}
         self.tasks: list[asyncio.Task[None]] = []
@@ -84,7 +86,9 @@
     async def _watch_requests(self) -> AsyncIterator[cpb.WatchRequest]:
         """Start the watch, then report every revision that comes into force."""
         reported = -1
-        while True:
+        number = self.watching.begin()
+        going_on = True
+        while going_on:
             revision = self.revision()
             if revision != reported:
                 reported = revision
@@ -94,23 +98,23 @@
                     revision=revision,
                     members=self.members,
                 )
-            await asyncio.sleep(ACKNOWLEDGE_INTERVAL_MS / 1000)
+            pause_s = ACKNOWLEDGE_INTERVAL_MS / 1000
+            going_on = await self.watching.pause(number, pause_s)
 
     def announce(self, member: cpb.Member, *, leaving: bool = False) -> None:
         """Send a heartbeat at once."""
         self.heartbeat = cpb.Heartbeat(
             member=member, revision=self.revision(), leaving=leaving
         )
-        self.heartbeat_ready.set()
+        self.announcing.wake()
 
     async def _announce(self, address: str) -> None:
         async for _ in self._stub(address).Announce(self._heartbeats()):
             pass
 
     async def _heartbeats(self) -> AsyncIterator[cpb.Heartbeat]:
-        while True:
-            await self.heartbeat_ready.wait()
-            self.heartbeat_ready.clear()
+        number = self.announcing.begin()
+        while await self.announcing.wait(number):
             if self.heartbeat is not None:
                 yield self.heartbeat
 
--- a/src/yuccareach/control/machine.py
+++ b/src/yuccareach/control/machine.py
@@ -42,7 +42,8 @@
         self.permit_by_id: OrderedDict[PermitId, cpb.PermitRecord] = OrderedDict()
         self.tombstone_by_digest: OrderedDict[int, int] = OrderedDict()
         self.lease_by_resource: dict[str, cpb.LeaseRecord] = {}
-        self.quarantine_by_fingerprint: dict[bytes, int] = {}
+        self.loss_by_fingerprint: dict[bytes, cpb.QuarantineRecord] = {}
+        self.loss_changes = 0
 
     def apply(self, command: cpb.Command) -> cpb.CommandAnswer:
         """Apply one committed command and return its answer."""
@@ -56,7 +57,7 @@
             case "lease":
                 return self._lease(command.lease)
             case "quarantine":
-                return self._quarantine(command.quarantine)
+                return self._note_loss(command.quarantine)
         return cpb.CommandAnswer()
 
     def _advance(self, at_ms: int) -> None:
@@ -231,17 +232,32 @@
             )
         )
 
-    def _quarantine(self, request: cpb.Quarantine) -> cpb.CommandAnswer:
+    def _note_loss(self, request: cpb.Quarantine) -> cpb.CommandAnswer:
+        """Count a backend server lost while it ran a request."""
         self._advance(request.at_ms)
-        self.quarantine_by_fingerprint = {
-            fingerprint: expires
-            for fingerprint, expires in self.quarantine_by_fingerprint.items()
-            if expires > self.now_ms
+        self.loss_by_fingerprint = {
+            fingerprint: record
+            for fingerprint, record in self.loss_by_fingerprint.items()
+            if record.expires_ms > self.now_ms
         }
-        expires_ms = self.now_ms + request.duration_ms
-        self.quarantine_by_fingerprint[request.fingerprint] = expires_ms
+        known = self.loss_by_fingerprint.get(request.fingerprint)
+        self.loss_changes += 1
+        self.loss_by_fingerprint[request.fingerprint] = cpb.QuarantineRecord(
+            fingerprint=request.fingerprint,
+            expires_ms=self.now_ms + request.duration_ms,
+            losses=1 + (known.losses if known else 0),
+            change=self.loss_changes,
+        )
         return cpb.CommandAnswer()
 
+    def losses_after(self, change: int) -> list[cpb.QuarantineRecord]:
+        """Return the records of losses changed after a number."""
+        return [
+            record
+            for record in self.loss_by_fingerprint.values()
+            if record.change > change
+        ]
+
     # Snapshots.
 
     def dump(self) -> bytes:
@@ -257,9 +273,9 @@
             permits=self.permit_by_id.values(),
             leases=[lease for _, lease in sorted(self.lease_by_resource.items())],
             quarantines=[
-                cpb.QuarantineRecord(fingerprint=key, expires_ms=value)
-                for key, value in sorted(self.quarantine_by_fingerprint.items())
+                record for _, record in sorted(self.loss_by_fingerprint.items())
             ],
+            loss_changes=self.loss_changes,
             tombstones=[
                 cpb.TombstoneRecord(digest=digest, at_ms=at_ms)
                 for digest, at_ms in self.tombstone_by_digest.items()
@@ -285,9 +301,10 @@
         (permit_id(record.key), record) for record in state.permits
     )
     machine.lease_by_resource = {lease.resource: lease for lease in state.leases}
-    machine.quarantine_by_fingerprint = {
-        record.fingerprint: record.expires_ms for record in state.quarantines
+    machine.loss_by_fingerprint = {
+        record.fingerprint: record for record in state.quarantines
     }
+    machine.loss_changes = state.loss_changes
     machine.tombstone_by_digest = OrderedDict(
         (record.digest, record.at_ms) for record in state.tombstones
     )
--- a/src/yuccareach/control/peers.py
+++ b/src/yuccareach/control/peers.py
@@ -10,6 +10,7 @@
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
 from yuccareach.runtime.links import CHANNEL_OPTIONS
+from yuccareach.runtime.streams import StreamTurn
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -24,20 +25,19 @@
 
     def __init__(self) -> None:
         self.frames: list[cpb.RaftFrame] = []
-        self.ready = asyncio.Event()
+        self.turn = StreamTurn()
         self.task: asyncio.Task[None] | None = None
 
     def put(self, frame: cpb.RaftFrame) -> None:
         """Queue a frame."""
         self.frames.append(frame)
         del self.frames[:-QUEUE_LIMIT]
-        self.ready.set()
+        self.turn.wake()
 
     async def requests(self) -> AsyncIterator[cpb.RaftFrame]:
         """Yield queued frames merged into one."""
-        while True:
-            await self.ready.wait()
-            self.ready.clear()
+        number = self.turn.begin()
+        while await self.turn.wait(number):
             frames, self.frames = self.frames, []
             merged = _merge(frames)
             if merged is not None:
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -95,6 +95,7 @@
         self.settings_change = asyncio.Event()
         self.members_change = asyncio.Event()
         self.signalled_revision = self.machine.revision
+        self.signalled_losses = self.machine.loss_changes
         self.tasks: list[asyncio.Task[None]] = []
         self.draining = False
 
@@ -201,6 +202,9 @@
                 if revision != self.signalled_revision:
                     self.signalled_revision = revision
                     self.settings_changed()
+                elif self.machine.loss_changes != self.signalled_losses:
+                    self.signalled_losses = self.machine.loss_changes
+                    self.members_changed()
             case Log():
                 write_log(_log, effect)
 
@@ -266,6 +270,9 @@
             update.members.extend(delta.members)
             update.departed.extend(delta.departed)
             watcher.members_version = delta.version
+        if watcher.request.members and watcher.sent_losses < self.machine.loss_changes:
+            update.losses.extend(self.machine.losses_after(watcher.sent_losses))
+            watcher.sent_losses = self.machine.loss_changes
         entries = len(self.entries_watching())
         if watcher.request.members and watcher.sent_entries != entries:
             update.entries = watcher.sent_entries = entries
--- a/src/yuccareach/control/server.py
+++ b/src/yuccareach/control/server.py
@@ -31,6 +31,7 @@
         self.sent_revision: int = request.revision
         self.members_version = 0
         self.sent_entries = 0
+        self.sent_losses = 0
 
 
 class ControlService(ControlServicer):  # type: ignore[misc]
--- a/src/yuccareach/runtime/links.py
+++ b/src/yuccareach/runtime/links.py
@@ -82,12 +82,18 @@
     def __init__(self) -> None:
         self.messages: list[pb.Message] = []
         self.ready = asyncio.Event()
+        self.closed = False
 
     def put(self, body: Any) -> None:
         """Queue one message."""
         self.messages.append(wrap(body))
         self.ready.set()
 
+    def close(self) -> None:
+        """End the generator of frames; what is queued is lost."""
+        self.closed = True
+        self.ready.set()
+
     async def frames(
         self, source: str, revision: Callable[[], int]
     ) -> AsyncIterator[pb.Frame]:
@@ -96,6 +102,8 @@
         while True:
             await self.ready.wait()
             self.ready.clear()
+            if self.closed:
+                return
             messages, self.messages = self.messages, []
             yield pb.Frame(
                 source=source, settings_revision=revision(), messages=messages
@@ -188,6 +196,7 @@
 
     def _forget(self, peer: str, outbox: Outbox) -> None:
         """Drop a peer's stream, unless a newer one has replaced it."""
+        outbox.close()
         if self.outbox_by_peer.get(peer) is not outbox:
             return
         del self.outbox_by_peer[peer]
