Quarantine requests that bring down backend servers

Cause: a request that crashes each engine it runs on was tried again up to six times by each entry, and again for each resend. Change: losses are counted under a keyed fingerprint and shared through control's log; suspects are spread after one loss, run alone after two, quarantined at the third. Measured (tests/test_system.py): one culprit among ten innocents takes down at most 3 engines, all ten are answered, a resend through another entry is refused as not run with no further loss.

--- a/src/yuccareach/entry/events.py
+++ b/src/yuccareach/entry/events.py
@@ -103,6 +103,12 @@
     command: cpb.Command
 
 
+class ReportLoss(NamedTuple):
+    """An effect: tell control that a backend server was lost under a fingerprint."""
+
+    report: cpb.Quarantine
+
+
 class Observe(NamedTuple):
     """An effect: record a duration for a workspace and its class."""
 
@@ -132,6 +138,7 @@
     "PermitAnswered",
     "Refusal",
     "Refuse",
+    "ReportLoss",
     "ReturnReply",
     "SettlePermit",
 ]
--- a/src/yuccareach/entry/fleet.py
+++ b/src/yuccareach/entry/fleet.py
@@ -6,6 +6,7 @@
 
 import xxhash
 
+from yuccareach.entry.quarantine import LOSSES_TO_RUN_ALONE
 from yuccareach.entry.state import BackendServer
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
 from yuccareach.route.choice import batch_fill_cost, choose_chain, load_cost
@@ -18,6 +19,7 @@
 
 SUSPECT_MS = 5_000
 BLOCK_MS = 250
+SPREAD_COST_S = 0.2
 LONGEST_BLOCK_MS = 4_000
 SUSPECT_COST_S = 1_000.0
 OTHER_ZONE_COST_S = 0.002
@@ -113,6 +115,8 @@
     state: EntryState, request: Request, now: int
 ) -> tuple[cpb.Member, ...] | None:
     """Choose a chain; stages that hold the request's state are preferred."""
+    if request.losses >= LOSSES_TO_RUN_ALONE:
+        return _choose_alone(state, request, now)
     chain_held = {member.incarnation for member in request.chain}
     survivors = chain_held - request.refused_by
 
@@ -124,6 +128,8 @@
         cost = policy(state, server)
         if now < server.suspected_until_ms:
             cost += SUSPECT_COST_S
+        if request.losses:
+            cost += server.suspects * SPREAD_COST_S
         return cost * SURVIVOR_DISCOUNT if member.incarnation in survivors else cost
 
     candidates = [
@@ -136,7 +142,7 @@
         if member.layers == request.layers
         and (
             member.incarnation in survivors
-            or not state.server_by_name[member.backend_server].draining
+            or _takes_new_work(state.server_by_name[member.backend_server])
         )
     )
     chain = choose_chain(
@@ -147,6 +153,53 @@
     return chain
 
 
+def _takes_new_work(server: BackendServer) -> bool:
+    return not server.draining and not server.reserved_for
+
+
+def _choose_alone(
+    state: EntryState, request: Request, now: int
+) -> tuple[cpb.Member, ...] | None:
+    """Keep a chain free for a request, and return it once nothing else runs there."""
+    name = request.identifier
+    servers = [
+        state.server_by_name[item]
+        for item in state.names_by_pipeline.get(request.pipeline, ())
+    ]
+    usable = [
+        server.member
+        for server in servers
+        if server.member.layers == request.layers
+        and not server.draining
+        and server.reserved_for in ("", name)
+        and now >= server.blocked_until_ms
+    ]
+
+    def _cost(member: cpb.Member) -> float:
+        server = state.server_by_name[member.backend_server]
+        waited_for = 0.0 if server.reserved_for == name else 1.0
+        return waited_for + server.own_running + server.others_running
+
+    chain = choose_chain(
+        usable, request.layers, _cost, _zone_cost, state.options.availability_zone
+    )
+    if chain is None:
+        return None
+    chosen = [state.server_by_name[member.backend_server] for member in chain]
+    for server in chosen:
+        server.reserved_for = name
+    if any(server.own_running for server in chosen):
+        return None
+    return chain
+
+
+def unreserve(state: EntryState, request: str) -> None:
+    """Give backend servers that were kept free for a request to all again."""
+    for server in state.server_by_name.values():
+        if server.reserved_for == request:
+            server.reserved_for = ""
+
+
 def _is_blocked(state: EntryState, member: cpb.Member, now: int) -> bool:
     return now < state.server_by_name[member.backend_server].blocked_until_ms
 
@@ -225,13 +278,26 @@
     return xxhash.xxh32_intdigest(name, seed=state.turn)
 
 
-def occupy(state: EntryState, members: Iterable[cpb.Member], change: int) -> None:
+def occupy(
+    state: EntryState,
+    members: Iterable[cpb.Member],
+    change: int,
+    *,
+    suspect: bool = False,
+) -> None:
     """Count requests that this entry has running at some backend servers."""
     for member in members:
         if is_present(state, member):
             server = state.server_by_name[member.backend_server]
             server.own_running = max(0, server.own_running + change)
             server.assigned += max(0, change)
+            if suspect:
+                server.suspects = max(0, server.suspects + change)
+
+
+def release(state: EntryState, request: Request, members: Iterable[cpb.Member]) -> None:
+    """Stop counting a request at the backend servers that it has left."""
+    occupy(state, members, -1, suspect=request.counted_suspect)
 
 
 __all__ = [
@@ -242,6 +308,8 @@
     "is_present",
     "load_reported",
     "occupy",
+    "release",
     "suspect",
+    "unreserve",
     "update_members",
 ]
--- a/src/yuccareach/entry/reducer.py
+++ b/src/yuccareach/entry/reducer.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from yuccareach.control.client import WatchUpdated
-from yuccareach.entry import calls, fleet, requests, stalls
+from yuccareach.entry import calls, fleet, quarantine, requests, stalls
 from yuccareach.entry.events import (
     CallAsked,
     CallerLeft,
@@ -60,6 +60,8 @@
             return requests.token(state, body, now)
         case pb.Failed():
             return requests.failed(state, body, now)
+        case pb.Ready():
+            return requests.accepted(state, body)
         case pb.Reply():
             return calls.reply(state, peer, body, now)
         case pb.ProbeReply():
@@ -74,7 +76,9 @@
     effects = apply_push(state.settings, update.settings)
     effects += fleet.update_members(state, update)
     state.entries = update.entries or state.entries
+    effects += quarantine.learn(state, update.losses, now)
     if update.departed or update.members or update.members_snapshot:
+        effects += quarantine.settle_pending(state, now)
         effects += requests.members_changed(state, now)
         effects += calls.members_changed(state, now)
     return effects
--- a/src/yuccareach/entry/requests.py
+++ b/src/yuccareach/entry/requests.py
@@ -5,7 +5,7 @@
 import logging
 from typing import TYPE_CHECKING, Any
 
-from yuccareach.entry import admission, fleet, queueing
+from yuccareach.entry import admission, fleet, quarantine, queueing
 from yuccareach.entry.events import (
     CompletionAsked,
     Count,
@@ -15,6 +15,7 @@
     Refusal,
     Refuse,
 )
+from yuccareach.entry.quarantine import Loss
 from yuccareach.entry.state import Request
 from yuccareach.outcome import Outcome
 from yuccareach.proto import data_pb2 as pb
@@ -50,6 +51,10 @@
     if max_tokens > pipeline.max_tokens:
         text = f"max_tokens is above {pipeline.max_tokens}"
         return _refuse_early(asked, Refusal(400, "max_tokens_too_large", text))
+    key = quarantine.fingerprint(asked.workspace, pipeline.name, asked.prompt)
+    quarantined = quarantine.refusal(state, key, now)
+    if quarantined is not None:
+        return _refuse_early(asked, quarantined)
     charge = admission.estimate_charge(asked.prompt, max_tokens)
     refusal = admission.charge(state, asked.workspace, charge, now)
     if refusal is not None:
@@ -63,6 +68,8 @@
         charge,
         now,
     )
+    request.fingerprint = key
+    request.losses = quarantine.losses(state, key, now)
     request.pipeline = pipeline.name
     request.layers = pipeline.layers
     refusal = queueing.admit(state, request)
@@ -103,7 +110,7 @@
     """Open the next attempt; wait a moment where no chain is whole."""
     previous = request.chain
     chain = fleet.choose_for(state, request, now)
-    fleet.occupy(state, previous, -1)
+    fleet.release(state, request, previous)
     if chain is None:
         request.chain = ()
         request.retry_ms = now + RETRY_PAUSE_MS
@@ -125,7 +132,9 @@
     request.probed_ms = 0
     request.previous_replies = {}
     request.sent = True
-    fleet.occupy(state, chain, 1)
+    request.accepted = False
+    request.counted_suspect = request.losses > 0
+    fleet.occupy(state, chain, 1, suspect=request.counted_suspect)
     opened = _open_message(state, request)
     request.resume = True
     request.awaits_first = True
@@ -240,7 +249,8 @@
 def _forget(state: EntryState, request: Request, used: int, now: int) -> None:
     del state.request_by_id[request.identifier]
     queueing.release(state, request, now)
-    fleet.occupy(state, request.chain, -1)
+    fleet.release(state, request, request.chain)
+    fleet.unreserve(state, request.identifier)
     admission.settle(state, request.workspace, request.charge, used)
 
 
@@ -278,7 +288,27 @@
     else:
         # No state can be carried on, so every stage starts anew.
         request.resume = False
-    return recover(state, request, message.reason, now)
+    loss = Loss(message.reason, message.incarnation, message.accepted)
+    return _lost(state, request, loss, now)
+
+
+def accepted(state: EntryState, message: pb.Ready) -> Effects:
+    """Note that the first stage has taken an attempt."""
+    request = state.request_by_id.get(message.request)
+    if request is not None and request.epoch == message.epoch:
+        request.accepted = True
+    return []
+
+
+def _lost(state: EntryState, request: Request, loss: Loss, now: int) -> Effects:
+    """Recover from a loss, unless the request has caused too many."""
+    effects = quarantine.note_loss(state, request, loss, now)
+    request.losses = quarantine.losses(state, request.fingerprint, now)
+    quarantined = quarantine.refusal(state, request.fingerprint, now)
+    if quarantined is not None:
+        ended = quarantined._replace(outcome=Outcome.UNKNOWN)
+        return effects + fail(state, request, ended, now)
+    return effects + recover(state, request, loss.reason, now)
 
 
 def _reroute(
@@ -323,7 +353,9 @@
     for request in list(state.request_by_id.values()):
         if request.chain and request.chain[0].address == address:
             fleet.suspect(state, request.chain[0].backend_server, now)
-            effects += recover(state, request, "link_lost", now)
+            first = request.chain[0].incarnation
+            loss = Loss("link_lost", first, request.accepted)
+            effects += _lost(state, request, loss, now)
     return effects
 
 
@@ -380,6 +412,7 @@
 
 
 __all__ = [
+    "accepted",
     "ask",
     "start_ready",
     "caller_left",
--- a/src/yuccareach/entry/run.py
+++ b/src/yuccareach/entry/run.py
@@ -17,6 +17,7 @@
     Observe,
     PermitAnswered,
     Refuse,
+    ReportLoss,
     ReturnReply,
     SettlePermit,
 )
@@ -100,7 +101,10 @@
                 Observe: self._observe,
                 Count: lambda effect: self.metrics.count(*effect),
                 AcquirePermit: lambda effect: self._spawn(self._acquire(effect)),
-                SettlePermit: lambda effect: self._spawn(self._settle(effect)),
+                SettlePermit: lambda effect: self._spawn(self._settle(effect.command)),
+                ReportLoss: lambda effect: self._spawn(
+                    self._settle(cpb.Command(quarantine=effect.report))
+                ),
             }
         )
         self.http = HttpServer(entry_app(self), self.options.host, self.options.port)
@@ -134,12 +138,13 @@
             )
         self.dispatch(PermitAnswered(effect.request, answer))
 
-    async def _settle(self, effect: SettlePermit) -> None:
-        """Tell control how a call ended; the agent's own record stands without it."""
+    async def _settle(self, command: cpb.Command) -> None:
+        """Tell control what it need not answer: a call's end, or a loss."""
         try:
-            await self.control.submit(effect.command, SETTLE_TIMEOUT_MS)
+            await self.control.submit(command, SETTLE_TIMEOUT_MS)
         except ControlUnavailable as error:
-            self.log.warning("permit_not_settled", extra={"reason": str(error)})
+            kind = command.WhichOneof("body")
+            self.log.warning("not_settled", extra={"kind": kind, "reason": str(error)})
 
     def gauges(self) -> Mapping[str, float]:
         """Return the current numbers for metrics."""
--- a/src/yuccareach/entry/state.py
+++ b/src/yuccareach/entry/state.py
@@ -8,6 +8,7 @@
 
 if TYPE_CHECKING:
     from yuccareach.entry.events import CallAsked, Refusal
+    from yuccareach.entry.quarantine import Losses, PendingLoss
     from yuccareach.entry.queueing import PipelineQueue
     from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
 
@@ -29,6 +30,10 @@
         self.member = member
         self.own_running = 0
         self.assigned = 0
+        # Requests running here that have lost a backend server before.
+        self.suspects = 0
+        # The request for which this backend server is kept free of others.
+        self.reserved_for = ""
         self.others_running = 0
         self.failures = 0
         self.blocked_until_ms = 0
@@ -65,6 +70,11 @@
         self.reroutes = 0
         # Incarnations that refused this request, and so hold none of its state.
         self.refused_by: set[str] = set()
+        self.fingerprint = b""
+        self.losses = 0
+        self.counted_suspect = False
+        # Whether the first stage has taken the attempt.
+        self.accepted = False
         self.sent = False
         self.resume = True
         self.awaits_first = True
@@ -128,6 +138,9 @@
         self.turn = 0
         self.draining = False
         self.queue_by_pipeline: dict[str, PipelineQueue] = {}
+        self.losses_by_fingerprint: dict[bytes, Losses] = {}
+        # Losses not certain yet, by incarnation.
+        self.pending_losses: dict[str, list[PendingLoss]] = {}
 
 
 __all__ = [
--- a/tests/system.py
+++ b/tests/system.py
@@ -71,8 +71,11 @@
         self.state = AgentState(member, 4_000, 1_000)
         self.steps: deque[epb.Step] = deque()
         self.calls: deque[tuple[str, pb.Call]] = deque()
-        if self.service:
-            return
+        if not self.service:
+            self.start_engine()
+
+    def start_engine(self) -> None:
+        """Start an engine that remembers nothing."""
         first, end = RANGES[self.number]
         self.engine = StandinEngine(EngineOptions(PIPELINE, LAYERS, first, end))
         self.system.engines.append(self.engine)
@@ -165,6 +168,8 @@
                 node.permits.append(effect)
             case entry_events.SettlePermit(command=command):
                 self.machine.apply(command)
+            case entry_events.ReportLoss(report=report):
+                self.machine.apply(cpb.Command(quarantine=report))
             case entry_events.Deliver(request=request, text=text):
                 asked = self.asked[request]
                 assert asked.end is None, "a token after the end"
@@ -300,7 +305,11 @@
         ]
         for member, node in zip(members, [node for node in self.agents if node.up]):
             member.draining = node.state.draining
-        update = cpb.WatchUpdate(members_snapshot=True, members=members)
+        update = cpb.WatchUpdate(
+            members_snapshot=True,
+            members=members,
+            losses=self.machine.losses_after(0),
+        )
         for entry in self.entries.values():
             if name in ("", entry.name):
                 self.to_entry(entry, WatchUpdated(update))
@@ -317,6 +326,13 @@
         ]:
             self.break_link(connection)
 
+    def lose_engine(self, node: AgentNode) -> None:
+        """Lose an engine and its state; a new one takes its place at once."""
+        node.steps.clear()
+        self.to_agent(node, agent_events.EngineLost())
+        node.start_engine()
+        self.run_postponed()
+
     def restart_agent(self, node: AgentNode) -> None:
         if not node.up:
             node.start()
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -8,6 +8,7 @@
 
 from tests.system import System, run_random
 from yuccareach.entry import events as entry_events
+from yuccareach.entry.quarantine import LOSSES_TO_QUARANTINE
 
 
 class SeededHistoryTests(unittest.TestCase):
@@ -161,3 +162,57 @@
                     self.system.run_service(ledger)
         self.assertIsInstance(self.system.asked[request].end, entry_events.ReturnReply)
         self.assertEqual(self.system.payouts["key"], 1)
+
+
+class CrashingRequestTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.random = Random(1)
+        self.system = System()
+        self.crashes = 0
+
+    def crash_engines_that_run(self, word: str) -> None:
+        """End every engine whose next step holds a word, and bring it back."""
+        for node in self.system.agents:
+            if node.service or not node.up:
+                continue
+            if any(word in step.prompt for step in node.steps):
+                self.crashes += 1
+                self.system.lose_engine(node)
+
+    def run_until_all_end(self) -> None:
+        for _ in range(3_000):
+            self.crash_engines_that_run("poison")
+            for _ in range(20):
+                self.system.deliver_some(self.random)
+            for node in self.system.agents:
+                if not node.service:
+                    self.crash_engines_that_run("poison")
+                    self.system.run_engine(node, 2)
+            self.system.tick(10)
+            if all(asked.end for asked in self.system.asked.values()):
+                return
+        self.fail("not every request has ended")
+
+    def test_culprit_is_caught_and_innocents_are_answered(self) -> None:
+        innocents = [self.system.ask("e1", f"letter {number}") for number in range(6)]
+        culprit = self.system.ask("e1", "a poison letter")
+        innocents += [self.system.ask("e1", f"late {number}") for number in range(4)]
+        self.run_until_all_end()
+        for request in innocents:
+            end = self.system.asked[request].end
+            self.assertIsInstance(end, entry_events.Finish)
+        self.assertEqual(self.system.asked[culprit].end.refusal.reason, "quarantined")
+        self.assertLessEqual(self.crashes, LOSSES_TO_QUARANTINE)
+
+    def test_resend_through_another_entry_is_refused_as_not_run(self) -> None:
+        self.system.ask("e1", "a poison letter")
+        self.run_until_all_end()
+        crashes = self.crashes
+        self.system.announce()
+        resent = self.system.ask("e2", "a poison letter")
+        refusal = self.system.asked[resent].end.refusal
+        self.assertEqual(
+            (refusal.reason, str(refusal.outcome)), ("quarantined", "not_run")
+        )
+        self.assertGreaterEqual(refusal.retry_after_s, 1)
+        self.assertEqual(self.crashes, crashes)
