--- /dev/null
+++ b/src/yuccareach/agent/endings.py
@@ -0,0 +1,144 @@
+"""How attempts end at a stage: failures, cancels, idleness; and looking them up."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from yuccareach.agent.events import RunStep
+from yuccareach.agent.state import CLOSED_ATTEMPTS_KEPT
+from yuccareach.proto import data_pb2 as pb, engine_pb2 as epb
+from yuccareach.runtime.links import Send
+from yuccareach.runtime.logs import Log
+
+if TYPE_CHECKING:
+    from yuccareach.agent.state import AgentState, Attempt
+
+Effects = list[Any]
+ATTEMPT_IDLE_MS = 120_000
+
+
+def current(state: AgentState, request: str, epoch: int) -> Attempt | None:
+    """Return an attempt if it runs here in just this epoch."""
+    attempt = state.attempt_by_request.get(request)
+    return attempt if attempt and attempt.opened.epoch == epoch else None
+
+
+def log_fields(attempt: Attempt) -> dict[str, Any]:
+    return {
+        "request": attempt.opened.request,
+        "epoch": attempt.opened.epoch,
+        "workspace": attempt.opened.workspace,
+        "stage": attempt.opened.stage,
+    }
+
+
+def fail(attempt: Attempt, reason: str, stage: pb.Stage | None = None) -> Effects:
+    """Report a failure of this stage, or of the next one."""
+    accepted = stage is None or attempt.next_accepted
+    stage = stage or attempt.own
+    message = pb.Failed(
+        request=attempt.opened.request,
+        epoch=attempt.opened.epoch,
+        reason=reason,
+        outcome=pb.UNKNOWN,
+        backend_server=stage.backend_server,
+        incarnation=stage.incarnation,
+        accepted=accepted,
+    )
+    target = attempt.origin if attempt.first else attempt.opened.chain[0].address
+    fields = log_fields(attempt) | {"reason": reason, "failed": stage.backend_server}
+    return [Send(target, message), Log("attempt_failed", fields)]
+
+
+def failed(state: AgentState, message: pb.Failed) -> Effects:
+    """Pass a failure on towards the entry; the first stage ends the attempt."""
+    attempt = current(state, message.request, message.epoch)
+    if attempt is None:
+        return []
+    target = attempt.origin if attempt.first else attempt.opened.chain[0].address
+    return [Send(target, message)]
+
+
+def cancel(state: AgentState, message: pb.Cancel) -> Effects:
+    """End an attempt here and refuse its epochs from now on."""
+    _remember_closed(state, message.request, message.epoch)
+    attempt = state.attempt_by_request.get(message.request)
+    if attempt is None or attempt.opened.epoch > message.epoch:
+        return []
+    return drop(state, attempt)
+
+
+def close_everywhere(state: AgentState, attempt: Attempt, reason: str) -> Effects:
+    """End an attempt at every stage of its chain."""
+    opened = attempt.opened
+    _remember_closed(state, opened.request, opened.epoch)
+    message = pb.Cancel(request=opened.request, epoch=opened.epoch, reason=reason)
+    others = [stage for stage in opened.chain if stage is not attempt.own]
+    return drop(state, attempt) + [
+        Send(stage.address, message)
+        for stage in others
+        if stage.address != state.member.address
+    ]
+
+
+def _remember_closed(state: AgentState, request: str, epoch: int) -> None:
+    closed = state.closed_epoch_by_request
+    closed[request] = max(epoch, closed.pop(request, 0))
+    if len(closed) > CLOSED_ATTEMPTS_KEPT:
+        closed.popitem(last=False)
+
+
+def drop(state: AgentState, attempt: Attempt) -> Effects:
+    """Forget an attempt and free its sequence at the engine."""
+    state.attempt_by_request.pop(attempt.opened.request, None)
+    state.request_by_sequence.pop(attempt.sequence, None)
+    state.retained_bytes -= len(attempt.outputs)
+    return [RunStep(epb.Step(sequence=attempt.sequence, cancel=True))]
+
+
+def engine_lost(state: AgentState) -> Effects:
+    """Report every attempt failed, since the engine's state is gone."""
+    attempts = list(state.attempt_by_request.values())
+    effects = [
+        effect for attempt in attempts for effect in fail(attempt, "engine_lost")
+    ]
+    for attempt in attempts:
+        effects += drop(state, attempt)
+    return effects
+
+
+def drop_idle(state: AgentState, now: int) -> Effects:
+    """End attempts that nothing has touched for a long time."""
+    idle = [
+        attempt
+        for attempt in state.attempt_by_request.values()
+        if now - attempt.active_ms > ATTEMPT_IDLE_MS
+    ]
+    return [effect for attempt in idle for effect in drop(state, attempt)]
+
+
+def probe(state: AgentState, peer: str, message: pb.Probe) -> Effects:
+    """Answer how far an attempt has come here."""
+    reply = pb.ProbeReply(request=message.request, epoch=message.epoch)
+    attempt = current(state, message.request, message.epoch)
+    if attempt is not None:
+        reply.known = True
+        reply.stage = attempt.opened.stage
+        reply.received = attempt.received
+        reply.done = attempt.done
+        reply.sent = attempt.sent
+    return [Send(peer, reply)]
+
+
+__all__ = [
+    "cancel",
+    "close_everywhere",
+    "current",
+    "drop",
+    "drop_idle",
+    "engine_lost",
+    "fail",
+    "failed",
+    "log_fields",
+    "probe",
+]
--- /dev/null
+++ b/src/yuccareach/agent/flow.py
@@ -0,0 +1,235 @@
+"""Positions and tokens that pass through a stage, each once and in order.
+
+A stage accepts the position it expects and nothing else. It keeps what it sent on, so
+that a replacement of the next stage is filled without running this one again.
+"""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+from yuccareach.agent.endings import close_everywhere, current, fail
+from yuccareach.agent.events import RunStep
+from yuccareach.proto import data_pb2 as pb, engine_pb2 as epb
+from yuccareach.runtime.links import Send
+
+if TYPE_CHECKING:
+    from yuccareach.agent.state import AgentState, Attempt
+
+Effects = list[Any]
+
+
+def hop(state: AgentState, peer: str, message: pb.Hop, now: int) -> Effects:
+    """Accept the positions that come next; drop those already had."""
+    attempt = current(state, message.request, message.epoch)
+    if attempt is None:
+        return _unknown_attempt(state, peer, message)
+    attempt.active_ms = now
+    if message.first_layer != attempt.own.first_layer:
+        return fail(attempt, "wrong_layer")
+    if message.position > attempt.received:
+        return fail(attempt, "position_gap")
+    end = message.position + message.count
+    if end <= attempt.received:
+        state.counters.duplicates += 1
+        return _resend_last(state, attempt)
+    width = len(message.activation) // message.count
+    skipped = attempt.received - message.position
+    step = epb.Step(
+        sequence=attempt.sequence,
+        position=attempt.received,
+        count=end - attempt.received,
+        activation=message.activation[skipped * width :],
+        priority=attempt.opened.priority,
+    )
+    attempt.received = end
+    return [RunStep(step)]
+
+
+def _unknown_attempt(state: AgentState, peer: str, message: pb.Hop) -> Effects:
+    """Tell the sender of a hop that no such attempt runs here, unless it is old."""
+    known = state.attempt_by_request.get(message.request)
+    closed = state.closed_epoch_by_request.get(message.request, 0)
+    if message.epoch <= max(closed, known.opened.epoch if known else 0):
+        state.counters.stale += 1
+        return []
+    failed = pb.Failed(
+        request=message.request,
+        epoch=message.epoch,
+        reason="unknown_attempt",
+        outcome=pb.UNKNOWN,
+        backend_server=state.member.backend_server,
+        incarnation=state.member.incarnation,
+    )
+    return [Send(peer, failed)]
+
+
+def step_done(state: AgentState, result: epb.StepResult, now: int) -> Effects:
+    """Send on what the engine computed."""
+    request = state.request_by_sequence.get(result.sequence)
+    attempt = state.attempt_by_request.get(request) if request else None
+    if attempt is None:
+        state.counters.stale += 1
+        return []
+    attempt.active_ms = now
+    state.counters.steps += 1
+    if result.error:
+        return fail(attempt, result.error)
+    attempt.done = result.position + result.count
+    attempt.received = max(attempt.received, attempt.done)
+    if attempt.first and not attempt.prompt_tokens:
+        attempt.prompt_tokens = result.count - len(attempt.opened.delivered)
+    if not attempt.last:
+        _retain(state, attempt, result)
+        effects = send_on(state, attempt)
+    else:
+        effects = _token_sampled(state, attempt, result, now)
+    if attempt.first:
+        effects += _take_tokens(state, attempt)
+    return effects
+
+
+def _token_sampled(
+    state: AgentState, attempt: Attempt, result: epb.StepResult, now: int
+) -> Effects:
+    """Return a sampled token to the first stage."""
+    token = pb.Token(
+        request=attempt.opened.request,
+        epoch=attempt.opened.epoch,
+        position=attempt.done - 1,
+        token=result.token,
+        text=result.text,
+        finish_reason="stop" if result.end_of_sequence else "",
+    )
+    attempt.sent_tokens.append(token)
+    if attempt.first:
+        return take_token(state, token, now)
+    return [Send(attempt.opened.chain[0].address, token)]
+
+
+def _retain(state: AgentState, attempt: Attempt, result: epb.StepResult) -> None:
+    """Keep an output for refilling the next stage, within the memory limit."""
+    attempt.bytes_per_position = len(result.activation) // result.count
+    attempt.outputs += result.activation
+    state.retained_bytes += len(result.activation)
+    if state.retained_bytes <= state.retain_limit_bytes:
+        return
+    largest = max(state.attempt_by_request.values(), key=lambda item: len(item.outputs))
+    _release(state, largest)
+
+
+def _release(state: AgentState, attempt: Attempt) -> None:
+    """Give up the outputs kept for one attempt, but for those not yet sent."""
+    kept_from = min(attempt.sent, attempt.done)
+    size = max(0, kept_from - attempt.retained_from) * attempt.bytes_per_position
+    del attempt.outputs[:size]
+    attempt.retained_from = max(kept_from, attempt.retained_from)
+    state.retained_bytes -= size
+
+
+def send_on(state: AgentState, attempt: Attempt) -> Effects:
+    """Send the next stage all outputs that it has not been sent."""
+    if attempt.waits_for_ready or attempt.sent >= attempt.done or attempt.last:
+        return []
+    hop_message = _hop(attempt, attempt.sent, attempt.done)
+    attempt.resend_from = attempt.sent
+    attempt.sent = attempt.done
+    return [Send(attempt.next_address, hop_message)]
+
+
+def _hop(attempt: Attempt, start: int, end: int) -> pb.Hop:
+    width = attempt.bytes_per_position
+    first = (start - attempt.retained_from) * width
+    last = (end - attempt.retained_from) * width
+    return pb.Hop(
+        request=attempt.opened.request,
+        epoch=attempt.opened.epoch,
+        position=start,
+        count=end - start,
+        first_layer=attempt.own.end_layer,
+        activation=bytes(attempt.outputs[first:last]),
+    )
+
+
+def last_hop(attempt: Attempt) -> Effects:
+    """Send again the last positions sent on, as far as they are kept."""
+    start = max(attempt.retained_from, attempt.resend_from)
+    if start >= attempt.sent:
+        return []
+    return [Send(attempt.next_address, _hop(attempt, start, attempt.sent))]
+
+
+def take_token(state: AgentState, token: pb.Token, now: int) -> Effects:
+    """Take a token that came back to the first stage."""
+    attempt = current(state, token.request, token.epoch)
+    if attempt is None or not attempt.first:
+        state.counters.stale += 1
+        return []
+    attempt.active_ms = now
+    if token.position < attempt.received - 1:
+        state.counters.duplicates += 1
+        return []
+    attempt.token_by_position[token.position] = token
+    return _take_tokens(state, attempt)
+
+
+def _take_tokens(state: AgentState, attempt: Attempt) -> Effects:
+    """Relay the next token and run the first stage on it, once it has come."""
+    if attempt.done != attempt.received:
+        return []
+    token = attempt.token_by_position.pop(attempt.done - 1, None)
+    if token is None:
+        return []
+    index = attempt.done - attempt.prompt_tokens
+    relayed = pb.Token()
+    relayed.CopyFrom(token)
+    relayed.index = index
+    relayed.prompt_tokens = attempt.prompt_tokens
+    if not relayed.finish_reason and index + 1 >= attempt.opened.max_tokens:
+        relayed.finish_reason = "length"
+    missing = index - len(attempt.generated)
+    attempt.generated += [pb.Token()] * missing + [relayed]
+    state.counters.tokens += 1
+    effects: Effects = [relay(attempt, relayed)]
+    if relayed.finish_reason:
+        return effects + close_everywhere(state, attempt, "finished")
+    step = epb.Step(
+        sequence=attempt.sequence,
+        position=attempt.received,
+        count=1,
+        tokens=[token.token],
+        priority=attempt.opened.priority,
+    )
+    attempt.received += 1
+    return [*effects, RunStep(step)]
+
+
+def relay(attempt: Attempt, token: pb.Token) -> Send:
+    return Send(attempt.origin, in_epoch(token, attempt.opened.epoch))
+
+
+def _resend_last(state: AgentState, attempt: Attempt) -> Effects:
+    """Answer a repeated hop with what was last sent on."""
+    if attempt.received != attempt.done:
+        return []
+    if attempt.last:
+        return [Send(attempt.next_address, attempt.sent_tokens[-1])]
+    return last_hop(attempt)
+
+
+def in_epoch(token: pb.Token, epoch: int) -> pb.Token:
+    copy = pb.Token()
+    copy.CopyFrom(token)
+    copy.epoch = epoch
+    return copy
+
+
+__all__ = [
+    "hop",
+    "in_epoch",
+    "last_hop",
+    "relay",
+    "send_on",
+    "step_done",
+    "take_token",
+]
--- a/src/yuccareach/agent/reducer.py
+++ b/src/yuccareach/agent/reducer.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from yuccareach.agent import attempts, calls
+from yuccareach.agent import attempts, calls, endings, flow
 from yuccareach.agent.events import (
     Announce,
     DrainAsked,
@@ -33,7 +33,7 @@
         case Received(peer=peer, body=body):
             effects = _received(state, peer, body, now)
         case StepDone(result=result):
-            effects = attempts.step_done(state, result, now)
+            effects = flow.step_done(state, result, now)
         case ServiceReplied(call=call, reply=reply):
             effects = calls.service_replied(state, call, reply)
         case LinkLost(peer=peer):
@@ -45,7 +45,7 @@
             effects = _engine_ready(state, info, now)
         case EngineLost():
             state.engine_ready = False
-            effects = attempts.engine_lost(state) + _heartbeat(state, now)
+            effects = endings.engine_lost(state) + _heartbeat(state, now)
         case EngineReported(report=report):
             effects = _engine_reported(state, report, now)
         case DrainAsked():
@@ -60,19 +60,19 @@
 def _received(state: AgentState, peer: str, body: Any, now: int) -> Effects:
     match body:
         case pb.Hop():
-            return attempts.hop(state, peer, body, now)
+            return flow.hop(state, peer, body, now)
         case pb.Token():
-            return attempts.take_token(state, body, now)
+            return flow.take_token(state, body, now)
         case pb.Open():
             return _open(state, peer, body, now)
         case pb.Ready():
             return attempts.ready(state, body, now)
         case pb.Cancel():
-            return attempts.cancel(state, body)
+            return endings.cancel(state, body)
         case pb.Failed():
-            return attempts.failed(state, body)
+            return endings.failed(state, body)
         case pb.Probe():
-            return attempts.probe(state, peer, body)
+            return endings.probe(state, peer, body)
         case pb.Call():
             state.entries.add(peer)
             return calls.call(state, peer, body)
@@ -117,7 +117,7 @@
 
 
 def _tick(state: AgentState, now: int) -> Effects:
-    effects = attempts.drop_idle(state, now)
+    effects = endings.drop_idle(state, now)
     if now >= state.next_heartbeat_ms:
         effects += _heartbeat(state, now)
     return effects
