Explain recent requests to their own workspace

Cause: a slow request's path could only be read from the logs of several processes. Measured: the test sees attempt and request_finished, and 401 for another key.

--- a/src/yuccareach/cli/main.py
+++ b/src/yuccareach/cli/main.py
@@ -9,6 +9,7 @@
 from yuccareach.cli.control_group import control
 from yuccareach.cli.demo import demo
 from yuccareach.cli.diff import diff
+from yuccareach.cli.explain import explain
 from yuccareach.cli.get import get
 from yuccareach.cli.history import history
 from yuccareach.cli.options import CONTEXT
@@ -29,6 +30,7 @@
     control,
     demo,
     diff,
+    explain,
     get,
     history,
     plan,
--- a/src/yuccareach/entry/http.py
+++ b/src/yuccareach/entry/http.py
@@ -236,6 +236,27 @@
             _render(response, Refusal(404, "model_not_found", text), identifier)
 
 
+class Requests:
+    """What happened to recent requests."""
+
+    def __init__(self, process: EntryProcess) -> None:
+        self.process = process
+
+    async def on_get(self, request: Any, response: Any, identifier: str) -> None:
+        """Return the events of one of the workspace's own requests."""
+        try:
+            workspace = _authenticate(self.process, request)
+        except _Refused as error:
+            _render(response, error.refusal, identifier)
+            return
+        events = self.process.traces.find(identifier, workspace.name)
+        if not events:
+            text = "no such request of this workspace is kept here"
+            _render(response, Refusal(404, "request_not_found", text), identifier)
+            return
+        response.media = {"events": [event._asdict() for event in events]}
+
+
 class Services:
     """Calls to plain services."""
 
@@ -336,6 +357,7 @@
     models = Models(process)
     app.add_route("/v1/models", models)
     app.add_route("/v1/models/{model}", models, suffix="one")
+    app.add_route("/v1/requests/{identifier}", Requests(process))
     app.add_route("/v1/services/{service}/{path:path}", Services(process))
     add_platform_routes(
         app,
--- a/src/yuccareach/entry/run.py
+++ b/src/yuccareach/entry/run.py
@@ -24,6 +24,7 @@
 from yuccareach.entry.http import entry_app, request_ids
 from yuccareach.entry.reducer import reduce
 from yuccareach.entry.state import EntryOptions, EntryState
+from yuccareach.entry.traces import Traces
 from yuccareach.entry.waiters import Waiters
 from yuccareach.metrics.registry import Registry
 from yuccareach.proto import control_pb2 as cpb
@@ -31,7 +32,7 @@
 from yuccareach.runtime.links import Links, Send
 from yuccareach.runtime.logs import Log, logger, write_log
 from yuccareach.runtime.process import new_incarnation
-from yuccareach.runtime.reducer import Dispatcher
+from yuccareach.runtime.reducer import Dispatcher, wall_clock_ms
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -71,6 +72,7 @@
         self.new_request_id = request_ids(incarnation)
         self.metrics = Registry()
         self.waiters = Waiters()
+        self.traces = Traces()
         self.dispatcher = Dispatcher(functools.partial(reduce, self.state))
         self.dispatch = self.dispatcher.dispatch
         self.links = Links(incarnation, self.dispatch, self._revision)
@@ -93,7 +95,7 @@
         self.dispatcher.perform_with(
             {
                 Send: self.links.send,
-                Log: functools.partial(write_log, self.log),
+                Log: self._write_log,
                 Deliver: self.waiters.put,
                 Finish: self.waiters.put,
                 Refuse: self.waiters.put,
@@ -116,6 +118,10 @@
     def _busy(self) -> bool:
         return bool(self.state.request_by_id or self.state.call_by_id)
 
+    def _write_log(self, effect: Log) -> None:
+        self.traces.note(effect, wall_clock_ms())
+        write_log(self.log, effect)
+
     def _observe(self, effect: Observe) -> None:
         self.metrics.observe(*effect)
 
--- a/tests/test_demo.py
+++ b/tests/test_demo.py
@@ -107,6 +107,24 @@
                 self.assertEqual(headers["Yuccareach-Outcome"], "not_run")
         self.assertEqual(self.fleet.entries[0].state.request_by_id, {})
 
+    async def test_request_is_explained_to_its_own_workspace_only(self) -> None:
+        body = {"model": PIPELINE, "prompt": "x", "max_tokens": 2}
+        _, headers, _ = await self.post("/v1/completions", body)
+        url = f"{self.fleet.url}/v1/requests/{headers['Yuccareach-Request']}"
+        for key, status in ((KEY, 200), ("wrong", 401)):
+            own = {"Authorization": f"Bearer {key}"}
+            async with self.http.get(url, headers=own) as response:
+                self.assertEqual(response.status, status)
+                content = await response.json()
+        self.assertNotIn("events", content)
+        async with self.http.get(
+            url, headers={"Authorization": f"Bearer {KEY}"}
+        ) as response:
+            events = (await response.json())["events"]
+        self.assertEqual(
+            [event["event"] for event in events], ["attempt", "request_finished"]
+        )
+
     async def test_caller_who_leaves_is_cancelled_on_every_stage(self) -> None:
         body = {"model": PIPELINE, "prompt": "x", "max_tokens": 1024, "stream": True}
         headers = {"Authorization": f"Bearer {KEY}"}
