Keep the rows of bench-throughput as they come, and run chosen setups

Cause: two baselines run into the 120 s deadline of a class, so that a run of all setups was ended before it wrote anything. Change: a row is written when it is there; setups can be named by number. Measured: nothing new.

--- a/bench/throughput.py
+++ b/bench/throughput.py
@@ -243,19 +243,30 @@
     return rows
 
 
-async def _run() -> None:
-    names = sys.argv[1:] or ["saturate", "overload"]
+async def _run(saturated: list[Setup], *, overloaded: bool) -> None:
     kept = json.loads(OUTPUT.read_text()) if OUTPUT.exists() else {}
     kept["bound_tokens_per_s"] = BOUND_TOKENS_PER_S
-    if "saturate" in names:
-        kept["saturate"] = []
-        for setup in SETUPS:
-            kept["saturate"].append(await saturate(setup))
-            print(json.dumps(kept["saturate"][-1]), flush=True)
-    if "overload" in names:
+    for setup in saturated:
+        row = await saturate(setup)
+        print(json.dumps(row), flush=True)
+        others = [
+            item for item in kept.get("saturate", []) if item["setup"] != setup[0]
+        ]
+        kept["saturate"] = [*others, row]
+        OUTPUT.write_text(json.dumps(kept, indent=1) + "\n", encoding="utf-8")
+    if overloaded:
         kept["overload"] = await overload(SETUPS[0])
-    OUTPUT.write_text(json.dumps(kept, indent=1) + "\n", encoding="utf-8")
+        OUTPUT.write_text(json.dumps(kept, indent=1) + "\n", encoding="utf-8")
+
+
+def main() -> None:
+    """Run what the arguments name: "saturate" with numbers of setups, "overload"."""
+    arguments = sys.argv[1:] or ["saturate", "overload"]
+    numbers = [int(item) for item in arguments if item.isdigit()]
+    chosen = [SETUPS[number] for number in numbers or range(len(SETUPS))]
+    saturated = chosen if "saturate" in arguments else []
+    asyncio.run(_run(saturated, overloaded="overload" in arguments))
 
 
 if __name__ == "__main__":
-    asyncio.run(_run())
+    main()
--- a/tests/control/test_client.py
+++ b/tests/control/test_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import tempfile
 import unittest
 from pathlib import Path
@@ -20,7 +21,9 @@
         async def _silent(
             reader: asyncio.StreamReader, writer: asyncio.StreamWriter
         ) -> None:
-            await reader.read()
+            with contextlib.suppress(asyncio.CancelledError):
+                await reader.read()
+            writer.close()
 
         silent = await asyncio.start_server(_silent, "127.0.0.1", 0)
         self.addCleanup(silent.close)
