--- a/src/yuccareach/agent/attempts.py
+++ b/src/yuccareach/agent/attempts.py
@@ -180,7 +180,7 @@
     attempt.active_ms = now
     attempt.next_accepted = True
     if not attempt.waits_for_ready and not message.position:
-        # The first word of a new attempt; what was sent is on its way.
+        # The first Ready of a new attempt: nothing has to be sent again.
         return []
     attempt.waits_for_ready = False
     if message.position < attempt.retained_from:
--- a/src/yuccareach/agent/run.py
+++ b/src/yuccareach/agent/run.py
@@ -133,7 +133,7 @@
         await self.idle.wait()
 
     async def stop(self) -> None:
-        """Say good-bye to control and close everything."""
+        """Announce the departure to control and close everything."""
         self.control.announce(self.state.member, leaving=True)
         await asyncio.sleep(LEAVE_SETTLE_MS / 1000)
         await self.dispatcher.stop_ticks()
--- a/src/yuccareach/agent/state.py
+++ b/src/yuccareach/agent/state.py
@@ -92,7 +92,6 @@
         self.duplicates = 0
         self.stale = 0
         self.refused = 0
-        self.replayed_positions = 0
 
 
 class AgentState:
--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -105,7 +105,7 @@
             self.heard_by_name[name].attached = False
 
     def leave(self, name: str, incarnation: str) -> None:
-        """Take out a backend server that said good-bye."""
+        """Take out a backend server that announced its departure."""
         known = self.heard_by_name.get(name)
         if known is not None and known.member.incarnation == incarnation:
             self._depart(name)
--- a/src/yuccareach/control/operators.py
+++ b/src/yuccareach/control/operators.py
@@ -122,6 +122,9 @@
     async def on_put(self, request: Any, response: Any, team: str) -> None:
         """Replace a team's subtree, if it is still as the operator saw it."""
         _authorize(self.process, request, team)
+        if (request.content_length or 0) > MAX_DOCUMENT_BYTES:
+            limit = f"a team's settings are limited to {MAX_DOCUMENT_BYTES} bytes"
+            raise falcon.HTTPContentTooLarge(title=limit)
         body = await request.get_media()
         try:
             check_document(body, team)
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -24,7 +24,6 @@
     RaftState,
     ReadConfirmed,
     Refused,
-    Role,
     SendPeer,
     WriteFailed,
 )
@@ -354,11 +353,6 @@
         self.store.close()
         _log.info("stopped")
 
-    @property
-    def leads(self) -> bool:
-        """Whether this instance is the leader as far as it knows."""
-        return self.state.role is Role.LEADER
-
 
 def _read_backup(path: Path | None) -> bytes:
     """Read a backup and check that it is one, or raise CorruptLog."""
--- a/src/yuccareach/entry/state.py
+++ b/src/yuccareach/entry/state.py
@@ -86,7 +86,6 @@
         self.probed_ms = 0
         self.replies_by_stage: dict[int, pb.ProbeReply] = {}
         self.previous_replies: dict[int, pb.ProbeReply] = {}
-        self.stuck_since_ms = 0
         self.interrupted_ms = 0
         self.retry_ms = 0
 
--- a/src/yuccareach/route/errors.py
+++ b/src/yuccareach/route/errors.py
@@ -13,8 +13,4 @@
     """A chain whose layer ranges leave a gap, overlap, or miss an end."""
 
 
-class NoChain(RouteError):
-    """No chain of live backend servers covers every layer."""
-
-
-__all__ = ["ChainGap", "NoChain", "RouteError"]
+__all__ = ["ChainGap", "RouteError"]
