Generate the reference of flags, settings, events and errors from the code

Change: 'make reference' writes docs/reference, 'make check' fails where it is stale; slopes for models and entries are added to bench-slopes (run later).

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: all demo test fuzz check format proto bench-slopes bench-recovery bench-control bench-throughput capacity clean
+.PHONY: all demo test fuzz check format proto bench-slopes bench-recovery bench-control bench-throughput capacity reference clean
 
 all: $(STAMP)
 
@@ -24,6 +24,7 @@
 	$(BIN)/flake8 src tests bench
 	$(BIN)/mypy
 	$(BIN)/python bench/check_proto.py
+	$(BIN)/python -m bench.reference
 
 format: $(STAMP)
 	$(BIN)/isort --quiet src tests bench
@@ -38,6 +39,10 @@
 proto: $(STAMP)
 	$(BIN)/python bench/check_proto.py --write
 
+# Makes docs/reference from the code.
+reference: $(STAMP)
+	$(BIN)/python -m bench.reference --write
+
 clean:
 	rm -rf $(VENV) build out
 
--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -104,6 +104,10 @@
         "bytes per member": ("members", "loopback_bytes_per_s", "x"),
         "entry per member": ("members", "entry_core_share", "x"),
         "entry memory per member": ("members", "entry_resident_mib", "x"),
+        "entry per model": ("models", "entry_core_share", "x"),
+        "entry memory per model": ("models", "entry_resident_mib", "x"),
+        "control per entry": ("entries", "control_core_share", "x"),
+        "bytes per entry": ("entries", "loopback_bytes_per_s", "x"),
         "relay per member": ("relayed_members", "control1_core_share", "x"),
         "relay bytes per member": ("relayed_members", "loopback_bytes_per_s", "x"),
         "entry per token": ("tokens", "entry_core_share", "tokens_per_s"),
@@ -267,10 +271,11 @@
         "at most 10 instances set aside",
         1.0,
         fits["control per member"].at(per_control)
+        + fits["control per entry"].slope * NODES / SET_ASIDE
         + (fits["relay per member"].slope * RUNNERS)
         + fits["control per change"].slope * changes_per_s,
         "cores for each of 10",
-        "control per member, relay per member, control per change",
+        "control per member, control per entry, relay per member, control per change",
         "each agent announces to one instance; instances relay changes to each other",
         "relays, which every instance sends to every other",
         "relays by way of one instance in each zone",
--- /dev/null
+++ b/bench/reference.py
@@ -0,0 +1,155 @@
+"""Writes docs/reference from the code, or checks that it is current."""
+
+from __future__ import annotations
+
+import re
+import sys
+from pathlib import Path
+from typing import TYPE_CHECKING, Any, NotRequired, get_origin, get_type_hints
+
+import click
+
+from yuccareach.cli import agent, control, entry, load, main as operator, standin
+from yuccareach.settings.types import NAME_PATTERN, SECTIONS
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+TARGET = Path("docs/reference")
+SOURCE = Path("src/yuccareach")
+BINARIES: dict[str, click.Command] = {
+    "yuccareach": operator.main,
+    "yuccareach-agent": agent.main,
+    "yuccareach-control": control.main,
+    "yuccareach-entry": entry.main,
+    "yuccareach-load": load.main,
+    "yuccareach-standin": standin.main,
+}
+_LOG = re.compile(r'Log\(\s*"(\w+)"|(?:_log|self\.log)\.\w+\(\s*"(\w+)"')
+_METRIC = re.compile(r'(Observe|Count)\(\s*"(\w+)"')
+_REFUSAL = re.compile(r'Refusal\(\s*(\d{3}),\s*"(\w+)"')
+_ERROR = re.compile(r'class (\w+)\((\w+(?:Error|Settings))\):\n    """(.+?)"""')
+
+
+def _flags(name: str, command: click.Command) -> Iterator[str]:
+    yield f"## {name}"
+    yield ""
+    yield (command.help or "").split("\n\n")[0].replace("\n", " ")
+    yield ""
+    options = [item for item in command.params if isinstance(item, click.Option)]
+    shown = [item for item in options if item.name != "version"]
+    if shown:
+        yield "| flag | environment | default | meaning |"
+        yield "| --- | --- | --- | --- |"
+    for option in shown:
+        default: Any = option.default
+        given = default if isinstance(default, str | int | float) else ""
+        note = f"`{given}`" if given != "" else ""
+        note = "required" if option.required else note
+        yield (
+            f"| `{option.opts[0]}` | `{option.envvar or ''}` | {note} | "
+            f"{option.help or ''} |"
+        )
+    yield ""
+    if isinstance(command, click.Group):
+        for key, child in sorted(command.commands.items()):
+            yield from _flags(f"{name} {key}", child)
+
+
+def _settings() -> Iterator[str]:
+    yield f"Names match `{NAME_PATTERN}`."
+    yield ""
+    for section, shape in SECTIONS.items():
+        yield f"## {section}"
+        yield ""
+        yield (shape.__doc__ or "").split("\n")[0]
+        yield ""
+        yield "| field | type | |"
+        yield "| --- | --- | --- |"
+        extras = get_type_hints(shape, include_extras=True)
+        for field, kind in get_type_hints(shape).items():
+            text = getattr(kind, "__name__", str(kind)).replace("|", "or")
+            optional = get_origin(extras[field]) is NotRequired
+            yield f"| `{field}` | `{text}` | {'' if optional else 'required'} |"
+        yield ""
+
+
+def _sources() -> Iterator[str]:
+    for path in sorted(SOURCE.rglob("*.py")):
+        if "_pb2" not in path.name:
+            yield path.read_text(encoding="utf-8")
+
+
+def _events() -> Iterator[str]:
+    events = {
+        first or second for text in _sources() for first, second in _LOG.findall(text)
+    }
+    metrics = {found for text in _sources() for found in _METRIC.findall(text)}
+    yield "## Log events"
+    yield ""
+    yield from (f"- `{event}`" for event in sorted(events))
+    yield ""
+    yield "## Histograms and counters of an entry"
+    yield ""
+    for kind, name in sorted(metrics):
+        full = (
+            f"yuccareach_{name}_seconds"
+            if kind == "Observe"
+            else (f"yuccareach_{name}_total")
+        )
+        yield f"- `{full}`"
+    yield ""
+
+
+def _errors() -> Iterator[str]:
+    refusals = {found for text in _sources() for found in _REFUSAL.findall(text)}
+    yield "## Codes that callers see"
+    yield ""
+    yield "| status | code |"
+    yield "| --- | --- |"
+    yield from (f"| {status} | `{code}` |" for status, code in sorted(refusals))
+    yield ""
+    yield "## Exceptions"
+    yield ""
+    yield "| error | kind of | meaning |"
+    yield "| --- | --- | --- |"
+    for text in _sources():
+        for name, parent, meaning in _ERROR.findall(text):
+            yield f"| `{name}` | `{parent}` | {' '.join(meaning.split())} |"
+    yield ""
+
+
+def pages() -> dict[str, str]:
+    """Return every page by its name."""
+    commands = [line for item in BINARIES.items() for line in _flags(*item)]
+    contents = {
+        "flags.md": ["# Flags", "", *commands],
+        "settings.md": ["# Settings", "", *_settings()],
+        "events.md": ["# Log events and metrics", "", *_events()],
+        "errors.md": ["# Errors", "", *_errors()],
+    }
+    note = "This page is made from the code by `make reference`."
+    return {
+        name: "\n".join([lines[0], "", note, "", *lines[2:]]).rstrip() + "\n"
+        for name, lines in contents.items()
+    }
+
+
+def main() -> None:
+    """Write the pages, or fail where a committed one is stale."""
+    if "--write" in sys.argv:
+        for name, text in pages().items():
+            (TARGET / name).write_text(text, encoding="utf-8")
+        return
+    stale = [
+        name
+        for name, text in pages().items()
+        if not (TARGET / name).exists()
+        or (TARGET / name).read_text(encoding="utf-8") != text
+    ]
+    if stale:
+        raise SystemExit(f"docs/reference is stale, run 'make reference': {stale}")
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -123,6 +123,49 @@
     return rows
 
 
+async def models(folder: Path) -> list[Row]:
+    """Models over which two hundred backend servers are spread."""
+    rows = []
+    fleet = await _fleet(folder)
+    try:
+        for count in (1, 4, 8, 16):
+            agents = FakeAgents([fleet.control_addresses], 200, models=count)
+            await agents.start()
+            await fleet.wait_ready(200)
+            await asyncio.sleep(SETTLE_S)
+            watched = {
+                "control": fleet.by_name["control-1"],
+                "entry": fleet.by_name["entry-0"],
+            }
+            values, _ = await measure(watched)
+            rows.append(Row("models", count, values))
+            await agents.stop()
+            await fleet.wait_ready(0)
+    finally:
+        await fleet.stop()
+    return rows
+
+
+async def entries(folder: Path) -> list[Row]:
+    """Entries that watch a hundred backend servers."""
+    rows = []
+    for count in (1, 2, 4, 8):
+        fleet = await _fleet(folder / str(count), entries=count)
+        agents = FakeAgents([fleet.control_addresses], 100, models=16)
+        try:
+            await agents.start()
+            await fleet.wait_ready(100)
+            await asyncio.sleep(SETTLE_S)
+            watched = {"control": fleet.by_name["control-1"]}
+            watched["entry"] = fleet.by_name["entry-0"]
+            values, _ = await measure(watched)
+            rows.append(Row("entries", count, values))
+        finally:
+            await agents.stop()
+            await fleet.stop()
+    return rows
+
+
 async def relayed_members(folder: Path) -> list[Row]:
     """Backend servers spread over three control instances that tell each other."""
     rows = []
@@ -390,6 +433,8 @@
 EXPERIMENTS: dict[str, Callable[[Path], Awaitable[list[Row]]]] = {
     "members": members,
     "relayed_members": relayed_members,
+    "models": models,
+    "entries": entries,
     "tokens": tokens,
     "requests": requests,
     "streams": streams,
