Measure recovery only of streams that were open at the kill; trust no older token

Cause: bench-recovery counted the time since the kill also for requests sent later that met the dead backend server, which gave 1.9 s outliers; and a token of an attempt opened before a suspicion could end that suspicion, so that the dead server was chosen again. Change: the bench tells the two apart; a suspicion ends only by an attempt opened after it.

--- a/bench/recovery.py
+++ b/bench/recovery.py
@@ -132,10 +132,17 @@
 ) -> dict[str, Any]:
     recovered = _recovered(fleet)
     results = [result for _, result in outcome.results]
-    waits = [
-        _next_token_ms(result, killed_at)
+    crossing = [
+        result
         for result in results
-        if result.request in recovered
+        if result.request in recovered and result.started_s < killed_at
+    ]
+    waits = [_next_token_ms(result, killed_at) for result in crossing]
+    # Sent after the kill, to a backend server that was not yet known to be dead.
+    later = [
+        1000 * result.first_token_s
+        for result in results
+        if result.request in recovered and result.started_s >= killed_at
     ]
     lost = [result for result in results if result.verdict is not Verdict.RIGHT]
     return {
@@ -148,6 +155,8 @@
         "next_token_p50_ms": round(_quantile(waits, 0.5)),
         "next_token_p95_ms": round(_quantile(waits, 0.95)),
         "next_token_max_ms": round(max(waits, default=0)),
+        "recovered_later": len(later),
+        "recovered_later_first_token_max_ms": round(max(later, default=0)),
         "positions_run_by_survivors": sum(item["total"] for item in counts),
         "repeated_in_an_epoch": sum(item["repeated"] for item in counts),
         "out_of_order": sum(item["out_of_order"] for item in counts),
--- a/src/yuccareach/entry/fleet.py
+++ b/src/yuccareach/entry/fleet.py
@@ -90,6 +90,7 @@
     known = state.server_by_name.get(name)
     if known is None:
         return
+    known.suspected_ms = now
     known.suspected_until_ms = now + SUSPECT_MS
     if now >= known.blocked_until_ms:
         block_ms = min(BLOCK_MS << known.failures, LONGEST_BLOCK_MS)
@@ -97,11 +98,16 @@
         known.failures += 1
 
 
-def clear(state: EntryState, members: Iterable[cpb.Member]) -> None:
-    """End the suspicion of backend servers that have just done their part."""
+def clear(state: EntryState, members: Iterable[cpb.Member], opened_ms: int) -> None:
+    """End the suspicion of backend servers that have just done their part.
+
+    An attempt opened before the suspicion proves nothing: its token may be older.
+    """
     for member in members:
-        if is_present(state, member):
-            server = state.server_by_name[member.backend_server]
+        if not is_present(state, member):
+            continue
+        server = state.server_by_name[member.backend_server]
+        if server.suspected_ms <= opened_ms:
             server.failures = server.blocked_until_ms = server.suspected_until_ms = 0
 
 
--- a/src/yuccareach/entry/requests.py
+++ b/src/yuccareach/entry/requests.py
@@ -138,6 +138,7 @@
     opened = _open_message(state, request)
     request.resume = True
     request.awaits_first = True
+    request.attempt_ms = now
     return [
         *effects,
         Send(chain[0].address, opened),
@@ -188,7 +189,7 @@
     effects = _observe_progress(request, now)
     if request.awaits_first:
         request.awaits_first = False
-        fleet.clear(state, request.chain)
+        fleet.clear(state, request.chain, request.attempt_ms)
     request.delivered.append(message.token)
     request.prompt_tokens = message.prompt_tokens
     _note_gap(request, now)
--- a/src/yuccareach/entry/state.py
+++ b/src/yuccareach/entry/state.py
@@ -37,6 +37,7 @@
         self.others_running = 0
         self.failures = 0
         self.blocked_until_ms = 0
+        self.suspected_ms = 0
         self.suspected_until_ms = 0
         self.draining = False
 
@@ -78,6 +79,7 @@
         self.sent = False
         self.resume = True
         self.awaits_first = True
+        self.attempt_ms = now_ms
         self.started_ms = now_ms
         self.opened_ms = now_ms
         self.progress_ms = now_ms
