Keep the rows of bench-control as they come

Cause: the long restart at the end of bench-control ran into a time limit and took the other rows with it. Change: rows are written when they are there.

--- a/bench/control.py
+++ b/bench/control.py
@@ -161,11 +161,16 @@
         finally:
             await fleet.stop()
     print(json.dumps(results), flush=True)
+    _write(results)
     for changes in (1_000, MANY_CHANGES):
         with tempfile.TemporaryDirectory() as folder:
             row = await restart(Path(folder), changes)
         results.setdefault("restart", []).append(row)
         print(json.dumps(row), flush=True)
+        _write(results)
+
+
+def _write(results: dict[str, Any]) -> None:
     OUTPUT.write_text(json.dumps(results, indent=1) + "\n", encoding="utf-8")
 
 
