--- a/src/yuccareach/agent/attempts.py
+++ b/src/yuccareach/agent/attempts.py
@@ -185,7 +185,7 @@
     attempt.waits_for_ready = False
     if message.position < attempt.retained_from:
         return fail(attempt, "inputs_not_retained")
-    attempt.sent = message.position
+    attempt.sent = attempt.resend_from = message.position
     return send_on(state, attempt)
 
 
--- a/src/yuccareach/agent/flow.py
+++ b/src/yuccareach/agent/flow.py
@@ -154,9 +154,11 @@
 def last_hop(attempt: Attempt) -> Effects:
     """Send again the last positions sent on, as far as they are kept."""
     start = max(attempt.retained_from, attempt.resend_from)
-    if start >= attempt.sent:
+    # The next stage may be ahead of this one, which is being refilled.
+    end = min(attempt.sent, attempt.done)
+    if start >= end:
         return []
-    return [Send(attempt.next_address, _hop(attempt, start, attempt.sent))]
+    return [Send(attempt.next_address, _hop(attempt, start, end))]
 
 
 def take_token(state: AgentState, token: pb.Token, now: int) -> Effects:
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -23,6 +23,11 @@
     def test_recovery_by_resume(self) -> None:
         self.run_histories(resume=True)
 
+    def test_stage_being_refilled_sends_nothing_that_it_has_not(self) -> None:
+        # Found by this fuzzing: a link lost while a fresh first stage was behind the
+        # next one made it send positions without content.
+        run_random(517, 2500)
+
     def test_recovery_by_replay(self) -> None:
         self.run_histories(resume=False)
 
