Look at a pipeline's room once, and measure announced members in one place

Cause: a last reading found that every tick and every finished request summed the batches of all backend servers of a pipeline even where nobody waits, and admission did it twice; three experiments of bench-slopes were the same loop, and a type there was unused. Change: take_ready returns at once for an empty queue, the expected wait asks once; the experiments share one function. No behaviour changes.

--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -37,6 +37,7 @@
 SETTLE_S = 1.5
 WINDOW_S = 6.0
 KEY = "bench-key"
+CONTROL_AND_ENTRY = {"control": "control-1", "entry": "entry-0"}
 
 
 class Row(NamedTuple):
@@ -47,13 +48,6 @@
     values: dict[str, float]
 
 
-class Usage(NamedTuple):
-    """What a process used over a window."""
-
-    cpu_share: float
-    resident_mib: float
-
-
 async def measure(
     processes: dict[str, Process], work: Awaitable[Any] | None = None
 ) -> tuple[dict[str, float], Any]:
@@ -99,25 +93,31 @@
     )
 
 
+async def _announced(
+    fleet: ProcessFleet, count: int, models: int, names: dict[str, str]
+) -> dict[str, float]:
+    """Measure processes while so many backend servers are announced."""
+    addresses = fleet.control_addresses.split(",")
+    agents = FakeAgents(addresses, count, models=models)
+    await agents.start()
+    await fleet.wait_ready(count)
+    await asyncio.sleep(SETTLE_S)
+    watched = {label: fleet.by_name[name] for label, name in names.items()}
+    values, _ = await measure(watched)
+    await agents.stop()
+    await fleet.wait_ready(0)
+    return values
+
+
 async def members(folder: Path) -> list[Row]:
     """Backend servers announced to one control instance, and one entry watching."""
     rows = []
     fleet = await _fleet(folder)
     try:
         for count in (50, 100, 200, 400):
-            agents = FakeAgents([fleet.control_addresses], count, models=16)
-            await agents.start()
-            await fleet.wait_ready(count)
-            await asyncio.sleep(SETTLE_S)
-            watched = {
-                "control": fleet.by_name["control-1"],
-                "entry": fleet.by_name["entry-0"],
-            }
-            values, _ = await measure(watched)
+            values = await _announced(fleet, count, 16, CONTROL_AND_ENTRY)
             values["bytes_per_s_per_member"] = values["loopback_bytes_per_s"] / count
             rows.append(Row("members", count, values))
-            await agents.stop()
-            await fleet.wait_ready(0)
     finally:
         await fleet.stop()
     return rows
@@ -129,18 +129,8 @@
     fleet = await _fleet(folder)
     try:
         for count in (1, 4, 8, 16):
-            agents = FakeAgents([fleet.control_addresses], 200, models=count)
-            await agents.start()
-            await fleet.wait_ready(200)
-            await asyncio.sleep(SETTLE_S)
-            watched = {
-                "control": fleet.by_name["control-1"],
-                "entry": fleet.by_name["entry-0"],
-            }
-            values, _ = await measure(watched)
+            values = await _announced(fleet, 200, count, CONTROL_AND_ENTRY)
             rows.append(Row("models", count, values))
-            await agents.stop()
-            await fleet.wait_ready(0)
     finally:
         await fleet.stop()
     return rows
@@ -169,22 +159,12 @@
 async def relayed_members(folder: Path) -> list[Row]:
     """Backend servers spread over three control instances that tell each other."""
     rows = []
+    names = {f"control{number}": f"control-{number}" for number in (1, 2, 3)}
     fleet = await _fleet(folder, control=3)
     try:
-        addresses = fleet.control_addresses.split(",")
         for count in (50, 100, 200, 400):
-            agents = FakeAgents(addresses, count, models=16)
-            await agents.start()
-            await fleet.wait_ready(count)
-            await asyncio.sleep(SETTLE_S)
-            watched = {
-                f"control{number}": fleet.by_name[f"control-{number}"]
-                for number in (1, 2, 3)
-            }
-            values, _ = await measure(watched)
+            values = await _announced(fleet, count, 16, names)
             rows.append(Row("relayed_members", count, values))
-            await agents.stop()
-            await fleet.wait_ready(0)
     finally:
         await fleet.stop()
     return rows
--- a/src/yuccareach/entry/queueing.py
+++ b/src/yuccareach/entry/queueing.py
@@ -87,15 +87,16 @@
 def expected_wait_ms(state: EntryState, pipeline: str) -> float:
     """Return how long one more request would wait, by the speed seen lately."""
     queue = queue_of(state, pipeline)
-    ahead = len(queue.queued) + 1 + len(queue.running) - room(state, pipeline)
-    if ahead <= 0:
-        return 0.0
-    return ahead * queue.service_ms / room(state, pipeline)
+    places = room(state, pipeline)
+    ahead = len(queue.queued) + 1 + len(queue.running) - places
+    return max(0, ahead) * queue.service_ms / places
 
 
 def take_ready(state: EntryState, pipeline: str) -> list[str]:
     """Take out the requests that may start now."""
     queue = queue_of(state, pipeline)
+    if not queue.heap:
+        return []
     ready: list[str] = []
     free = room(state, pipeline) - len(queue.running)
     while queue.heap and len(ready) < free:
