--- a/src/yuccareach/agent/http.py
+++ b/src/yuccareach/agent/http.py
@@ -8,7 +8,7 @@
 
 from yuccareach.agent.events import DrainAsked
 from yuccareach.metrics.registry import Registry
-from yuccareach.runtime.platform import Readiness, add_platform_routes
+from yuccareach.runtime.health import Readiness, add_health_routes
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -55,7 +55,7 @@
     """Build the HTTP application of an agent."""
     app = falcon.asgi.App()
     state = process.state
-    add_platform_routes(
+    add_health_routes(
         app,
         lambda: _readiness(state),
         lambda: _gauges(state),
--- a/src/yuccareach/control/machine.py
+++ b/src/yuccareach/control/machine.py
@@ -44,6 +44,7 @@
         self.lease_by_resource: dict[str, cpb.LeaseRecord] = {}
         self.loss_by_fingerprint: dict[bytes, cpb.QuarantineRecord] = {}
         self.loss_changes = 0
+        self.document = cpb.RoutingDocument()
 
     def apply(self, command: cpb.Command) -> cpb.CommandAnswer:
         """Apply one committed command and return its answer."""
@@ -58,6 +59,8 @@
                 return self._lease(command.lease)
             case "quarantine":
                 return self._note_loss(command.quarantine)
+            case "document":
+                return self._replace_document(command.document)
         return cpb.CommandAnswer()
 
     def _advance(self, at_ms: int) -> None:
@@ -151,6 +154,12 @@
             ],
         )
 
+    def _replace_document(self, document: cpb.RoutingDocument) -> cpb.CommandAnswer:
+        """Keep the highest version; an older one, or a resend, changes nothing."""
+        if document.version > self.document.version:
+            self.document = document
+        return cpb.CommandAnswer(document_version=self.document.version)
+
     # Permits for non-idempotent calls.
 
     def _acquire(self, request: cpb.PermitAcquire) -> cpb.CommandAnswer:
@@ -276,6 +285,7 @@
                 record for _, record in sorted(self.loss_by_fingerprint.items())
             ],
             loss_changes=self.loss_changes,
+            document=self.document,
             tombstones=[
                 cpb.TombstoneRecord(digest=digest, at_ms=at_ms)
                 for digest, at_ms in self.tombstone_by_digest.items()
@@ -305,6 +315,7 @@
         record.fingerprint: record for record in state.quarantines
     }
     machine.loss_changes = state.loss_changes
+    machine.document.CopyFrom(state.document)
     machine.tombstone_by_digest = OrderedDict(
         (record.digest, record.at_ms) for record in state.tombstones
     )
--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -18,6 +18,9 @@
 MEMBER_BYTES = 100
 SILENT_SOURCE_MS = 10_000
 DEPARTURES_KEPT = 10_000
+# A heartbeat may arrive this long after its sender has left.
+TOMBSTONE_MS = 60_000
+LAST_SEQUENCE = (1 << 64) - 1
 
 
 class HeardMember:
@@ -42,6 +45,14 @@
     name: str
 
 
+class Left(NamedTuple):
+    """The incarnation of a backend server that announced its departure."""
+
+    started_ms: int
+    sequence: int
+    at_ms: int
+
+
 class Delta(NamedTuple):
     """Changes of the members since a version."""
 
@@ -54,20 +65,27 @@
 class MemberTable:
     """All backend servers heard of, with a version for each change."""
 
-    def __init__(self, now_ms: int) -> None:
+    def __init__(self, now_ms: int, lease_ms: int = LEASE_MS) -> None:
         self.started_ms = now_ms
+        self.lease_ms = lease_ms
         self.version = 1
         self.heard_by_name: dict[str, HeardMember] = {}
         self.departures: deque[Departure] = deque(maxlen=DEPARTURES_KEPT)
+        self.left_by_name: dict[str, Left] = {}
 
     def warm(self, now_ms: int) -> bool:
         """Return whether every living agent has had time to announce itself."""
-        return now_ms - self.started_ms > LEASE_MS
+        return now_ms - self.started_ms > self.lease_ms
 
     def hear(
         self, member: cpb.Member, now_ms: int, source: str = "", revision: int = 0
     ) -> None:
-        """Take a heartbeat; source names the control instance that relayed it."""
+        """Take a heartbeat; source names the control instance that relayed it.
+
+        One that a newer heartbeat or a departure has overtaken is dropped.
+        """
+        if self._overtaken(member, now_ms, relayed=bool(source)):
+            return
         known = self.heard_by_name.get(member.backend_server)
         if known is None:
             known = self.heard_by_name[member.backend_server] = HeardMember(
@@ -85,6 +103,54 @@
         if changed or (loaded and load_due):
             self._mark(known, now_ms)
 
+    def _overtaken(self, member: cpb.Member, now_ms: int, *, relayed: bool) -> bool:
+        """Return whether what is known is newer; evict an older one at the address.
+
+        Only members that tell their start and sequence can be ordered.
+        """
+        if not member.started_ms:
+            return False
+        order = (member.started_ms, member.sequence)
+        left = self.left_by_name.get(member.backend_server)
+        if left is not None and order <= (left.started_ms, left.sequence):
+            return True
+        known = self.heard_by_name.get(member.backend_server)
+        if known is not None:
+            known_order = (known.member.started_ms, known.member.sequence)
+            if order < known_order or (order == known_order and not relayed):
+                return True
+        rivals = [
+            heard.member
+            for heard in self.heard_by_name.values()
+            if heard.member.address == member.address
+            and heard.member.backend_server != member.backend_server
+        ]
+        if any(rival.started_ms > member.started_ms for rival in rivals):
+            return True
+        for rival in rivals:
+            self._depart(rival.backend_server)
+        return False
+
+    def dismiss(self, name: str, started_ms: int, now_ms: int) -> bool:
+        """Take out an incarnation that announced its departure.
+
+        A started_ms of 0 names whichever is known.
+        """
+        self.left_by_name = {
+            left_name: left
+            for left_name, left in self.left_by_name.items()
+            if now_ms - left.at_ms < TOMBSTONE_MS
+        }
+        known = self.heard_by_name.get(name)
+        if known is not None:
+            started_ms = started_ms or known.member.started_ms
+        # Its heartbeats that are still on their way carry any sequence.
+        self.left_by_name[name] = Left(started_ms, LAST_SEQUENCE, now_ms)
+        if known is None or known.member.started_ms > started_ms:
+            return False
+        self._depart(name)
+        return True
+
     def _load_interval_ms(self) -> int:
         """Return how often one member's load is forwarded.
 
@@ -115,7 +181,7 @@
         for heartbeat in frame.heard:
             known = self.heard_by_name.get(heartbeat.member.backend_server)
             if known is not None and known.attached:
-                if now_ms - known.heard_ms < LEASE_MS // 2:
+                if now_ms - known.heard_ms < self.lease_ms // 2:
                     continue
             self.hear(heartbeat.member, now_ms, frame.source, heartbeat.revision)
         gone = set(frame.departed)
@@ -137,7 +203,7 @@
             name
             for name, heard in self.heard_by_name.items()
             if (
-                now_ms - heard.heard_ms > LEASE_MS
+                now_ms - heard.heard_ms > self.lease_ms
                 if not heard.source
                 else now_ms - max(heard.heard_ms, heard_ms_by_source[heard.source])
                 > SILENT_SOURCE_MS
@@ -187,6 +253,7 @@
         member.end_layer,
         member.service,
         member.draining,
+        member.started_ms,
     )
 
 
--- a/src/yuccareach/control/membership.py
+++ b/src/yuccareach/control/membership.py
@@ -11,6 +11,8 @@
 
 Effects = list[Any]
 CAUGHT_UP_RECORDS = 64
+# Several heartbeats; a voter silent for longer gives way to one that stands by.
+SILENT_AFTER_MS = 1_500
 
 
 def change_pending(state: RaftState) -> bool:
@@ -70,29 +72,54 @@
     return _change(state, ticket, _promoted(state, learner))
 
 
-def repair(state: RaftState) -> Effects:
-    """Replace a lost voter by the caught-up instance that took its name."""
+def repair(state: RaftState, now: int) -> Effects:
+    """Replace a lost voter by a caught-up instance, or remove one too many.
+
+    An instance that took a voter's name replaces that voter. Where a number of voters
+    is wanted, others stand by until a voter is lost or missing.
+    """
     if state.role is not Role.LEADER or change_pending(state):
         return []
-    learner = next(
-        (
-            peer
-            for peer in state.membership.peers
-            if not peer.voter and _caught_up(state, peer)
-        ),
-        None,
-    )
-    if learner is None:
+    silent = _silent_voters(state, now)
+    voters = [peer for peer in state.membership.peers if peer.voter]
+    if state.voters_wanted and len(voters) > state.voters_wanted and silent:
+        return _change(state, 0, _without(state, silent[0]))
+    caught_up = [
+        peer
+        for peer in state.membership.peers
+        if not peer.voter and _caught_up(state, peer) and _heard(state, peer, now)
+    ]
+    for learner in caught_up:
+        namesakes = [peer for peer in voters if peer.name == learner.name]
+        if namesakes:
+            return _change(state, 0, _without(state, namesakes[0]))
+    if not caught_up:
         return []
-    replaced = [
+    if not state.voters_wanted or len(voters) < state.voters_wanted:
+        return _change(state, 0, _promoted(state, caught_up[0]))
+    if silent:
+        return _change(state, 0, _without(state, silent[0]))
+    return []
+
+
+def _silent_voters(state: RaftState, now: int) -> list[cpb.Peer]:
+    return [
         peer
         for peer in state.membership.peers
-        if peer.voter and peer.name == learner.name
+        if peer.voter
+        and peer.identity != state.identity
+        and not _heard(state, peer, now)
     ]
-    if replaced:
-        kept = [peer for peer in state.membership.peers if peer is not replaced[0]]
-        return _change(state, 0, kept)
-    return _change(state, 0, _promoted(state, learner))
+
+
+def _heard(state: RaftState, peer: cpb.Peer, now: int) -> bool:
+    """Return whether a peer has answered lately."""
+    progress = state.progress_by_peer.get(peer.identity)
+    return progress is not None and now - progress.heard_ms < SILENT_AFTER_MS
+
+
+def _without(state: RaftState, removed: cpb.Peer) -> list[cpb.Peer]:
+    return [peer for peer in state.membership.peers if peer is not removed]
 
 
 def _caught_up(state: RaftState, peer: cpb.Peer) -> bool:
--- a/src/yuccareach/control/operators.py
+++ b/src/yuccareach/control/operators.py
@@ -21,7 +21,7 @@
 )
 from yuccareach.control.replication import compact
 from yuccareach.proto import control_pb2 as cpb
-from yuccareach.runtime.platform import Readiness, add_platform_routes
+from yuccareach.runtime.health import Readiness, add_health_routes
 from yuccareach.settings.convert import check_document
 from yuccareach.settings.errors import InvalidSettings
 from yuccareach.settings.sets import PLATFORM_TEAM, hash_key
@@ -367,7 +367,7 @@
     app.add_route("/v1/control/members", members)
     app.add_route("/v1/control/members/{name}", members)
     app.add_route("/v1/control/snapshot", SnapshotResource(process))
-    add_platform_routes(app, lambda: _readiness(process), lambda: _gauges(process))
+    add_health_routes(app, lambda: _readiness(process), lambda: _gauges(process))
     return app
 
 
--- a/src/yuccareach/control/peers.py
+++ b/src/yuccareach/control/peers.py
@@ -52,6 +52,7 @@
     for frame in frames[1:]:
         merged.messages.extend(frame.messages)
         merged.departed.extend(frame.departed)
+        merged.dismissed.extend(frame.dismissed)
         if frame.heard_all:
             del merged.heard[:]
             merged.heard_all = True
--- a/src/yuccareach/control/raft.py
+++ b/src/yuccareach/control/raft.py
@@ -39,7 +39,7 @@
         case RaftReceived(message=message):
             return _received(state, message, now)
         case Tick():
-            return elections.tick(state, now) + membership.repair(state)
+            return elections.tick(state, now) + membership.repair(state, now)
         case BatchEnd():
             return _batch_end(state, now)
         case Submitted(ticket=ticket, command=command):
--- a/src/yuccareach/control/raft_types.py
+++ b/src/yuccareach/control/raft_types.py
@@ -170,11 +170,13 @@
         machine: Any,
         random: Random,
         snapshot_every: int,
+        voters_wanted: int = 0,
     ) -> None:
         self.identity = identity
         self.random = random
         self.machine = machine
         self.snapshot_every = snapshot_every
+        self.voters_wanted = voters_wanted
         self.term: int = stored.hard_state.term
         self.voted_for: str = stored.hard_state.voted_for
         self.snapshot = stored.snapshot
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import itertools
 from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -13,7 +14,7 @@
 from yuccareach.control import raft
 from yuccareach.control.errors import CorruptLog, DiskFailed, NotLeader
 from yuccareach.control.machine import Machine, load_machine
-from yuccareach.control.members import MemberTable
+from yuccareach.control.members import LEASE_MS, MemberTable
 from yuccareach.control.operators import operator_app
 from yuccareach.control.peers import PeerLinks
 from yuccareach.control.persistence import persist
@@ -24,11 +25,13 @@
     RaftState,
     ReadConfirmed,
     Refused,
+    Role,
     SendPeer,
     WriteFailed,
 )
 from yuccareach.control.server import ControlService, Watcher
 from yuccareach.control.store import DiskStore
+from yuccareach.control.views import Views
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import (
     ControlStub,
@@ -36,6 +39,7 @@
 )
 from yuccareach.runtime.http import HttpServer
 from yuccareach.runtime.logs import Log, logger, write_log
+from yuccareach.runtime.process import new_incarnation
 from yuccareach.runtime.reducer import Tick, monotonic_ms, wall_clock_ms
 from yuccareach.runtime.rpc import listen
 
@@ -47,6 +51,10 @@
 RELAY_INTERVAL_MS = 500
 RELAYS_PER_FULL = 10
 JOIN_RETRY_MS = 500
+JOIN_TIMEOUT_MS = 1_000
+# Longer than elections take, so that only one who was removed asks again.
+REJOIN_AFTER_MS = 2_500
+REOPEN_DISK_MS = 500
 DRAIN_SETTLE_MS = 10
 _log = logger("control")
 
@@ -66,24 +74,30 @@
     platform_token_sha256: str = ""
     snapshot_every: int = 10_000
     restore: Path | None = None
+    # Without a new heartbeat for this long, a backend server is taken out.
+    member_lease_ms: int = LEASE_MS
+    # Voters to keep; 0 lets every instance that joins under a new name vote.
+    voters: int = 0
+    # The operators' address that others are sent to; empty for the one bound.
+    operator_address: str = ""
 
 
 class ControlProcess:
     """One control instance: its log, its members and its watchers."""
 
-    def __init__(self, options: ControlOptions) -> None:
+    def __init__(
+        self,
+        options: ControlOptions,
+        build_app: Callable[[ControlProcess], Any] = operator_app,
+    ) -> None:
         self.options = options
+        self.build_app = build_app
         self.backup = _read_backup(options.restore)
         self.store = DiskStore(options.data, options.instance)
-        stored = self.store.load()
-        machine = (
-            load_machine(stored.snapshot.state) if stored.snapshot.state else Machine()
-        )
-        identity = stored.hard_state.identity
-        self.state = RaftState(
-            identity, stored, machine, Random(identity), options.snapshot_every
-        )
-        self.members = MemberTable(monotonic_ms())
+        self.state = self._load()
+        self.run_id = new_incarnation()
+        self.members = MemberTable(monotonic_ms(), options.member_lease_ms)
+        self.views = Views()
         self.watchers: set[Watcher] = set()
         self.relayed_watchers: dict[str, list[cpb.WatchRequest]] = {}
         self.relay_heard_ms: dict[str, int] = {}
@@ -95,8 +109,11 @@
         self.members_change = asyncio.Event()
         self.signalled_revision = self.machine.revision
         self.signalled_losses = self.machine.loss_changes
+        self.signalled_document = self.machine.document.version
         self.tasks: list[asyncio.Task[None]] = []
         self.draining = False
+        self.dismissed: list[cpb.Dismissal] = []
+        self.relay_due = asyncio.Event()
 
     @property
     def machine(self) -> Machine:
@@ -104,12 +121,28 @@
         machine: Machine = self.state.machine
         return machine
 
+    def _load(self) -> RaftState:
+        """Return the state of the log that the data folder holds."""
+        stored = self.store.load()
+        machine = (
+            load_machine(stored.snapshot.state) if stored.snapshot.state else Machine()
+        )
+        identity = stored.hard_state.identity
+        return RaftState(
+            identity,
+            stored,
+            machine,
+            Random(identity),
+            self.options.snapshot_every,
+            self.options.voters,
+        )
+
     async def start(self) -> None:
         """Listen, and take part in the log."""
         options = self.options
         self.server, bound = listen(options.host, options.port)
         self.address = options.advertise or bound
-        self.http = HttpServer(operator_app(self), options.host, options.http_port)
+        self.http = HttpServer(self.build_app(self), options.host, options.http_port)
         self.peers = PeerLinks(self.state, self.address)
         add_ControlServicer_to_server(ControlService(self), self.server)
         await self.server.start()
@@ -124,7 +157,7 @@
             asyncio.create_task(self._relay()),
         ]
         if options.join:
-            self.tasks.append(asyncio.create_task(self._join()))
+            self.tasks.append(asyncio.create_task(self._stay_joined()))
         _log.info(
             "started",
             extra={"address": self.address, "http": self.http.address},
@@ -135,24 +168,41 @@
             name=self.options.instance,
             identity=self.state.identity,
             address=self.address,
-            operator_address=self.http.address,
+            operator_address=self.options.operator_address or self.http.address,
         )
 
-    async def _join(self) -> None:
-        """Ask the cluster to be let in, until this instance is a member."""
+    async def _stay_joined(self) -> None:
+        """Ask the cluster to be let in whenever no leader counts this instance."""
         targets = itertools.cycle(self.options.join)
         leader = ""
-        while not self.state.address_of(self.state.identity):
+        while True:
+            if not self._needs_join():
+                await asyncio.sleep(JOIN_RETRY_MS / 1000)
+                continue
             target = leader or next(targets)
-            try:
-                async with grpc.aio.insecure_channel(target) as channel:
-                    reply = await ControlStub(channel).Join(
-                        self._own_peer(), timeout=JOIN_RETRY_MS * 4 / 1000
-                    )
-                leader = reply.leader_address
-            except grpc.RpcError:
-                leader = ""
-            await asyncio.sleep(JOIN_RETRY_MS / 1000)
+            leader = ""
+            if target != self.address:
+                leader = await self._ask_to_join(target)
+            await asyncio.sleep(JOIN_RETRY_MS / 2 / 1000)
+
+    async def _ask_to_join(self, target: str) -> str:
+        """Return the leader that a control instance names, if it is another."""
+        try:
+            async with grpc.aio.insecure_channel(target) as channel:
+                reply = await ControlStub(channel).Join(
+                    self._own_peer(), timeout=JOIN_TIMEOUT_MS / 1000
+                )
+        except grpc.RpcError:
+            return ""
+        return reply.leader_address if reply.leader_address != target else ""
+
+    def _needs_join(self) -> bool:
+        """Return whether no leader has been heard, or none has this instance."""
+        state = self.state
+        if not state.address_of(state.identity):
+            return True
+        silent_ms = monotonic_ms() - state.leader_heard_ms
+        return state.role is not Role.LEADER and silent_ms > REJOIN_AFTER_MS
 
     # Events and effects.
 
@@ -198,6 +248,9 @@
             case Refused(ticket=ticket, reason=reason, leader=leader):
                 self._reject(ticket, reason, leader)
             case Applied(revision=revision):
+                if self.machine.document.version != self.signalled_document:
+                    self.signalled_document = self.machine.document.version
+                    self.settings_changed()
                 if revision != self.signalled_revision:
                     self.signalled_revision = revision
                     self.settings_changed()
@@ -244,6 +297,21 @@
         if self.members.version != version:
             self.members_changed()
 
+    def announce(self, member: cpb.Member) -> None:
+        """Take a heartbeat that came outside an agent's stream."""
+        version = self.members.version
+        self.members.hear(member, monotonic_ms())
+        if self.members.version != version:
+            self.members_changed()
+            self.relay_due.set()
+
+    def dismiss(self, name: str, started_ms: int) -> None:
+        """Take out a backend server that announced its departure, everywhere."""
+        if self.members.dismiss(name, started_ms, monotonic_ms()):
+            self.members_changed()
+        self.dismissed.append(cpb.Dismissal(backend_server=name, started_ms=started_ms))
+        self.relay_due.set()
+
     def hear_relayed(self, frame: cpb.RaftFrame) -> None:
         """Take what another control instance has heard."""
         now = monotonic_ms()
@@ -253,6 +321,8 @@
         if frame.watchers:
             self.relayed_watchers[frame.source] = list(frame.watchers)
         self.members.hear_relayed(frame, now)
+        for gone in frame.dismissed:
+            self.members.dismiss(gone.backend_server, gone.started_ms, now)
         if self.members.version != version:
             self.members_changed()
 
@@ -298,6 +368,8 @@
         while True:
             await asyncio.sleep(TICK_INTERVAL_MS / 1000)
             now = monotonic_ms()
+            if self.state.role is Role.FAILED:
+                await self._reopen_disk()
             self.dispatch(Tick())
             if not self.members.warm(now) or not self.state.leader:
                 # Cut off from the others: the silence may be on this side.
@@ -305,11 +377,27 @@
             if self.members.expire(now, self.relay_heard_ms):
                 self.members_changed()
 
+    async def _reopen_disk(self) -> None:
+        """Start again from what the disk holds, once it takes writes."""
+        await asyncio.sleep(REOPEN_DISK_MS / 1000)
+        self.store.close()
+        try:
+            self.store.check_writable()
+            state = self._load()
+        except (DiskFailed, CorruptLog) as error:
+            _log.warning("disk_unusable", extra={"reason": str(error)})
+            return
+        self.state = self.peers.state = state
+        _log.info("disk_usable", extra={"last_index": state.last_index})
+
     async def _relay(self) -> None:
         """Tell the other control instances who is attached here, mostly changes."""
         relayed_version = 0
         for turn in itertools.count():
-            await asyncio.sleep(RELAY_INTERVAL_MS / 1000)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(RELAY_INTERVAL_MS / 1000):
+                    await self.relay_due.wait()
+            self.relay_due.clear()
             everything = turn % RELAYS_PER_FULL == 0
             after = 0 if everything else relayed_version
             heard = [
@@ -319,11 +407,13 @@
             departed = self.members.departed_after(relayed_version)
             relayed_version = self.members.version
             watchers = [watcher.request for watcher in self.watchers]
+            dismissed, self.dismissed = self.dismissed, []
             self.peers.relay(
                 heard=heard,
                 departed=departed,
                 heard_all=everything,
                 watchers=watchers,
+                dismissed=dismissed,
             )
 
     def revisions_in_force(self) -> list[cpb.WatchRequest]:
@@ -337,6 +427,18 @@
         watchers = self.revisions_in_force()
         return {watcher.instance for watcher in watchers if watcher.members}
 
+    def leader_operator_address(self) -> str:
+        """Return where operators reach the leader, or an empty string."""
+        state = self.state
+        return next(
+            (
+                peer.operator_address
+                for peer in state.membership.peers
+                if state.leader and peer.identity == state.leader
+            ),
+            "",
+        )
+
     async def drain(self) -> None:
         """Hand over leadership by going silent; nothing here is in flight long."""
         self.draining = True
--- a/src/yuccareach/control/server.py
+++ b/src/yuccareach/control/server.py
@@ -10,6 +10,7 @@
 from yuccareach.control.errors import NotLeader
 from yuccareach.control.members import LEASE_MS
 from yuccareach.control.raft_types import PeerAdded, RaftReceived, Submitted
+from yuccareach.control.views import answer_view
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlServicer
 from yuccareach.runtime.reducer import monotonic_ms
@@ -96,6 +97,10 @@
             return _not_leader(error)
         return cpb.SubmitReply(answer=answer)
 
+    async def Poll(self, request: cpb.ViewRequest, context: Any) -> cpb.View:
+        """Give an entry the document in force and the members."""
+        return await answer_view(self.process, request)
+
     async def Raft(
         self, request_iterator: AsyncIterator[cpb.RaftFrame], context: Any
     ) -> AsyncIterator[cpb.RaftFrame]:
--- a/src/yuccareach/control/store.py
+++ b/src/yuccareach/control/store.py
@@ -25,6 +25,8 @@
 
 MAGIC = b"YRLG"
 HEADER = struct.Struct("<4sII")
+# Enough for a vote and a few records.
+WRITABLE_BYTES = 65_536
 HEADER_CRC = struct.Struct("<I")
 HEADER_BYTES = HEADER.size + HEADER_CRC.size
 
@@ -189,6 +191,18 @@
         except OSError as error:
             raise DiskFailed(f"{path}: {error.strerror}") from error
 
+    def check_writable(self) -> None:
+        """Write and remove a file; raises DiskFailed where the disk refuses."""
+        path = self.folder / "writable"
+        try:
+            with path.open("wb") as file:
+                file.write(bytes(WRITABLE_BYTES))
+                file.flush()
+                os.fsync(file.fileno())
+            path.unlink()
+        except OSError as error:
+            raise DiskFailed(f"{path}: {error.strerror}") from error
+
     def close(self) -> None:
         """Close the log file."""
         if self.log_file is not None:
--- /dev/null
+++ b/src/yuccareach/control/views.py
@@ -0,0 +1,143 @@
+"""Views that the leader gives to entries: the document in force and the members.
+
+A view is confirmed by a quorum after its request came, so an entry may rely on it for
+as long as its lease from the moment it asked.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from yuccareach.control.errors import NotLeader
+from yuccareach.control.raft_types import ReadAsked, Role
+from yuccareach.proto import control_pb2 as cpb
+from yuccareach.runtime.reducer import monotonic_ms
+
+if TYPE_CHECKING:
+    from yuccareach.control.run import ControlProcess
+
+# A view without news is given after this long.
+HOLD_MS = 400
+# What an entry said of itself counts for this long; several polls.
+ENTRY_LEASE_MS = 2_000
+# An entry's word that an incarnation is unreachable counts for this long.
+UNREACHABLE_LEASE_MS = 1_500
+
+
+class EntryReport(NamedTuple):
+    """What an entry said with its last request for a view."""
+
+    heard_ms: int
+    tokens_by_server: dict[str, int]
+
+
+class Views:
+    """What entries have reported lately."""
+
+    def __init__(self) -> None:
+        self.report_by_entry: dict[str, EntryReport] = {}
+        self.unreachable_ms_by_incarnation: dict[str, int] = {}
+
+    def note(self, request: cpb.ViewRequest, now_ms: int) -> None:
+        """Take what a request says, and forget what is too old."""
+        tokens = {use.backend_server: use.tokens for use in request.uses}
+        self.report_by_entry[request.instance] = EntryReport(now_ms, tokens)
+        for incarnation in request.unreachable:
+            self.unreachable_ms_by_incarnation[incarnation] = now_ms
+        self.report_by_entry = {
+            entry: report
+            for entry, report in self.report_by_entry.items()
+            if now_ms - report.heard_ms < ENTRY_LEASE_MS
+        }
+
+    def unreachable(self, now_ms: int) -> set[str]:
+        """Return the incarnations that an entry could not reach lately."""
+        self.unreachable_ms_by_incarnation = {
+            incarnation: noted_ms
+            for incarnation, noted_ms in self.unreachable_ms_by_incarnation.items()
+            if now_ms - noted_ms < UNREACHABLE_LEASE_MS
+        }
+        return set(self.unreachable_ms_by_incarnation)
+
+    def tokens_of_others(self, entry: str) -> dict[str, int]:
+        """Return the tokens that all entries but one hold, by backend server."""
+        totals: dict[str, int] = {}
+        for other, report in self.report_by_entry.items():
+            if other != entry:
+                for server, tokens in report.tokens_by_server.items():
+                    totals[server] = totals.get(server, 0) + tokens
+        return totals
+
+
+async def answer_view(process: ControlProcess, request: cpb.ViewRequest) -> cpb.View:
+    """Return a view once there is news, or after HOLD_MS; names the leader if not."""
+    if process.state.role is not Role.LEADER:
+        return _redirect(process, process.state.address_of(process.state.leader))
+    process.views.note(request, monotonic_ms())
+    if not _has_news(process, request):
+        await _wait_for_news(process, request)
+    try:
+        await process.ask(ReadAsked)
+    except NotLeader as error:
+        return _redirect(process, error.leader_address)
+    return _view(process, request)
+
+
+def _has_news(process: ControlProcess, request: cpb.ViewRequest) -> bool:
+    return (
+        request.document_version < process.machine.document.version
+        or request.source != process.run_id
+        or request.members_version < process.members.version
+    )
+
+
+async def _wait_for_news(process: ControlProcess, request: cpb.ViewRequest) -> None:
+    until = monotonic_ms() + HOLD_MS
+    while not _has_news(process, request):
+        left_ms = until - monotonic_ms()
+        if left_ms <= 0 or process.state.role is not Role.LEADER:
+            return
+        try:
+            async with asyncio.timeout(left_ms / 1000):
+                await process.members_change.wait()
+        except TimeoutError:
+            return
+
+
+def _redirect(process: ControlProcess, leader_address: str) -> cpb.View:
+    return cpb.View(
+        not_leader=True,
+        leader_address=leader_address,
+        control_addresses=_addresses(process),
+    )
+
+
+def _addresses(process: ControlProcess) -> list[str]:
+    return [peer.address for peer in process.state.membership.peers]
+
+
+def _view(process: ControlProcess, request: cpb.ViewRequest) -> cpb.View:
+    same_source = request.source == process.run_id
+    members_version = request.members_version if same_source else 0
+    delta = process.members.delta(members_version, monotonic_ms())
+    uses = process.views.tokens_of_others(request.instance)
+    view = cpb.View(
+        control_addresses=_addresses(process),
+        source=process.run_id,
+        members_version=delta.version,
+        members_snapshot=delta.snapshot,
+        members=delta.members,
+        departed=delta.departed,
+        entries=len(process.views.report_by_entry),
+        uses=[
+            cpb.ServerUse(backend_server=server, tokens=tokens)
+            for server, tokens in uses.items()
+        ],
+    )
+    if request.document_version < process.machine.document.version:
+        view.document.CopyFrom(process.machine.document)
+    return view
+
+
+__all__ = ["Views", "answer_view"]
--- a/src/yuccareach/entry/http.py
+++ b/src/yuccareach/entry/http.py
@@ -25,7 +25,7 @@
 )
 from yuccareach.outcome import Outcome
 from yuccareach.proto import data_pb2 as pb
-from yuccareach.runtime.platform import Readiness, add_platform_routes
+from yuccareach.runtime.health import Readiness, add_health_routes
 from yuccareach.runtime.process import new_incarnation
 from yuccareach.runtime.reducer import wall_clock_ms
 from yuccareach.settings.sets import hash_key, match_route
@@ -359,7 +359,7 @@
     app.add_route("/v1/models/{model}", models, suffix="one")
     app.add_route("/v1/requests/{identifier}", Requests(process))
     app.add_route("/v1/services/{service}/{path:path}", Services(process))
-    add_platform_routes(
+    add_health_routes(
         app,
         lambda: _readiness(process),
         process.gauges,
--- /dev/null
+++ b/src/yuccareach/gateway/backends.py
@@ -0,0 +1,165 @@
+"""Backend servers as one entry sees them: who they are and how they have behaved."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, NamedTuple
+
+from yuccareach.gateway.http_client import ConnectionPool
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+# A backend server that failed is avoided for this long, doubled with each failure.
+AVOID_FIRST_S = 1.0
+AVOID_MOST_S = 8.0
+# One that is full may have room again once a request ends there.
+AVOID_REFUSING_S = 0.2
+# Weight of the newest outcome in the share of failures.
+FAILURE_WEIGHT = 0.2
+
+
+class Announced(NamedTuple):
+    """One incarnation of a backend server, as control knows it."""
+
+    name: str
+    incarnation: str
+    address: str
+    zone: str
+    service: str
+    kind: str
+    first_layer: int
+    end_layer: int
+    draining: bool
+
+
+class Backend:
+    """One incarnation of a backend server, and what this entry knows of it."""
+
+    def __init__(self, announced: Announced) -> None:
+        self.announced = announced
+        self.pool = ConnectionPool(announced.address)
+        self.running = 0
+        # Tokens that this entry's requests hold here, and those of other entries.
+        self.tokens = 0
+        self.tokens_elsewhere = 0
+        self.failures_in_row = 0
+        self.failure_share = 0.0
+        self.avoid_until_s = 0.0
+        # Set where it could not be connected to, or was named as the cause of a stall.
+        self.unreachable_until_s = 0.0
+
+    @property
+    def name(self) -> str:
+        """Its name, which a later incarnation may share."""
+        return self.announced.name
+
+    def succeeded(self) -> None:
+        """Note that it answered as it should."""
+        self.failures_in_row = 0
+        self.failure_share *= 1 - FAILURE_WEIGHT
+
+    def failed(self, now_s: float) -> None:
+        """Note a failure and avoid it for a while, longer each time in a row."""
+        self.failure_share += FAILURE_WEIGHT * (1 - self.failure_share)
+        self._avoid(now_s, AVOID_FIRST_S)
+
+    def refused(self, now_s: float) -> None:
+        """Note that it took no request, for want of room or because it is going."""
+        self._avoid(now_s, AVOID_REFUSING_S)
+
+    def _avoid(self, now_s: float, first_s: float) -> None:
+        avoid_s = min(first_s * 2**self.failures_in_row, AVOID_MOST_S)
+        self.failures_in_row += 1
+        self.avoid_until_s = max(self.avoid_until_s, now_s + avoid_s)
+
+    def lost(self, now_s: float) -> None:
+        """Note that it cannot be reached."""
+        self.failed(now_s)
+        self.unreachable_until_s = self.avoid_until_s
+
+    def avoided(self, now_s: float) -> bool:
+        """Return whether others are to be preferred."""
+        return now_s < self.avoid_until_s
+
+
+class Fleet:
+    """All backend servers that control has named."""
+
+    def __init__(self) -> None:
+        self.backend_by_name: dict[str, Backend] = {}
+        self.backend_by_address: dict[str, Backend] = {}
+        # Changes whenever a member or its layers do.
+        self.version = 0
+
+    def update(self, announced: Iterable[Announced], departed: Iterable[str]) -> None:
+        """Take what control has learned since."""
+        for name in departed:
+            self._remove(name)
+        for item in announced:
+            known = self.backend_by_name.get(item.name)
+            if known is not None and known.announced == item:
+                continue
+            if known is None or known.announced.incarnation != item.incarnation:
+                self._remove(item.name)
+                known = self.backend_by_name[item.name] = Backend(item)
+            known.announced = item
+            self.backend_by_address[item.address] = known
+            self.version += 1
+
+    def keep_only(self, names: set[str]) -> None:
+        """Remove all others."""
+        for name in set(self.backend_by_name) - names:
+            self._remove(name)
+
+    def _remove(self, name: str) -> None:
+        known = self.backend_by_name.pop(name, None)
+        if known is None:
+            return
+        self.version += 1
+        known.pool.close()
+        if self.backend_by_address.get(known.announced.address) is known:
+            del self.backend_by_address[known.announced.address]
+
+    def take_uses(self, tokens_by_server: dict[str, int]) -> None:
+        """Take what other entries' requests hold."""
+        for name, backend in self.backend_by_name.items():
+            backend.tokens_elsewhere = tokens_by_server.get(name, 0)
+
+    def of_service(self, service: str) -> list[Backend]:
+        """Return the backend servers of a service that take new work."""
+        return [
+            backend
+            for backend in self.backend_by_name.values()
+            if backend.announced.service == service and not backend.announced.draining
+        ]
+
+    def current(self, backend: Backend) -> bool:
+        """Return whether this incarnation is still a member."""
+        return self.backend_by_name.get(backend.name) is backend
+
+    def unreachable(self, now_s: float) -> list[str]:
+        """Return the incarnations that this entry cannot reach."""
+        return [
+            backend.announced.incarnation
+            for backend in self.backend_by_name.values()
+            if now_s < backend.unreachable_until_s
+        ]
+
+
+def choose_backend(
+    candidates: list[Backend], zone: str, now_s: float, excluded: set[str]
+) -> Backend | None:
+    """Return the least loaded backend server, one that behaves before one that fails.
+
+    Among equals the entry's own availability zone goes first.
+    """
+
+    def _rank(backend: Backend) -> tuple[bool, float, bool]:
+        load = (backend.running + 1) / max(0.05, 1 - backend.failure_share)
+        return (backend.avoided(now_s), load, backend.announced.zone != zone)
+
+    usable = [item for item in candidates if item.announced.incarnation not in excluded]
+    return min(usable, key=_rank, default=None)
+
+
+__all__ = ["Announced", "Backend", "Fleet", "choose_backend"]
--- /dev/null
+++ b/src/yuccareach/gateway/budget.py
@@ -0,0 +1,56 @@
+"""The budget of repeats: how often requests may be sent to a second backend server."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import NamedTuple
+
+
+class BudgetTerms(NamedTuple):
+    """What all entries together may repeat, per service and window."""
+
+    # Repeats per request of callers.
+    ratio: float
+    # Repeats beyond that in any window.
+    slack: float
+    window_s: float
+
+
+class RetryBudget:
+    """One entry's part of the budget for one service.
+
+    Entries do not ask each other, so each takes an equal part of the slack, and counts
+    only its own requests.
+    """
+
+    # Requests are uneven over entries, and windows slide: half is kept in reserve.
+    PART = 0.5
+
+    def __init__(self, terms: BudgetTerms) -> None:
+        self.terms = terms
+        self.requests_s: deque[float] = deque()
+        self.repeats_s: deque[float] = deque()
+
+    def note_request(self, now_s: float) -> None:
+        """Count a request of a caller."""
+        self.requests_s.append(now_s)
+        self._forget(now_s)
+
+    def take(self, now_s: float, entries: int) -> bool:
+        """Return whether one more repeat may be sent, and count it."""
+        self._forget(now_s)
+        allowed = self.PART * (
+            self.terms.ratio * len(self.requests_s) + self.terms.slack / max(1, entries)
+        )
+        if len(self.repeats_s) + 1 > allowed:
+            return False
+        self.repeats_s.append(now_s)
+        return True
+
+    def _forget(self, now_s: float) -> None:
+        for times in (self.requests_s, self.repeats_s):
+            while times and now_s - times[0] > self.terms.window_s:
+                times.popleft()
+
+
+__all__ = ["BudgetTerms", "RetryBudget"]
--- /dev/null
+++ b/src/yuccareach/gateway/calls.py
@@ -0,0 +1,182 @@
+"""Calls to plain services: one request, one answer, delivered whole or not at all."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from yuccareach.gateway.backends import Backend, choose_backend
+from yuccareach.gateway.dialect import SendFacts
+from yuccareach.gateway.exchange import send
+from yuccareach.gateway.http_client import AnswerHead, Ending
+from yuccareach.gateway.requests import (
+    Admitted,
+    Outcome,
+    answer_headers,
+    fail,
+    record,
+    refuse,
+)
+
+if TYPE_CHECKING:
+    from yuccareach.gateway.http_server import Reply
+    from yuccareach.gateway.state import Gateway
+
+# An idempotent call without an answer is sent elsewhere after this many objectives.
+PATIENCE_OBJECTIVES = 2.5
+# A backend server that gives no answer for less than this may just have been busy.
+LONG_WAIT_S = 0.25
+# Left of the deadline, below which a backend server could not finish.
+LEAST_MS = 5
+# A full service has places again after about a call's time.
+FULL_RETRY_S = 0.1
+
+
+class Attempt(NamedTuple):
+    """What one backend server did with a call."""
+
+    ending: Ending
+    head: AnswerHead | None
+    body: bytes
+
+    @property
+    def not_run(self) -> bool:
+        """Whether it certainly did not run."""
+        if self.ending is Ending.NOT_SENT:
+            return True
+        whole = self.ending is Ending.COMPLETE and self.head is not None
+        return whole and self.head is not None and self.head.facts.not_run
+
+    @property
+    def answered(self) -> bool:
+        """Whether a whole answer of the backend server's own came."""
+        return (
+            self.ending is Ending.COMPLETE
+            and self.head is not None
+            and self.head.facts.signed
+            and not self.head.facts.not_run
+        )
+
+    @property
+    def succeeded(self) -> bool:
+        """Whether the answer is a success."""
+        return self.answered and self.head is not None and self.head.status < 500
+
+
+_NOT_SENT = Attempt(Ending.NOT_SENT, None, b"")
+
+
+async def serve_call(gateway: Gateway, admitted: Admitted, reply: Reply) -> None:
+    """Send a call until it is answered, may not be repeated, or time is up."""
+    excluded: set[str] = set()
+    may_have_run = False
+    tries = runs = 0
+    last = _NOT_SENT
+    while True:
+        backend = choose_backend(
+            gateway.fleet.of_service(admitted.service.name),
+            gateway.terms.zone,
+            gateway.now(),
+            excluded,
+        )
+        if backend is None or _remaining_ms(gateway, admitted) < LEAST_MS:
+            break
+        if tries and not gateway.may_repeat(admitted.service.name):
+            break
+        tries += 1
+        last = await _attempt(gateway, admitted, backend, repeatable=runs == 0)
+        excluded.add(backend.announced.incarnation)
+        _log_attempt(gateway, admitted, backend, last)
+        if last.succeeded:
+            break
+        if not last.not_run:
+            runs += 1
+            may_have_run = True
+            if not admitted.route.idempotent:
+                break
+        if last.ending is not Ending.NOT_SENT and tries >= admitted.route.max_attempts:
+            break
+    outcome = _answer(admitted, reply, last, may_have_run)
+    record(gateway, admitted, outcome, tries)
+
+
+def _remaining_ms(gateway: Gateway, admitted: Admitted) -> int:
+    return int((admitted.deadline_s - gateway.now()) * 1000)
+
+
+async def _attempt(
+    gateway: Gateway, admitted: Admitted, backend: Backend, *, repeatable: bool
+) -> Attempt:
+    """Send a call to one backend server and wait for what comes."""
+    remaining_ms = _remaining_ms(gateway, admitted)
+    patience_s = remaining_ms / 1000
+    if admitted.route.idempotent and repeatable and admitted.route.max_attempts > 1:
+        objective_s = admitted.route.objective_ms / 1000
+        patience_s = min(patience_s, PATIENCE_OBJECTIVES * objective_s)
+    facts = SendFacts(
+        remaining_ms,
+        backend.name,
+        admitted.workspace.name if admitted.workspace else None,
+        (),
+        admitted.facts.last_event_id,
+        None,
+    )
+    backend.running += 1
+    try:
+        sent = await send(gateway, admitted, backend, facts)
+        if sent is None:
+            return _NOT_SENT
+        try:
+            async with asyncio.timeout(patience_s):
+                ending = await asyncio.shield(sent.exchange.ended)
+        except TimeoutError:
+            ending = Ending.TIMED_OUT
+        finally:
+            sent.release()
+        head = sent.exchange.head.result() if sent.exchange.head.done() else None
+        attempt = Attempt(ending, head, b"".join(sent.exchange.body))
+        if ending is not Ending.TIMED_OUT or patience_s >= LONG_WAIT_S:
+            _judge(gateway, backend, attempt)
+        return attempt
+    finally:
+        backend.running -= 1
+
+
+def _judge(gateway: Gateway, backend: Backend, attempt: Attempt) -> None:
+    """Remember how a backend server behaved; being full is no fault."""
+    if attempt.answered:
+        backend.succeeded()
+    elif not attempt.not_run:
+        backend.failed(gateway.now())
+
+
+def _log_attempt(
+    gateway: Gateway, admitted: Admitted, backend: Backend, attempt: Attempt
+) -> None:
+    if attempt.succeeded:
+        return
+    gateway.log(
+        "attempt_failed",
+        request=admitted.request_id,
+        backend_server=backend.name,
+        ending=str(attempt.ending),
+        status=attempt.head.status if attempt.head else 0,
+        not_run=attempt.not_run,
+    )
+
+
+def _answer(
+    admitted: Admitted, reply: Reply, last: Attempt, may_have_run: bool
+) -> Outcome:
+    """Deliver the last answer, or say what is known of the call."""
+    if last.answered and last.head is not None:
+        reply.send(last.head.status, answer_headers(last.head), last.body)
+        return Outcome(last.head.status, "answered")
+    if not may_have_run:
+        return refuse(reply, FULL_RETRY_S, "not_run")
+    if last.ending is Ending.TIMED_OUT:
+        return fail(reply, 504, "timed_out")
+    return fail(reply, 502, "outcome_unknown")
+
+
+__all__ = ["Attempt", "serve_call"]
--- /dev/null
+++ b/src/yuccareach/gateway/dialect.py
@@ -0,0 +1,84 @@
+"""What the gateway needs to know of a wire, as functions that an adapter provides."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import NamedTuple
+
+Headers = list[tuple[bytes, bytes]]
+
+
+class RequestFacts(NamedTuple):
+    """What a caller's headers say of a request."""
+
+    request_id: bytes
+    deadline_ms: int | None
+    api_key: str | None
+    # 0 where the request does not generate tokens.
+    prompt_tokens: int
+    max_answer_tokens: int
+    expected_answer_tokens: int
+    # Id of the last event that the caller has; None at the start of a stream.
+    last_event_id: int | None
+    # Headers to pass on, without those that concern one connection or that we set.
+    forwarded: Headers
+
+
+class Stage(NamedTuple):
+    """A backend server's part of a chain: layers from first up to end."""
+
+    server: str
+    address: str
+    first_layer: int
+    end_layer: int
+
+
+class SendFacts(NamedTuple):
+    """What we tell a backend server beside the caller's headers."""
+
+    remaining_ms: int
+    server: str
+    workspace: str | None
+    stages: tuple[Stage, ...]
+    last_event_id: int | None
+    priority: int | None
+
+
+class AnswerFacts(NamedTuple):
+    """What a backend server's headers say of its answer."""
+
+    request_id: bytes | None
+    # The answer is a backend server's own, which callers require of a success.
+    signed: bool
+    # The backend server states that the request has not run and will not.
+    not_run: bool
+    # The backend server that is at fault, where another of the chain is.
+    faulty_address: str | None
+    # Requests running and queued there.
+    running: int | None
+    queued: int | None
+    slots: int | None
+
+
+class Dialect(NamedTuple):
+    """How requests and answers are spelled on one wire."""
+
+    read_request: Callable[[Headers], RequestFacts]
+    send_headers: Callable[[SendFacts], Headers]
+    read_answer: Callable[[int, Headers], AnswerFacts]
+    # Body of an order to carry a request on over other stages.
+    reroute_order: Callable[[bytes, tuple[Stage, ...]], bytes]
+    order_path: str
+    report_path: str
+    # Addresses that a backend server's report names as the cause of a stalled request.
+    read_stalled: Callable[[bytes], dict[bytes, str]]
+
+
+__all__ = [
+    "AnswerFacts",
+    "Dialect",
+    "Headers",
+    "RequestFacts",
+    "SendFacts",
+    "Stage",
+]
--- /dev/null
+++ b/src/yuccareach/gateway/exchange.py
@@ -0,0 +1,73 @@
+"""Sending a request to a backend server over a pooled or a new connection."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccareach.gateway.http_client import Ending, Exchange, encode_request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccareach.gateway.backends import Backend
+    from yuccareach.gateway.dialect import SendFacts
+    from yuccareach.gateway.http_client import BackendConnection
+    from yuccareach.gateway.requests import Admitted
+    from yuccareach.gateway.state import Gateway
+
+# A request that may run once only is not sent on a connection idle for longer, since
+# its other end may have closed it.
+FRESH_IDLE_S = 0.5
+
+
+class Sent:
+    """A request under way at a backend server."""
+
+    def __init__(
+        self, backend: Backend, connection: BackendConnection, exchange: Exchange
+    ) -> None:
+        self.backend = backend
+        self.connection = connection
+        self.exchange = exchange
+
+    def release(self) -> None:
+        """Keep the connection if the answer was whole, else close it."""
+        if self.exchange.ended.done() and self.connection.exchange is None:
+            self.backend.pool.give_back(self.connection)
+        else:
+            self.connection.drop()
+
+
+async def send(
+    gateway: Gateway,
+    admitted: Admitted,
+    backend: Backend,
+    facts: SendFacts,
+    on_data: Callable[[bytes], None] | None = None,
+) -> Sent | None:
+    """Send a request; None where no connection could be had, so that it did not run."""
+    pool = backend.pool
+    max_idle_s = float("inf") if admitted.route.idempotent else FRESH_IDLE_S
+    connection = pool.take(gateway.now(), max_idle_s)
+    if connection is None:
+        try:
+            connection = await pool.connect()
+        except (OSError, TimeoutError) as error:
+            backend.lost(gateway.now())
+            gateway.log(
+                "connect_failed",
+                request=admitted.request_id,
+                backend_server=backend.name,
+                address=backend.announced.address,
+                reason=type(error).__name__,
+            )
+            return None
+    exchange = Exchange(admitted.facts.request_id, gateway.dialect.read_answer, on_data)
+    request = admitted.request
+    headers = [*admitted.facts.forwarded, *gateway.dialect.send_headers(facts)]
+    data = encode_request(request.method, request.target, headers, request.body)
+    connection.send(exchange, data)
+    return Sent(backend, connection, exchange)
+
+
+__all__ = ["Ending", "Sent", "send"]
--- /dev/null
+++ b/src/yuccareach/gateway/stalls.py
@@ -0,0 +1,213 @@
+"""Streams that have stopped: finding the cause and carrying them on."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING
+
+from yuccareach.gateway.chains import Chain, find_detour
+from yuccareach.gateway.http_client import Ending, Exchange, encode_request
+from yuccareach.gateway.streams import StreamRun, describe, stages
+
+if TYPE_CHECKING:
+    from yuccareach.gateway.backends import Backend
+    from yuccareach.gateway.state import Gateway
+
+WATCH_INTERVAL_S = 0.1
+# A stream is looked into after this many of its longest good pauses without an event.
+PAUSES_PATIENT = 1.5
+# The first event has to read the prompt first.
+OBJECTIVES_PATIENT = 1.2
+ASK_TIMEOUT_S = 0.4
+ORDER_TIMEOUT_S = 0.5
+LEAST_PAUSE_S = 0.2
+# Time for new stages to read all tokens so far, before the stream is looked into again.
+REPAIR_PATIENCE_S = 0.6
+
+
+async def watch_streams(gateway: Gateway) -> None:
+    """Look into streams that have stopped, and those whose chain has lost a part."""
+    while True:
+        await asyncio.sleep(WATCH_INTERVAL_S)
+        for queue in gateway.queue_by_service.values():
+            queue.pump(gateway.now())
+        stalled: dict[str, list[StreamRun]] = {}
+        for run in tuple(gateway.streams):
+            if run.sent is not None and not run.repairing and _stopped(gateway, run):
+                stalled.setdefault(run.sent.backend.name, []).append(run)
+        for runs in stalled.values():
+            for run in runs:
+                run.repairing = True
+            task = asyncio.create_task(_look_into(gateway, runs))
+            task.add_done_callback(_retrieve)
+
+
+def _retrieve(task: asyncio.Task[None]) -> None:
+    """Let a failure of the task surface in the loop's exception handler."""
+    if not task.cancelled():
+        task.result()
+
+
+def _stopped(gateway: Gateway, run: StreamRun) -> bool:
+    quiet_s = gateway.now() - run.progress_s
+    route = run.admitted.route
+    if run.attempt_events:
+        limit_s = max(LEAST_PAUSE_S, PAUSES_PATIENT * route.gap_objective_ms / 1000)
+    else:
+        limit_s = OBJECTIVES_PATIENT * route.objective_ms / 1000
+    return quiet_s > limit_s or _lost_part(gateway, run) is not None
+
+
+def _lost_part(gateway: Gateway, run: StreamRun) -> Backend | None:
+    """Return a backend server of the chain that is gone or cannot be reached."""
+    now_s = gateway.now()
+    for part in run.chain.parts if run.chain else ():
+        backend = part.backend
+        if not gateway.fleet.current(backend) or now_s < backend.unreachable_until_s:
+            return backend
+    return None
+
+
+async def _look_into(gateway: Gateway, runs: list[StreamRun]) -> None:
+    """Ask the first backend server of some streams what they wait for."""
+    first = runs[0].sent.backend if runs[0].sent else None
+    try:
+        if first is None:
+            return
+        stalled = await _ask_stalled(gateway, first)
+        for run in runs:
+            if run.sent is not None and run.sent.backend is first:
+                await _treat(gateway, run, first, stalled)
+    finally:
+        for run in runs:
+            run.repairing = False
+
+
+async def _ask_stalled(gateway: Gateway, first: Backend) -> dict[bytes, str] | None:
+    """Return what a backend server says its requests wait for; None without a word."""
+    request = [(b"Host", first.announced.address.encode())]
+    path = gateway.dialect.report_path.encode()
+    body = await _ask(
+        gateway, first, encode_request(b"GET", path, request, b""), ASK_TIMEOUT_S
+    )
+    return None if body is None else gateway.dialect.read_stalled(body[1])
+
+
+async def _ask(
+    gateway: Gateway, backend: Backend, data: bytes, timeout_s: float
+) -> tuple[int, bytes] | None:
+    """Send a question or an order; None where no whole answer came in time."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            pooled = backend.pool.take(gateway.now(), float("inf"))
+            connection = pooled or await backend.pool.connect()
+            exchange = Exchange(b"", _any_answer(gateway))
+            connection.send(exchange, data)
+            try:
+                ending = await asyncio.shield(exchange.ended)
+            finally:
+                if connection.exchange is not None:
+                    connection.drop()
+                backend.pool.give_back(connection)
+    except (OSError, TimeoutError):
+        return None
+    head = exchange.head.result()
+    if ending is not Ending.COMPLETE or head is None:
+        return None
+    return head.status, b"".join(exchange.body)
+
+
+def _any_answer(gateway: Gateway):  # type: ignore[no-untyped-def]
+    """Return a reader for answers that carry no request id."""
+    read = gateway.dialect.read_answer
+    return lambda status, headers: read(status, headers)._replace(request_id=None)
+
+
+async def _treat(
+    gateway: Gateway,
+    run: StreamRun,
+    first: Backend,
+    stalled: dict[bytes, str] | None,
+) -> None:
+    """Carry a stream on over other stages, or have it resumed elsewhere."""
+    now_s = gateway.now()
+    run.progress_s = max(run.progress_s, now_s - LEAST_PAUSE_S)
+    if stalled is None:
+        first.lost(now_s)
+        _interrupt(gateway, run, "first_stage_silent")
+        return
+    address = stalled.get(run.admitted.facts.request_id)
+    lost = _lost_part(gateway, run)
+    if address is not None:
+        lost = gateway.fleet.backend_by_address.get(address, lost)
+    if lost is None:
+        gateway.log("stream_slow", request=run.admitted.request_id)
+        return
+    lost.lost(now_s)
+    if lost is first:
+        _interrupt(gateway, run, "first_stage_lost")
+        return
+    await _reroute(gateway, run, lost)
+
+
+def _interrupt(gateway: Gateway, run: StreamRun, reason: str) -> None:
+    gateway.log(
+        "stream_interrupted",
+        request=run.admitted.request_id,
+        reason=reason,
+        after_event=run.last_event_id,
+    )
+    if run.sent is not None:
+        run.excluded.add(run.sent.backend.announced.incarnation)
+    run.interrupted.set()
+
+
+async def _reroute(gateway: Gateway, run: StreamRun, lost: Backend) -> None:
+    """Order the first backend server to go on over other stages."""
+    chain = run.chain
+    model = run.admitted.service.model
+    if chain is None or model is None or run.sent is None:
+        return
+    members = gateway.fleet.of_service(run.admitted.service.name)
+    detour = find_detour(
+        members, model, gateway.terms.zone, gateway.now(), chain.parts[0]
+    )
+    if detour is None:
+        _interrupt(gateway, run, "no_detour")
+        return
+    status = await _order_reroute(gateway, run, run.sent.backend, detour)
+    gateway.log(
+        "stream_rerouted",
+        request=run.admitted.request_id,
+        lost=lost.name,
+        chain=describe(detour),
+        status=status,
+        after_event=run.last_event_id,
+    )
+    if run.sent is None:
+        return
+    if status is None or status >= 300:
+        _interrupt(gateway, run, "reroute_failed")
+        return
+    run.let_go()
+    run.hold(detour)
+    run.repairs += 1
+    run.progress_s = gateway.now() + REPAIR_PATIENCE_S
+
+
+async def _order_reroute(
+    gateway: Gateway, run: StreamRun, first: Backend, detour: Chain
+) -> int | None:
+    """Return the status of the order, or None without an answer."""
+    dialect = gateway.dialect
+    body = dialect.reroute_order(run.admitted.facts.request_id, stages(detour))
+    headers = [
+        (b"Host", first.announced.address.encode()),
+        (b"Content-Type", b"application/json"),
+    ]
+    data = encode_request(b"POST", dialect.order_path.encode(), headers, body)
+    answer = await _ask(gateway, first, data, ORDER_TIMEOUT_S)
+    return answer[0] if answer is not None else None
+
+
+__all__ = ["watch_streams"]
--- /dev/null
+++ b/src/yuccareach/gateway/state.py
@@ -0,0 +1,135 @@
+"""Everything that one gateway process believes."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING, Any, NamedTuple
+
+from yuccareach.gateway.admission import AdmissionQueue
+from yuccareach.gateway.backends import Fleet
+from yuccareach.gateway.budget import BudgetTerms, RetryBudget
+from yuccareach.gateway.chains import Chain, find_chains
+from yuccareach.gateway.table import Limits
+from yuccareach.metrics.registry import Registry
+from yuccareach.runtime.logs import Log, logger, write_log
+
+if TYPE_CHECKING:
+    from yuccareach.gateway.dialect import Dialect
+    from yuccareach.gateway.streams import StreamRun
+    from yuccareach.gateway.table import RoutingTable, Service
+
+# Chains are sought anew no more often than this; a search takes some milliseconds.
+CHAINS_INTERVAL_S = 0.2
+_log = logger("gateway")
+
+
+class GatewayTerms(NamedTuple):
+    """What a gateway is set up with."""
+
+    instance: str
+    zone: str
+    # How long a confirmed view entitles to serve requests with a key.
+    lease_s: float
+    budget: BudgetTerms
+    # How long work in flight may go on after a request to shut down.
+    grace_s: float
+
+
+class ChainCache(NamedTuple):
+    """Chains of one service and what they were made from."""
+
+    chains: list[Chain]
+    fleet_version: int
+    table_version: int
+    found_s: float
+
+
+def boot_time_s() -> float:
+    """Return a steady time that goes on while the machine is suspended."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Gateway:
+    """The state that all requests of one process share."""
+
+    def __init__(self, terms: GatewayTerms, dialect: Dialect) -> None:
+        self.terms = terms
+        self.dialect = dialect
+        self.table: RoutingTable | None = None
+        self.fleet = Fleet()
+        self.entries = 1
+        # On the clock of boot_time_s.
+        self.lease_until_s = 0.0
+        self.draining = False
+        self.active = 0
+        self.streams: set[StreamRun] = set()
+        self.budget_by_service: dict[str, RetryBudget] = {}
+        self.queue_by_service: dict[str, AdmissionQueue[Chain]] = {}
+        self.chains_by_service: dict[str, ChainCache] = {}
+        self.registry = Registry()
+
+    def limits(self) -> Limits:
+        """Return the limits in force."""
+        return self.table.limits if self.table is not None else Limits()
+
+    def now(self) -> float:
+        """Return the loop's time in seconds."""
+        return asyncio.get_running_loop().time()
+
+    @property
+    def leased(self) -> bool:
+        """Whether the view is recent enough to admit requests by their key."""
+        return boot_time_s() < self.lease_until_s
+
+    @property
+    def ready(self) -> bool:
+        """Whether callers may be sent here."""
+        return self.table is not None and self.leased and not self.draining
+
+    def budget(self, service: str) -> RetryBudget:
+        """Return the budget of repeats for a service."""
+        budget = self.budget_by_service.get(service)
+        if budget is None:
+            budget = self.budget_by_service[service] = RetryBudget(self.terms.budget)
+        return budget
+
+    def queue(self, service: str) -> AdmissionQueue[Chain]:
+        """Return the requests of a service that wait for room."""
+        queue = self.queue_by_service.get(service)
+        if queue is None:
+            queue = self.queue_by_service[service] = AdmissionQueue()
+        return queue
+
+    def may_repeat(self, service: str) -> bool:
+        """Take one repeat from the budget, if there is one."""
+        allowed = self.budget(service).take(self.now(), self.entries)
+        self.registry.count("repeats", "sent" if allowed else "over_budget")
+        return allowed
+
+    def chains(self, service: Service) -> list[Chain]:
+        """Return the chains to choose from, sought anew when members have changed."""
+        assert self.table is not None and service.model is not None
+        now_s = self.now()
+        cached = self.chains_by_service.get(service.name)
+        if cached is not None:
+            current = (
+                cached.fleet_version == self.fleet.version
+                and cached.table_version == self.table.version
+            )
+            if current or now_s - cached.found_s < CHAINS_INTERVAL_S:
+                return cached.chains
+        members = self.fleet.of_service(service.name)
+        chains = find_chains(members, service.model, self.terms.zone, now_s)
+        self.chains_by_service[service.name] = ChainCache(
+            chains, self.fleet.version, self.table.version, now_s
+        )
+        return chains
+
+    def log(self, event: str, level: int = logging.INFO, **fields: Any) -> None:
+        """Write one log line."""
+        write_log(_log, Log(event, fields, level))
+
+
+__all__ = ["Gateway", "GatewayTerms", "boot_time_s"]
--- /dev/null
+++ b/src/yuccareach/gateway/streams.py
@@ -0,0 +1,402 @@
+"""Streams of events from a chain of backend servers, each event once and in order.
+
+A stream that is broken off is resumed over another chain after the last event that was
+delivered, within the same answer.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from enum import StrEnum
+from typing import TYPE_CHECKING
+
+from yuccareach.gateway.admission import AdmissionQueue, Ticket, Waiting
+from yuccareach.gateway.chains import Chain, choose_chain
+from yuccareach.gateway.dialect import SendFacts, Stage
+from yuccareach.gateway.exchange import Sent, send
+from yuccareach.gateway.http_client import AnswerHead, Ending
+from yuccareach.gateway.requests import (
+    Admitted,
+    Outcome,
+    answer_headers,
+    fail,
+    record,
+    refuse,
+)
+from yuccareach.gateway.sse import EventSplitter, event_id
+
+if TYPE_CHECKING:
+    from yuccareach.gateway.http_server import Reply
+    from yuccareach.gateway.state import Gateway
+
+# Left of the deadline, below which no stream is started or resumed.
+LEAST_S = 0.1
+# Attempts whose backend server said at once that it did not run the request.
+REFUSALS_MOST = 3
+
+
+class Step(StrEnum):
+    """How one attempt at a stream ended."""
+
+    DONE = "done"
+    NOT_RUN = "not_run"
+    # The backend server answered with a failure.
+    FAILED = "failed"
+    BROKEN = "broken"
+    TIMED_OUT = "timed_out"
+
+
+class StreamRun:
+    """One caller's stream while it is served."""
+
+    def __init__(self, gateway: Gateway, admitted: Admitted, reply: Reply) -> None:
+        self.gateway = gateway
+        self.admitted = admitted
+        self.reply = reply
+        self.splitter = EventSplitter()
+        self.last_event_id = admitted.facts.last_event_id
+        self.chain: Chain | None = None
+        # Tokens counted at each part of the chain.
+        self.held: list[int] = []
+        self.sent: Sent | None = None
+        self.progress_s = gateway.now()
+        self.events = 0
+        self.first_event_s: float | None = None
+        # Events of the attempt under way.
+        self.attempt_events = 0
+        # Set while another task looks into a stall.
+        self.repairing = False
+        self.interrupted = asyncio.Event()
+        self.excluded: set[str] = set()
+        self.tries = 0
+        self.repairs = 0
+        self.head: AnswerHead | None = None
+        self.failure_body = b""
+
+    @property
+    def tokens(self) -> int:
+        """Tokens that the request is expected to hold at its end."""
+        facts = self.admitted.facts
+        return facts.prompt_tokens + facts.expected_answer_tokens
+
+    def take_data(self, data: bytes) -> None:
+        """Pass on the events that these bytes complete."""
+        for event in self.splitter.feed(data):
+            self._take_event(event)
+
+    def _take_event(self, event: bytes) -> None:
+        self.progress_s = self.gateway.now()
+        self.attempt_events += 1
+        number = event_id(event)
+        if number is not None:
+            if self.last_event_id is not None and number <= self.last_event_id:
+                return
+            self.last_event_id = number
+        self._start_reply()
+        self.events += 1
+        self.first_event_s = self.first_event_s or self.progress_s
+        self.reply.write(event)
+
+    def _start_reply(self) -> None:
+        """Send the head of the first attempt that gives an event."""
+        if self.reply.started or self.sent is None:
+            return
+        head = self.sent.exchange.head.result()
+        assert head is not None
+        self.reply.start(head.status, answer_headers(head))
+
+    @property
+    def queue(self) -> AdmissionQueue[Chain]:
+        """Where requests of the same service wait for room."""
+        return self.gateway.queue(self.admitted.service.name)
+
+    @property
+    def workspace(self) -> str:
+        """The workspace's name, empty on a public route."""
+        workspace = self.admitted.workspace
+        return workspace.name if workspace else ""
+
+    def hold(self, chain: Chain) -> None:
+        """Count the request at every backend server of a chain."""
+        self.chain = chain
+        self.queue.hold(self.workspace, self.tokens)
+        self.held = [int(self.tokens * part.share) for part in chain.parts]
+        for part, tokens in zip(chain.parts, self.held, strict=True):
+            part.backend.tokens += tokens
+            part.backend.running += 1
+
+    def let_go(self) -> None:
+        """Stop counting the request."""
+        chain, self.chain = self.chain, None
+        if chain is None:
+            return
+        for part, tokens in zip(chain.parts, self.held, strict=True):
+            part.backend.tokens -= tokens
+            part.backend.running -= 1
+        now_s = self.gateway.now()
+        self.queue.free(self.workspace, self.tokens, now_s)
+        self.queue.pump(now_s)
+
+
+async def serve_stream(gateway: Gateway, admitted: Admitted, reply: Reply) -> None:
+    """Serve a stream over one chain, or over several in turn."""
+    run = StreamRun(gateway, admitted, reply)
+    gateway.streams.add(run)
+    try:
+        outcome = await _run(run)
+    finally:
+        run.let_go()
+        gateway.streams.discard(run)
+    record(gateway, admitted, outcome, run.tries, run.events, run.first_event_s)
+
+
+async def _run(run: StreamRun) -> Outcome:
+    may_have_run = False
+    runs = refusals = 0
+    while True:
+        if run.admitted.deadline_s - run.gateway.now() < LEAST_S:
+            return _give_up(run, may_have_run, 504, "deadline")
+        if run.tries and not run.gateway.may_repeat(run.admitted.service.name):
+            return _give_up(run, may_have_run, 502, "over_budget")
+        chain = await _wait_for_chain(run)
+        if chain is None:
+            return _give_up(run, may_have_run, 502, "no_room")
+        run.tries += 1
+        step = await _attempt(run, chain)
+        if step is Step.DONE:
+            return Outcome(200, "answered")
+        if step is Step.TIMED_OUT:
+            return _give_up(run, True, 504, "deadline")
+        if step is Step.NOT_RUN:
+            refusals += 1
+            if refusals >= REFUSALS_MOST:
+                return _give_up(run, may_have_run, 502, "full")
+            continue
+        runs += 1
+        may_have_run = True
+        again = run.admitted.route.idempotent and runs < run.admitted.route.max_attempts
+        if not again:
+            return _give_up(run, True, 502, "broken")
+
+
+def _choose(run: StreamRun) -> Chain | None:
+    service = run.admitted.service
+    if service.model is None:
+        return None
+    return choose_chain(
+        run.gateway.chains(service),
+        service.model,
+        run.gateway.terms.zone,
+        run.tokens,
+        run.gateway.now(),
+        run.excluded,
+    )
+
+
+async def _wait_for_chain(run: StreamRun) -> Chain | None:
+    """Return a chain that counts the request, once there is one; None if too late."""
+    chain = None if run.queue.waiting_by_number else _choose(run)
+    if chain is not None:
+        run.hold(chain)
+        return chain
+    ticket = _ticket(run)
+    now_s = run.gateway.now()
+    if not run.queue.should_wait(ticket, now_s):
+        run.gateway.log(
+            "refused_for_want_of_room",
+            request=run.admitted.request_id,
+            tokens=run.tokens,
+            ahead=run.queue.tokens_ahead(ticket),
+            expected_wait_s=run.queue.expected_wait_s(ticket, now_s),
+        )
+        return None
+    granted: asyncio.Future[Chain | None] = asyncio.get_running_loop().create_future()
+
+    def _find_room() -> Chain | None:
+        found = _choose(run)
+        if found is not None:
+            run.hold(found)
+        return found
+
+    run.queue.add(Waiting(ticket, _find_room, granted))
+    try:
+        run.queue.pump(now_s)
+        return await granted
+    finally:
+        run.queue.remove(ticket)
+
+
+def _ticket(run: StreamRun) -> Ticket:
+    route, workspace = run.admitted.route, run.admitted.workspace
+    urgent = workspace.priority if workspace else None
+    return Ticket(
+        number=id(run),
+        workspace=run.workspace,
+        priority=route.priority if urgent is None else urgent,
+        tokens=run.tokens,
+        arrived_s=run.admitted.request.received_s,
+        objective_s=route.objective_ms / 1000,
+    )
+
+
+def _give_up(run: StreamRun, may_have_run: bool, status: int, reason: str) -> Outcome:
+    """End the answer: cut short, as failed, or as not run with a time to return."""
+    reply = run.reply
+    if reply.started:
+        return fail(reply, status, reason)
+    if not may_have_run:
+        retry_s = run.queue.retry_after_s(_ticket(run), run.gateway.now())
+        return refuse(reply, retry_s, reason)
+    if run.head is not None and run.head.facts.signed:
+        reply.send(run.head.status, answer_headers(run.head), run.failure_body)
+        return Outcome(run.head.status, "answered_failure")
+    return fail(reply, status, reason)
+
+
+async def _attempt(run: StreamRun, chain: Chain) -> Step:
+    """Run a stream over one chain until it ends, breaks or is interrupted."""
+    gateway, admitted = run.gateway, run.admitted
+    remaining_s = admitted.deadline_s - gateway.now()
+    first = chain.parts[0].backend
+    facts = SendFacts(
+        int(remaining_s * 1000),
+        first.name,
+        admitted.workspace.name if admitted.workspace else None,
+        stages(chain),
+        run.last_event_id,
+        None,
+    )
+    run.splitter = EventSplitter()
+    run.interrupted.clear()
+    run.attempt_events = 0
+    run.progress_s = gateway.now()
+    _log_attempt(run, chain)
+    try:
+        run.sent = await send(gateway, admitted, first, facts, _sink(run))
+        if run.sent is None:
+            run.excluded.add(first.announced.incarnation)
+            return Step.NOT_RUN
+        try:
+            return await _await_end(run, run.sent, remaining_s)
+        finally:
+            run.sent.release()
+    finally:
+        run.let_go()
+        run.sent = None
+
+
+def _sink(run: StreamRun):  # type: ignore[no-untyped-def]
+    """Return what takes the body: events of a success, bytes of a failure."""
+    failure: list[bytes] = []
+
+    def _take(data: bytes) -> None:
+        sent = run.sent
+        head = sent.exchange.head.result() if sent else None
+        if head is not None and head.status == 200 and head.facts.signed:
+            run.take_data(data)
+        else:
+            failure.append(data)
+            run.failure_body = b"".join(failure)
+
+    return _take
+
+
+async def _await_end(run: StreamRun, sent: Sent, remaining_s: float) -> Step:
+    interrupted = asyncio.ensure_future(run.interrupted.wait())
+    try:
+        done, _ = await asyncio.wait(
+            (sent.exchange.ended, interrupted),
+            timeout=remaining_s,
+            return_when=asyncio.FIRST_COMPLETED,
+        )
+    finally:
+        interrupted.cancel()
+    if not done:
+        return Step.TIMED_OUT
+    if sent.exchange.ended not in done:
+        return Step.BROKEN
+    return _judge(run, sent, sent.exchange.ended.result())
+
+
+def _judge(run: StreamRun, sent: Sent, ending: Ending) -> Step:
+    """Decide what an ended exchange means for the stream."""
+    head = sent.exchange.head.result()
+    now_s = run.gateway.now()
+    whole = ending is Ending.COMPLETE and head is not None
+    if whole and head is not None and head.status == 200 and head.facts.signed:
+        if not run.splitter.rest():
+            for part in run.chain.parts if run.chain else ():
+                part.backend.succeeded()
+            if not run.reply.started:
+                run.reply.start(head.status, answer_headers(head))
+            run.reply.finish()
+            return Step.DONE
+    _log_failure(run, sent, ending, head)
+    if whole and head is not None and head.facts.not_run:
+        _blame(run, sent, head, now_s)
+        return Step.NOT_RUN
+    if whole and head is not None and head.status != 200 and head.facts.signed:
+        run.head = head
+        return Step.FAILED
+    sent.backend.failed(now_s)
+    run.excluded.add(sent.backend.announced.incarnation)
+    return Step.BROKEN
+
+
+def _blame(run: StreamRun, sent: Sent, head: AnswerHead, now_s: float) -> None:
+    """Avoid the backend server that a refusal names, or the one that refused."""
+    address = head.facts.faulty_address or sent.backend.announced.address
+    faulty = run.gateway.fleet.backend_by_address.get(address, sent.backend)
+    run.excluded.add(faulty.announced.incarnation)
+    faulty.refused(now_s)
+
+
+def stages(chain: Chain) -> tuple[Stage, ...]:
+    """Return a chain as it is told to backend servers."""
+    return tuple(
+        Stage(
+            part.backend.name,
+            part.backend.announced.address,
+            part.first_layer,
+            part.end_layer,
+        )
+        for part in chain.parts
+    )
+
+
+def describe(chain: Chain) -> str:
+    """Return a chain for logs."""
+    return ",".join(
+        f"{part.backend.name}={part.first_layer}-{part.end_layer}"
+        for part in chain.parts
+    )
+
+
+def _log_attempt(run: StreamRun, chain: Chain) -> None:
+    run.gateway.log(
+        "stream_sent",
+        request=run.admitted.request_id,
+        attempt=run.tries,
+        chain=describe(chain),
+        token_ms=round(chain.token_ms, 2),
+        members=run.gateway.fleet.version,
+        after_event=run.last_event_id,
+    )
+
+
+def _log_failure(
+    run: StreamRun, sent: Sent, ending: Ending, head: AnswerHead | None
+) -> None:
+    run.gateway.log(
+        "attempt_failed",
+        request=run.admitted.request_id,
+        backend_server=sent.backend.name,
+        ending=str(ending),
+        status=head.status if head else 0,
+        not_run=bool(head and head.facts.not_run),
+        faulty=head.facts.faulty_address if head else None,
+        after_event=run.last_event_id,
+    )
+
+
+__all__ = ["StreamRun", "describe", "serve_stream", "stages"]
--- /dev/null
+++ b/src/yuccareach/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which backend server holds which layers, and the orders that make it so."""
--- /dev/null
+++ b/src/yuccareach/placement/run.py
@@ -0,0 +1,145 @@
+"""Carrying out the placement, on the control instance that leads."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import TYPE_CHECKING, NamedTuple
+
+from yuccareach.control.errors import NotLeader
+from yuccareach.control.raft_types import ReadAsked, Role
+from yuccareach.placement.planner import NO_LAYERS, LayerRange, Move, Server, plan
+from yuccareach.runtime.logs import logger
+from yuccareach.runtime.reducer import monotonic_ms
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from yuccareach.control.run import ControlProcess
+    from yuccareach.gateway.table import ModelProfile, RoutingTable
+    from yuccareach.proto import control_pb2 as cpb
+
+PLAN_INTERVAL_S = 0.25
+# A fresh fleet is divided once no member has been heard of for the first time for this
+# long; a little more than a heartbeat interval.
+SETTLED_MS = 1_600
+# A range that was ordered counts as held for the time it takes to load, and for this
+# long until a heartbeat tells it.
+CONFIRM_MS = 3_500
+_log = logger("placement")
+
+
+class Ordered(NamedTuple):
+    """A range that an incarnation was ordered to hold."""
+
+    incarnation: str
+    layers: LayerRange
+    until_ms: int
+
+
+class Placement:
+    """Plans again and again while this instance leads, and gives the orders."""
+
+    def __init__(
+        self,
+        process: ControlProcess,
+        table: Callable[[], RoutingTable | None],
+        send_order: Callable[[str, LayerRange], Awaitable[bool]],
+    ) -> None:
+        self.process = process
+        self.table = table
+        self.send_order = send_order
+        self.ordered_by_name: dict[str, Ordered] = {}
+        self.members_known = 0
+        self.settled_ms = 0
+
+    async def run(self) -> None:
+        """Plan for as long as the process lives."""
+        while True:
+            await asyncio.sleep(PLAN_INTERVAL_S)
+            table = self.table()
+            if self.process.state.role is not Role.LEADER or table is None:
+                self.ordered_by_name.clear()
+                continue
+            for service in table.service_by_name.values():
+                if service.model is not None:
+                    await self._place(service.name, service.model)
+
+    async def _place(self, service: str, model: ModelProfile) -> None:
+        servers = self._servers(service, model)
+        moves = plan(servers, model) if servers else []
+        if not moves or not self._settled(servers):
+            return
+        try:
+            # An instance that was cut off or suspended must not give orders.
+            await self.process.ask(ReadAsked)
+        except NotLeader:
+            return
+        await asyncio.gather(*(self._order(move, model) for move in moves))
+
+    def _settled(self, servers: list[Server]) -> bool:
+        """Return whether a fresh fleet has had time to announce itself."""
+        now = monotonic_ms()
+        if len(servers) > self.members_known:
+            self.settled_ms = now + SETTLED_MS
+        self.members_known = len(servers)
+        fresh = not any(server.held.size for server in servers)
+        return now >= self.settled_ms or not fresh
+
+    def _servers(self, service: str, model: ModelProfile) -> list[Server]:
+        """Return who may hold layers, with what they hold or are about to."""
+        now = monotonic_ms()
+        unreachable = self.process.views.unreachable(now)
+        members = [
+            heard.member
+            for heard in self.process.members.heard_by_name.values()
+            if heard.member.service == service
+            and heard.member.kind in model.card_by_name
+            and not heard.member.draining
+            and heard.member.incarnation not in unreachable
+        ]
+        return [self._server(member, model, now) for member in members]
+
+    def _server(self, member: cpb.Member, model: ModelProfile, now: int) -> Server:
+        card = model.card_by_name[member.kind]
+        held = LayerRange(member.first_layer, member.end_layer)
+        ordered = self.ordered_by_name.get(member.backend_server)
+        if ordered is not None:
+            confirmed = held == ordered.layers
+            if confirmed or ordered.incarnation != member.incarnation:
+                del self.ordered_by_name[member.backend_server]
+            elif now < ordered.until_ms:
+                held = ordered.layers
+            else:
+                del self.ordered_by_name[member.backend_server]
+        return Server(
+            member.backend_server,
+            member.incarnation,
+            member.availability_zone,
+            card.memory_mb,
+            card.decode_factor,
+            held if held.size else NO_LAYERS,
+        )
+
+    async def _order(self, move: Move, model: ModelProfile) -> None:
+        known = self.process.members.heard_by_name.get(move.server.name)
+        if known is None:
+            return
+        load_ms = int(1000 * model.load_s * move.layers.size / max(1, model.layers))
+        until_ms = monotonic_ms() + 2 * load_ms + CONFIRM_MS
+        self.ordered_by_name[move.server.name] = Ordered(
+            move.server.incarnation, move.layers, until_ms
+        )
+        taken = await self.send_order(known.member.address, move.layers)
+        _log.info(
+            "placement_ordered",
+            extra={
+                "backend_server": move.server.name,
+                "held": f"{move.server.held.first}-{move.server.held.end}",
+                "layers": f"{move.layers.first}-{move.layers.end}",
+                "members": self.process.members.version,
+                "taken": taken,
+            },
+        )
+
+
+__all__ = ["Placement"]
--- /dev/null
+++ b/src/yuccareach/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Adapter to the users' platform: its names, formats and calls."""
--- /dev/null
+++ b/src/yuccareach/platform/control_app.py
@@ -0,0 +1,134 @@
+"""The platform's calls to control: configuration, heartbeats and departures."""
+
+from __future__ import annotations
+
+import logging
+import zlib
+from typing import TYPE_CHECKING, Any
+
+import falcon
+import falcon.asgi
+
+from yuccareach.control.errors import NotLeader
+from yuccareach.control.raft_types import ReadAsked, Submitted
+from yuccareach.platform.announcements import decode_departure, decode_heartbeat
+from yuccareach.platform.documents import decode_document
+from yuccareach.platform.errors import InvalidAnnouncement, InvalidDocument
+from yuccareach.proto import control_pb2 as cpb
+from yuccareach.runtime.health import add_health_routes
+from yuccareach.runtime.logs import Log, logger, write_log
+
+if TYPE_CHECKING:
+    from yuccareach.control.run import ControlProcess
+
+_log = logger("platform")
+
+
+def _note(event: str, level: int = logging.INFO, **fields: Any) -> None:
+    write_log(_log, Log(event, fields, level))
+
+
+async def _ask(process: ControlProcess, request: Any, event: Any) -> Any:
+    """Ask the log; send the caller to the leader, or elsewhere where none is known."""
+    try:
+        return await process.ask(event)
+    except NotLeader as error:
+        leader = process.leader_operator_address()
+        if leader and str(error) == "not_leader":
+            location = f"http://{leader}{request.path}"
+            raise falcon.HTTPTemporaryRedirect(location) from error
+        raise falcon.HTTPServiceUnavailable(title=str(error)) from error
+
+
+class _ConfigPut:
+    """POST /-/config/put"""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def on_post(self, request: Any, response: Any) -> None:
+        """Put a configuration in force, if it is newer than the one that is."""
+        body = await request.stream.read()
+        try:
+            table = decode_document(body)
+        except InvalidDocument as error:
+            _note("document_refused", reason=str(error)[:500])
+            raise falcon.HTTPBadRequest(title=str(error)) from error
+        document = cpb.RoutingDocument(
+            version=table.version, content=zlib.compress(body)
+        )
+        command = cpb.Command(document=document)
+        answer = await _ask(
+            self.process, request, lambda ticket: Submitted(ticket, command)
+        )
+        _note(
+            "document_acknowledged",
+            version=table.version,
+            in_force=answer.document_version,
+        )
+        response.media = {"version": answer.document_version}
+
+
+class _ConfigGet:
+    """GET /-/config/get"""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def on_get(self, request: Any, response: Any) -> None:
+        """Return the newest configuration, as a quorum confirms it."""
+        await _ask(self.process, request, ReadAsked)
+        document = self.process.machine.document
+        if not document.version:
+            raise falcon.HTTPServiceUnavailable(title="no configuration yet")
+        response.content_type = "application/json"
+        response.data = zlib.decompress(document.content)
+
+
+class _Heartbeat:
+    """POST /-/runners/ID/heartbeat"""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def on_post(self, request: Any, response: Any, name: str) -> None:
+        """Take what a runner says of itself."""
+        try:
+            member = decode_heartbeat(name, await request.stream.read())
+        except InvalidAnnouncement as error:
+            _note("heartbeat_refused", backend_server=name, reason=str(error)[:200])
+            raise falcon.HTTPBadRequest(title=str(error)) from error
+        self.process.announce(member)
+        response.media = {}
+
+
+class _Deregister:
+    """POST /-/runners/ID/deregister"""
+
+    def __init__(self, process: ControlProcess) -> None:
+        self.process = process
+
+    async def on_post(self, request: Any, response: Any, name: str) -> None:
+        """Take out a runner that leaves."""
+        try:
+            started_ms = decode_departure(await request.stream.read())
+        except InvalidAnnouncement as error:
+            _note("departure_refused", backend_server=name, reason=str(error)[:200])
+            raise falcon.HTTPBadRequest(title=str(error)) from error
+        self.process.dismiss(name, started_ms)
+        _note("departed", backend_server=name)
+        response.media = {}
+
+
+def control_app(process: ControlProcess) -> Any:
+    """Build the application that the platform calls."""
+    app = falcon.asgi.App()
+    app.add_route("/-/config/put", _ConfigPut(process))
+    app.add_route("/-/config/get", _ConfigGet(process))
+    app.add_route("/-/runners/{name}/heartbeat", _Heartbeat(process))
+    app.add_route("/-/runners/{name}/deregister", _Deregister(process))
+    add_health_routes(app)
+    return app
+
+
+__all__ = ["control_app"]
--- a/src/yuccareach/runtime/platform.py
+++ b/src/yuccareach/runtime/health.py
@@ -22,7 +22,7 @@
     details: dict[str, Any]
 
 
-class _Platform:
+class _Health:
     """What the platform and its monitoring ask of a process."""
 
     def __init__(
@@ -51,17 +51,17 @@
         response.data = expose(self.registry(), self.gauges)
 
 
-def add_platform_routes(
+def add_health_routes(
     app: Any,
     readiness: Callable[[], Readiness] = lambda: Readiness(True, {}),
     gauges: Callable[[], Mapping[str, float]] = dict,
     registry: Callable[[], Registry] = Registry,
 ) -> None:
     """Add /healthz, /readyz and /metrics to a role's HTTP application."""
-    platform = _Platform(readiness, gauges, registry)
-    app.add_route("/healthz", platform)
-    app.add_route("/readyz", platform, suffix="ready")
-    app.add_route("/metrics", platform, suffix="metrics")
+    health = _Health(readiness, gauges, registry)
+    app.add_route("/healthz", health)
+    app.add_route("/readyz", health, suffix="ready")
+    app.add_route("/metrics", health, suffix="metrics")
 
 
-__all__ = ["Readiness", "add_platform_routes"]
+__all__ = ["Readiness", "add_health_routes"]
--- a/src/yuccareach/standin/proxy.py
+++ b/src/yuccareach/standin/proxy.py
@@ -9,9 +9,9 @@
 import falcon
 import falcon.asgi
 
+from yuccareach.runtime.health import add_health_routes
 from yuccareach.runtime.http import HttpServer
 from yuccareach.runtime.logs import logger
-from yuccareach.runtime.platform import add_platform_routes
 from yuccareach.runtime.reducer import monotonic_ms
 from yuccareach.standin.errors import StandinError
 
@@ -111,7 +111,7 @@
         port = self.server.sockets[0].getsockname()[1]
         self.address = f"{self.host}:{port}"
         app = falcon.asgi.App()
-        add_platform_routes(app)
+        add_health_routes(app)
         app.add_route("/faults", _FaultsResource(self))
         self.http = HttpServer(app, self.host, self.admin_port)
         await self.http.start()
--- a/src/yuccareach/standin/run.py
+++ b/src/yuccareach/standin/run.py
@@ -8,9 +8,9 @@
 import falcon.asgi
 
 from yuccareach.proto.engine_pb2_grpc import add_EngineServicer_to_server
+from yuccareach.runtime.health import add_health_routes
 from yuccareach.runtime.http import HttpServer
 from yuccareach.runtime.logs import logger
-from yuccareach.runtime.platform import add_platform_routes
 from yuccareach.runtime.rpc import listen
 from yuccareach.standin.engine import StandinEngine
 from yuccareach.standin.service import Ledger, service_app
@@ -57,7 +57,7 @@
         await self.server.start()
         app = falcon.asgi.App()
         admin = _EngineAdmin(self.engine)
-        add_platform_routes(app)
+        add_health_routes(app)
         app.add_route("/executions", admin)
         app.add_route("/stuck", admin, suffix="stuck")
         self.http = HttpServer(app, self.host, self.admin_port)
--- a/src/yuccareach/standin/service.py
+++ b/src/yuccareach/standin/service.py
@@ -9,7 +9,7 @@
 import falcon
 import falcon.asgi
 
-from yuccareach.runtime.platform import add_platform_routes
+from yuccareach.runtime.health import add_health_routes
 
 
 class Ledger:
@@ -75,7 +75,7 @@
 def service_app(ledger: Ledger) -> Any:
     """Build the HTTP application of the ledger."""
     app = falcon.asgi.App()
-    add_platform_routes(app)
+    add_health_routes(app)
     app.add_route("/balances/{account}", Balances(ledger))
     app.add_route("/payouts", Payouts(ledger))
     app.add_route("/executions", ExecutionCounts(ledger))
