Keep pipelines within an availability zone, and seek a chain for each request

Cause: chains crossed zones, where one link carries every request's activations in turn (91.8 KB a token; about 36 requests/s in all). A list of a few chains made in advance also refused requests while other combinations had room.

Change: one pipeline a zone from its fastest cards, spare cards close holes there, else neighbours extend; a chain is sought by dynamic programming over servers with room; hops between zones are a last resort; starts at a first stage are bounded; requests wait for room in a queue; settings reload on SIGHUP and on change; placement waits until members are known.

--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -92,6 +92,7 @@
     ) -> None:
         self.options = options
         self.build_app = build_app
+        self.join_targets = options.join
         self.backup = _read_backup(options.restore)
         self.store = DiskStore(options.data, options.instance)
         self.state = self._load()
@@ -173,13 +174,14 @@
 
     async def _stay_joined(self) -> None:
         """Ask the cluster to be let in whenever no leader counts this instance."""
-        targets = itertools.cycle(self.options.join)
+        tries = itertools.count()
         leader = ""
         while True:
             if not self._needs_join():
                 await asyncio.sleep(JOIN_RETRY_MS / 1000)
                 continue
-            target = leader or next(targets)
+            targets = self.join_targets
+            target = leader or targets[next(tries) % len(targets)]
             leader = ""
             if target != self.address:
                 leader = await self._ask_to_join(target)
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -39,6 +39,8 @@
         self.announced = announced
         self.pool = ConnectionPool(announced.address)
         self.running = 0
+        # Streams that begin here and have not had their first event.
+        self.starting = 0
         # Tokens that this entry's requests hold here, and those of other entries.
         self.tokens = 0
         self.tokens_elsewhere = 0
--- a/src/yuccareach/gateway/budget.py
+++ b/src/yuccareach/gateway/budget.py
@@ -23,8 +23,8 @@
     only its own requests.
     """
 
-    # Requests are uneven over entries, and windows slide: half is kept in reserve.
-    PART = 0.5
+    # Windows slide and the number of entries is known late: some is kept in reserve.
+    PART = 0.8
 
     def __init__(self, terms: BudgetTerms) -> None:
         self.terms = terms
--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -1,30 +1,39 @@
-"""Chains of backend servers that run every layer of a model once and in order."""
+"""Chains of backend servers that run every layer of a model once and in order.
+
+A chain is sought for each request, as the cheapest way through the layers over servers
+that have room for it. A server's cost is its time for a token, raised as its memory
+fills, so that fast servers are preferred until they are full.
+"""
 
 from __future__ import annotations
 
-import heapq
 import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from yuccareach.gateway.backends import Backend
     from yuccareach.gateway.table import ModelProfile
 
-# Chains to choose from; each further one avoids the servers of those before it.
-CHAINS_KEPT = 12
-REUSE_FACTOR = 2.5
-# A hop's own cost beside the delay between availability zones.
-HOP_MS = 0.2
+# A hop's own cost beside the delay between availability zones: one more server to wait
+# for, and to lose.
+HOP_MS = 0.5
 # Traffic between the entry and a first stage elsewhere is dear; counted as delay.
 REMOTE_ENTRY_MS = 2.0
+# Cost of a server that has failed lately; more than any chain without one.
+AVOIDED_MS = 1_000.0
 # Part of a stage's memory that is given out; other entries' latest requests and answers
 # longer than expected take the rest.
 MEMORY_PART = 0.85
-# A chain that starts elsewhere is taken where those here are fuller by this part.
-REMOTE_PART = 0.15
-# A token time that counts as much as a full memory; well below a good pause.
-SLOW_TOKEN_MS = 50.0
-AVOIDED_MS = 1_000.0
+# A full server costs this many times its token time more than an empty one.
+FULL_FACTOR = 4.0
+# A link between zones carries one transfer after another for all requests at once;
+# counted as so many times a request's own transfer.
+SHARED_LINK_FACTOR = 200.0
+# Requests of this entry that may wait for their first event at one first stage. Prompts
+# are read one after the other, so that more would only make all of them late.
+STARTS_MOST = 5
 DEFAULT_CARD_FACTOR = 16.0
 
 
@@ -38,8 +47,7 @@
     @property
     def share(self) -> float:
         """The part of the backend server's layers that is used."""
-        held = self.backend.announced.end_layer - self.backend.announced.first_layer
-        return (self.end_layer - self.first_layer) / max(1, held)
+        return (self.end_layer - self.first_layer) / max(1, _held(self.backend))
 
 
 class Chain(NamedTuple):
@@ -49,128 +57,157 @@
     token_ms: float
 
 
+class Graph(NamedTuple):
+    """The ways through the layers that a set of servers allows."""
+
+    # Layers at which one server may take over from another, in order.
+    cuts: tuple[int, ...]
+    # By index of a cut, the servers that hold the layer which begins there.
+    holders: tuple[tuple[Backend, ...], ...]
+
+
+class Demand(NamedTuple):
+    """What a chain is sought for."""
+
+    zone: str
+    tokens: int
+    now_s: float
+    # Incarnations that must not take part.
+    excluded: frozenset[str] = frozenset()
+
+
+def _held(backend: Backend) -> int:
+    return backend.announced.end_layer - backend.announced.first_layer
+
+
+def build_graph(backends: Iterable[Backend], model: ModelProfile) -> Graph:
+    """Return the graph of the servers that hold layers."""
+    holders = [backend for backend in backends if _held(backend) > 0]
+    bounds = {0, model.layers}
+    bounds |= {holder.announced.first_layer for holder in holders}
+    bounds |= {holder.announced.end_layer for holder in holders}
+    cuts = tuple(sorted(cut for cut in bounds if cut <= model.layers))
+    return Graph(
+        cuts,
+        tuple(
+            tuple(
+                holder
+                for holder in holders
+                if holder.announced.first_layer <= cut < holder.announced.end_layer
+            )
+            for cut in cuts
+        ),
+    )
+
+
 def memory_tokens(backend: Backend, model: ModelProfile) -> int:
     """Return how many tokens of requests fit beside the layers that are held."""
     card = model.card_by_name.get(backend.announced.kind)
-    layers = backend.announced.end_layer - backend.announced.first_layer
+    layers = _held(backend)
     if card is None or layers <= 0:
         return 0
     free_mb = card.memory_mb - layers * model.layer_mb
     return max(0, int(free_mb / (model.token_layer_mb * layers)))
 
 
+def fullness(backend: Backend, model: ModelProfile, tokens: float) -> float:
+    """Return the part of a server's memory in use once it takes more tokens."""
+    used = backend.tokens + backend.tokens_elsewhere + tokens
+    return used / max(1, memory_tokens(backend, model))
+
+
 def layer_ms(backend: Backend, model: ModelProfile) -> float:
-    """Return the time of one layer for one token under the load at hand."""
+    """Return the time of one layer for one token, without load."""
     card = model.card_by_name.get(backend.announced.kind)
     factor = card.decode_factor if card else DEFAULT_CARD_FACTOR
-    usual = max(1, model.usual_prompt_tokens + model.usual_answer_tokens)
-    tokens = backend.tokens + backend.tokens_elsewhere
-    step_ms = (
-        model.step_ms
-        + model.step_ms_per_request * tokens / usual
-        + model.step_ms_per_kilotoken * tokens / 1000
-    )
-    return factor * step_ms / model.layers
-
-
-def find_chains(
-    backends: list[Backend], model: ModelProfile, zone: str, now_s: float
-) -> list[Chain]:
-    """Return chains to choose from, the quickest first, as unlike as may be."""
-    holders = [
-        backend
-        for backend in backends
-        if backend.announced.end_layer > backend.announced.first_layer
-    ]
-    factor_by_server = dict.fromkeys((holder.name for holder in holders), 1.0)
-    chains: list[Chain] = []
-    for _ in range(CHAINS_KEPT):
-        parts = _quickest(holders, model, zone, now_s, factor_by_server)
-        if parts is None:
-            break
-        if not any(parts == chain.parts for chain in chains):
-            chains.append(Chain(parts, token_time_ms(parts, model, zone)))
-        for part in parts:
-            factor_by_server[part.backend.name] *= REUSE_FACTOR
-    return chains
-
-
-def _quickest(
-    holders: list[Backend],
-    model: ModelProfile,
-    zone: str,
-    now_s: float,
-    factor_by_server: dict[str, float],
-    head: tuple[Part, ...] = (),
-) -> tuple[Part, ...] | None:
-    """Return the quickest chain, by Dijkstra's algorithm over layers.
-
-    head holds the parts that are given; the chain goes on from their end.
+    return factor * model.step_ms / model.layers
+
+
+class _Way(NamedTuple):
+    """The cheapest way found to a cut."""
+
+    cost: float
+    parts: tuple[Part, ...]
+
+
+def find_chain(
+    graph: Graph, model: ModelProfile, demand: Demand, head: Part | None = None
+) -> Chain | None:
+    """Return the cheapest chain with room, or None.
+
+    A head is a first part that stays as it is; the rest is sought from its end on.
     """
-    cuts = sorted(
-        {0, model.layers}
-        | {item.announced.first_layer for item in holders}
-        | {item.announced.end_layer for item in holders}
-    )
-    starting: dict[int, list[Backend]] = {
-        cut: [
-            item
-            for item in holders
-            if item.announced.first_layer <= cut < item.announced.end_layer
-        ]
-        for cut in cuts
-    }
-    pace = {
-        item.name: factor_by_server[item.name] * layer_ms(item, model)
-        for item in holders
-    }
-    entered_ms = {
-        item.name: (AVOIDED_MS if item.avoided(now_s) else 0.0) for item in holders
-    }
-    counter = itertools.count()
-    queue: list[tuple[float, int, int, tuple[Part, ...]]] = [
-        (0.0, next(counter), head[-1].end_layer if head else 0, head)
-    ]
-    settled: set[int] = set()
-    while queue:
-        cost, _, layer, parts = heapq.heappop(queue)
-        if layer >= model.layers:
-            return parts
-        if layer in settled:
+    best: list[_Way | None] = [None] * len(graph.cuts)
+    start = graph.cuts.index(head.end_layer) if head else 0
+    best[start] = _Way(0.0, (head,) if head else ())
+    cost_by_server = _costs(graph, model, demand, head)
+    for index in range(start, len(graph.cuts) - 1):
+        way = best[index]
+        if way is None:
             continue
-        settled.add(layer)
-        used = {part.backend.name for part in parts}
-        for holder in starting[layer]:
-            if holder.name in used:
+        previous = way.parts[-1].backend if way.parts else None
+        for holder in graph.holders[index]:
+            layer_cost = cost_by_server.get(holder.name)
+            if layer_cost is None:
                 continue
-            hop = _hop_ms(parts[-1].backend if parts else None, holder, model, zone)
-            base = cost + hop + entered_ms[holder.name]
-            for cut in cuts:
-                if layer < cut <= min(holder.announced.end_layer, model.layers):
-                    extended = (*parts, Part(holder, layer, cut))
-                    total = base + pace[holder.name] * (cut - layer)
-                    heapq.heappush(queue, (total, next(counter), cut, extended))
-    return None
-
-
-def find_detour(
-    backends: list[Backend],
-    model: ModelProfile,
-    zone: str,
-    now_s: float,
-    first: Part,
-) -> Chain | None:
-    """Return a chain that keeps a first part and avoids servers that have failed."""
-    holders = [
-        backend
-        for backend in backends
-        if not backend.avoided(now_s) and backend is not first.backend
-    ]
-    even = dict.fromkeys((holder.name for holder in holders), 1.0)
-    parts = _quickest(holders, model, zone, now_s, even, (first,))
-    if parts is None:
+            if previous is None and holder.starting >= STARTS_MOST:
+                continue
+            entered = way.cost + layer_cost.enter
+            entered += _hop_ms(previous, holder, model, demand.zone)
+            _extend(graph, best, index, way, holder, entered, layer_cost.layer)
+    found = best[-1]
+    if found is None:
         return None
-    return Chain(parts, token_time_ms(parts, model, zone))
+    return Chain(found.parts, token_time_ms(found.parts, model, demand.zone))
+
+
+class _Cost(NamedTuple):
+    """Cost of entering a server, and of each layer there."""
+
+    enter: float
+    layer: float
+
+
+def _costs(
+    graph: Graph, model: ModelProfile, demand: Demand, head: Part | None
+) -> dict[str, _Cost]:
+    """Return the costs of all servers that may take part."""
+    costs: dict[str, _Cost] = {}
+    for holder in itertools.chain.from_iterable(graph.holders):
+        if holder.name in costs or (head and holder is head.backend):
+            continue
+        if holder.announced.incarnation in demand.excluded:
+            continue
+        full = fullness(holder, model, demand.tokens)
+        if full > MEMORY_PART:
+            continue
+        enter = AVOIDED_MS if holder.avoided(demand.now_s) else 0.0
+        layer = layer_ms(holder, model) * (1 + FULL_FACTOR * full)
+        costs[holder.name] = _Cost(enter, layer)
+    return costs
+
+
+def _extend(
+    graph: Graph,
+    best: list[_Way | None],
+    index: int,
+    way: _Way,
+    holder: Backend,
+    entered: float,
+    layer_cost: float,
+) -> None:
+    """Note the ways that lead on over one server, to each cut that it reaches."""
+    first = graph.cuts[index]
+    for further in range(index + 1, len(graph.cuts)):
+        cut = graph.cuts[further]
+        if cut > holder.announced.end_layer:
+            return
+        cost = entered + layer_cost * (cut - first)
+        known = best[further]
+        if known is None or cost < known.cost:
+            if any(part.backend is holder for part in way.parts):
+                return
+            best[further] = _Way(cost, (*way.parts, Part(holder, first, cut)))
 
 
 def _hop_ms(
@@ -179,11 +216,23 @@
     if previous is None:
         return REMOTE_ENTRY_MS if following.announced.zone != zone else 0.0
     zones = frozenset((previous.announced.zone, following.announced.zone))
-    return HOP_MS + (model.delay_ms_by_zones.get(zones, 0.0) if len(zones) > 1 else 0.0)
+    if len(zones) == 1:
+        return HOP_MS
+    transfer_ms = SHARED_LINK_FACTOR * transfer_ms_per_answer_token(model)
+    return HOP_MS + model.delay_ms_by_zones.get(zones, 0.0) + transfer_ms
+
+
+def transfer_ms_per_answer_token(model: ModelProfile) -> float:
+    """Return how long a usual request occupies a link between zones, per token."""
+    if not model.zone_link_mbps:
+        return 0.0
+    tokens = model.usual_prompt_tokens + model.usual_answer_tokens
+    megabits = tokens * model.activation_bytes * 8 / 1e6
+    return 1000 * megabits / model.zone_link_mbps / max(1, model.usual_answer_tokens)
 
 
 def token_time_ms(parts: tuple[Part, ...], model: ModelProfile, zone: str) -> float:
-    """Return the time of one token over a chain under the load at hand."""
+    """Return the time of one token over a chain without load."""
     stages = sum(
         layer_ms(part.backend, model) * (part.end_layer - part.first_layer)
         for part in parts
@@ -195,60 +244,16 @@
     return stages + hops + _hop_ms(None, parts[0].backend, model, zone)
 
 
-def fullness(chain: Chain, model: ModelProfile, tokens: int) -> float:
-    """Return the part of its memory that a chain's tightest stage would have in use."""
-    return max(
-        (part.backend.tokens + part.backend.tokens_elsewhere + tokens * part.share)
-        / max(1, memory_tokens(part.backend, model))
-        for part in chain.parts
-    )
-
-
-def choose_chain(
-    chains: list[Chain],
-    model: ModelProfile,
-    zone: str,
-    tokens: int,
-    now_s: float,
-    excluded: set[str],
-) -> Chain | None:
-    """Return the chain that suits a request best, or None where none has room.
-
-    Room counts most, since a stage without memory preempts or cuts requests, while
-    token times are far below what callers notice. A chain over an excluded incarnation
-    is not taken; one over a server that has failed lately only where there is no other.
-    """
-    ranked = [
-        (rank, index)
-        for index, chain in enumerate(chains)
-        if not any(
-            part.backend.announced.incarnation in excluded for part in chain.parts
-        )
-        and (rank := _rank(chain, model, zone, tokens, now_s)) is not None
-    ]
-    return chains[min(ranked)[1]] if ranked else None
-
-
-def _rank(
-    chain: Chain, model: ModelProfile, zone: str, tokens: int, now_s: float
-) -> tuple[bool, float] | None:
-    full = fullness(chain, model, tokens)
-    if full > MEMORY_PART:
-        return None
-    avoided = any(part.backend.avoided(now_s) for part in chain.parts)
-    remote = chain.parts[0].backend.announced.zone != zone
-    token_ms = token_time_ms(chain.parts, model, zone)
-    return (avoided, full + REMOTE_PART * remote + token_ms / SLOW_TOKEN_MS)
-
-
 __all__ = [
     "Chain",
+    "Demand",
+    "Graph",
     "Part",
-    "choose_chain",
-    "find_chains",
-    "find_detour",
+    "build_graph",
+    "find_chain",
     "fullness",
     "layer_ms",
     "memory_tokens",
     "token_time_ms",
+    "transfer_ms_per_answer_token",
 ]
--- a/src/yuccareach/gateway/dialect.py
+++ b/src/yuccareach/gateway/dialect.py
@@ -72,6 +72,8 @@
     report_path: str
     # Addresses that a backend server's report names as the cause of a stalled request.
     read_stalled: Callable[[bytes], dict[bytes, str]]
+    # The address that a refused order names as the cause, or an empty string.
+    read_order_fault: Callable[[bytes], str]
 
 
 __all__ = [
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -3,9 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, NamedTuple
 
-from yuccareach.gateway.chains import Chain, find_detour
+from yuccareach.gateway.chains import Chain, find_chain
 from yuccareach.gateway.http_client import Ending, Exchange, encode_request
 from yuccareach.gateway.streams import StreamRun, describe, stages
 
@@ -23,6 +23,7 @@
 LEAST_PAUSE_S = 0.2
 # Time for new stages to read all tokens so far, before the stream is looked into again.
 REPAIR_PATIENCE_S = 0.6
+REROUTES_MOST = 3
 
 
 async def watch_streams(gateway: Gateway) -> None:
@@ -142,6 +143,7 @@
         lost = gateway.fleet.backend_by_address.get(address, lost)
     if lost is None:
         gateway.log("stream_slow", request=run.admitted.request_id)
+        run.progress_s = now_s
         return
     lost.lost(now_s)
     if lost is first:
@@ -164,41 +166,73 @@
 
 async def _reroute(gateway: Gateway, run: StreamRun, lost: Backend) -> None:
     """Order the first backend server to go on over other stages."""
-    chain = run.chain
-    model = run.admitted.service.model
-    if chain is None or model is None or run.sent is None:
-        return
-    members = gateway.fleet.of_service(run.admitted.service.name)
-    detour = find_detour(
-        members, model, gateway.terms.zone, gateway.now(), chain.parts[0]
-    )
-    if detour is None:
-        _interrupt(gateway, run, "no_detour")
-        return
-    status = await _order_reroute(gateway, run, run.sent.backend, detour)
+    run.excluded.add(lost.announced.incarnation)
+    for _ in range(REROUTES_MOST):
+        if run.sent is None or run.chain is None:
+            return
+        detour = _find_detour(gateway, run)
+        if detour is None:
+            break
+        answer = await _order_reroute(gateway, run, run.sent.backend, detour)
+        _log_reroute(gateway, run, lost, detour, answer)
+        if run.sent is None or answer is None:
+            break
+        if answer.status < 300:
+            run.let_go()
+            run.hold(detour)
+            run.repairs += 1
+            run.progress_s = gateway.now() + REPAIR_PATIENCE_S
+            return
+        faulty = gateway.fleet.backend_by_address.get(answer.faulty_address)
+        if faulty is None:
+            break
+        faulty.refused(gateway.now())
+        run.excluded.add(faulty.announced.incarnation)
+    _interrupt(gateway, run, "reroute_failed")
+
+
+def _find_detour(gateway: Gateway, run: StreamRun) -> Chain | None:
+    """Return a chain that keeps the first part and avoids what has failed."""
+    service = run.admitted.service
+    if service.model is None or run.chain is None:
+        return None
+    head = run.chain.parts[0]
+    graph = gateway.graph(service)
+    if head.end_layer not in graph.cuts:
+        return None
+    return find_chain(graph, service.model, run.demand(), head)
+
+
+def _log_reroute(
+    gateway: Gateway,
+    run: StreamRun,
+    lost: Backend,
+    detour: Chain,
+    answer: OrderAnswer | None,
+) -> None:
     gateway.log(
         "stream_rerouted",
         request=run.admitted.request_id,
         lost=lost.name,
         chain=describe(detour),
-        status=status,
+        status=answer.status if answer else None,
+        faulty=answer.faulty_address if answer else None,
         after_event=run.last_event_id,
     )
-    if run.sent is None:
-        return
-    if status is None or status >= 300:
-        _interrupt(gateway, run, "reroute_failed")
-        return
-    run.let_go()
-    run.hold(detour)
-    run.repairs += 1
-    run.progress_s = gateway.now() + REPAIR_PATIENCE_S
+
+
+class OrderAnswer(NamedTuple):
+    """How a backend server answered an order to carry a request on."""
+
+    status: int
+    # The part that is not there or has no room; empty where none is named.
+    faulty_address: str
 
 
 async def _order_reroute(
     gateway: Gateway, run: StreamRun, first: Backend, detour: Chain
-) -> int | None:
-    """Return the status of the order, or None without an answer."""
+) -> OrderAnswer | None:
+    """Return the answer to the order, or None without one."""
     dialect = gateway.dialect
     body = dialect.reroute_order(run.admitted.facts.request_id, stages(detour))
     headers = [
@@ -207,7 +241,9 @@
     ]
     data = encode_request(b"POST", dialect.order_path.encode(), headers, body)
     answer = await _ask(gateway, first, data, ORDER_TIMEOUT_S)
-    return answer[0] if answer is not None else None
+    if answer is None:
+        return None
+    return OrderAnswer(answer[0], dialect.read_order_fault(answer[1]))
 
 
 __all__ = ["watch_streams"]
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -10,7 +10,7 @@
 from yuccareach.gateway.admission import AdmissionQueue
 from yuccareach.gateway.backends import Fleet
 from yuccareach.gateway.budget import BudgetTerms, RetryBudget
-from yuccareach.gateway.chains import Chain, find_chains
+from yuccareach.gateway.chains import Chain, Graph, build_graph
 from yuccareach.gateway.table import Limits
 from yuccareach.metrics.registry import Registry
 from yuccareach.runtime.logs import Log, logger, write_log
@@ -20,8 +20,6 @@
     from yuccareach.gateway.streams import StreamRun
     from yuccareach.gateway.table import RoutingTable, Service
 
-# Chains are sought anew no more often than this; a search takes some milliseconds.
-CHAINS_INTERVAL_S = 0.2
 _log = logger("gateway")
 
 
@@ -37,13 +35,11 @@
     grace_s: float
 
 
-class ChainCache(NamedTuple):
-    """Chains of one service and what they were made from."""
+class CachedGraph(NamedTuple):
+    """The graph of one service, and the versions of members and table behind it."""
 
-    chains: list[Chain]
-    fleet_version: int
-    table_version: int
-    found_s: float
+    graph: Graph
+    made_from: tuple[int, int]
 
 
 def boot_time_s() -> float:
@@ -67,7 +63,7 @@
         self.streams: set[StreamRun] = set()
         self.budget_by_service: dict[str, RetryBudget] = {}
         self.queue_by_service: dict[str, AdmissionQueue[Chain]] = {}
-        self.chains_by_service: dict[str, ChainCache] = {}
+        self.graph_by_service: dict[str, CachedGraph] = {}
         self.registry = Registry()
 
     def limits(self) -> Limits:
@@ -108,24 +104,16 @@
         self.registry.count("repeats", "sent" if allowed else "over_budget")
         return allowed
 
-    def chains(self, service: Service) -> list[Chain]:
-        """Return the chains to choose from, sought anew when members have changed."""
+    def graph(self, service: Service) -> Graph:
+        """Return the ways through a service's layers, made anew as members change."""
         assert self.table is not None and service.model is not None
-        now_s = self.now()
-        cached = self.chains_by_service.get(service.name)
-        if cached is not None:
-            current = (
-                cached.fleet_version == self.fleet.version
-                and cached.table_version == self.table.version
-            )
-            if current or now_s - cached.found_s < CHAINS_INTERVAL_S:
-                return cached.chains
-        members = self.fleet.of_service(service.name)
-        chains = find_chains(members, service.model, self.terms.zone, now_s)
-        self.chains_by_service[service.name] = ChainCache(
-            chains, self.fleet.version, self.table.version, now_s
-        )
-        return chains
+        made_from = (self.fleet.version, self.table.version)
+        cached = self.graph_by_service.get(service.name)
+        if cached is not None and cached.made_from == made_from:
+            return cached.graph
+        graph = build_graph(self.fleet.of_service(service.name), service.model)
+        self.graph_by_service[service.name] = CachedGraph(graph, made_from)
+        return graph
 
     def log(self, event: str, level: int = logging.INFO, **fields: Any) -> None:
         """Write one log line."""
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -11,7 +11,7 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.admission import AdmissionQueue, Ticket, Waiting
-from yuccareach.gateway.chains import Chain, choose_chain
+from yuccareach.gateway.chains import Chain, Demand, find_chain
 from yuccareach.gateway.dialect import SendFacts, Stage
 from yuccareach.gateway.exchange import Sent, send
 from yuccareach.gateway.http_client import AnswerHead, Ending
@@ -26,6 +26,7 @@
 from yuccareach.gateway.sse import EventSplitter, event_id
 
 if TYPE_CHECKING:
+    from yuccareach.gateway.backends import Backend
     from yuccareach.gateway.http_server import Reply
     from yuccareach.gateway.state import Gateway
 
@@ -56,6 +57,7 @@
         self.splitter = EventSplitter()
         self.last_event_id = admitted.facts.last_event_id
         self.chain: Chain | None = None
+        self.starting_at: Backend | None = None
         # Tokens counted at each part of the chain.
         self.held: list[int] = []
         self.sent: Sent | None = None
@@ -86,6 +88,8 @@
 
     def _take_event(self, event: bytes) -> None:
         self.progress_s = self.gateway.now()
+        if not self.attempt_events:
+            self._started()
         self.attempt_events += 1
         number = event_id(event)
         if number is not None:
@@ -97,6 +101,12 @@
         self.first_event_s = self.first_event_s or self.progress_s
         self.reply.write(event)
 
+    def _started(self) -> None:
+        """Note that the first stage is free to start another stream."""
+        if self.starting_at is not None:
+            self.starting_at.starting -= 1
+            self.starting_at = None
+
     def _start_reply(self) -> None:
         """Send the head of the first attempt that gives an event."""
         if self.reply.started or self.sent is None:
@@ -116,10 +126,23 @@
         workspace = self.admitted.workspace
         return workspace.name if workspace else ""
 
+    def demand(self) -> Demand:
+        """Return what a chain for this stream has to meet."""
+        return Demand(
+            self.gateway.terms.zone,
+            self.tokens,
+            self.gateway.now(),
+            frozenset(self.excluded),
+        )
+
     def hold(self, chain: Chain) -> None:
         """Count the request at every backend server of a chain."""
         self.chain = chain
         self.queue.hold(self.workspace, self.tokens)
+        self._started()
+        if not self.attempt_events:
+            self.starting_at = chain.parts[0].backend
+            self.starting_at.starting += 1
         self.held = [int(self.tokens * part.share) for part in chain.parts]
         for part, tokens in zip(chain.parts, self.held, strict=True):
             part.backend.tokens += tokens
@@ -128,11 +151,13 @@
     def let_go(self) -> None:
         """Stop counting the request."""
         chain, self.chain = self.chain, None
+        self._started()
         if chain is None:
             return
         for part, tokens in zip(chain.parts, self.held, strict=True):
             part.backend.tokens -= tokens
             part.backend.running -= 1
+        self.attempt_events = 0
         now_s = self.gateway.now()
         self.queue.free(self.workspace, self.tokens, now_s)
         self.queue.pump(now_s)
@@ -169,7 +194,7 @@
             return _give_up(run, True, 504, "deadline")
         if step is Step.NOT_RUN:
             refusals += 1
-            if refusals >= REFUSALS_MOST:
+            if refusals >= REFUSALS_MOST and not run.reply.started:
                 return _give_up(run, may_have_run, 502, "full")
             continue
         runs += 1
@@ -183,14 +208,7 @@
     service = run.admitted.service
     if service.model is None:
         return None
-    return choose_chain(
-        run.gateway.chains(service),
-        service.model,
-        run.gateway.terms.zone,
-        run.tokens,
-        run.gateway.now(),
-        run.excluded,
-    )
+    return find_chain(run.gateway.graph(service), service.model, run.demand())
 
 
 async def _wait_for_chain(run: StreamRun) -> Chain | None:
@@ -268,7 +286,6 @@
     )
     run.splitter = EventSplitter()
     run.interrupted.clear()
-    run.attempt_events = 0
     run.progress_s = gateway.now()
     _log_attempt(run, chain)
     try:
--- a/src/yuccareach/gateway/table.py
+++ b/src/yuccareach/gateway/table.py
@@ -74,6 +74,9 @@
     card_by_name: dict[str, CardKind]
     # One-way delay, by the pair of availability zones.
     delay_ms_by_zones: dict[frozenset[str], float]
+    # What a stage hands on for each token, in one transfer after another between zones.
+    activation_bytes: float
+    zone_link_mbps: float
 
 
 class Service(NamedTuple):
--- a/src/yuccareach/placement/planner.py
+++ b/src/yuccareach/placement/planner.py
@@ -1,8 +1,11 @@
 """Deciding which backend server holds which layers of a model.
 
-A fresh fleet is divided into pipelines: each takes the fastest accelerators that leave
-room for enough requests beside the layers. From then on ranges stay where they are, and
-only holes in the coverage are filled, so that few weights are loaded.
+A fresh fleet is divided into one pipeline for each availability zone, since a hop to
+another zone carries every token's activations over a link that all requests share. A
+pipeline takes the fastest accelerators of its zone, as many as raise the rate at
+which it finishes requests by enough; the others stay free, to step in where one is
+lost. From then on ranges stay where they are, and only holes in the coverage are filled,
+so that few weights are loaded.
 """
 
 from __future__ import annotations
@@ -15,10 +18,13 @@
 
     from yuccareach.gateway.table import ModelProfile
 
-# Usual requests that a pipeline must have memory for, beside its layers.
-REQUESTS_PER_PIPELINE = 24
-# What is left over after the good pipelines may form one with this part of the room.
-LEAN_PART = 0.4
+# Usual requests that a server which fills a hole keeps memory for, beside its layers.
+REQUESTS_PER_STAGE = 24
+# Requests wait for the pass that is running before their own begins.
+WAIT_FACTOR = 1.7
+# Each further server is one more that may be lost, and one less to step in: it has to
+# raise the rate by more than this part.
+SERVER_COST = 0.02
 
 
 class Server(NamedTuple):
@@ -67,49 +73,66 @@
 
 
 def build_pipelines(servers: Iterable[Server], model: ModelProfile) -> list[list[Move]]:
-    """Divide servers into pipelines, each within one availability zone if possible."""
+    """Form a pipeline in each zone that can hold one, else one over all zones."""
     ordered = sorted(servers, key=lambda item: (item.zone, item.decode_factor))
-    wanted = wanted_tokens(model)
-    pipelines: list[list[Move]] = []
-    left: list[Server] = []
-    for _, group in itertools.groupby(ordered, key=lambda item: item.zone):
-        built, rest = _take_pipelines(list(group), model, wanted)
-        pipelines += built
-        left += rest
-    for tokens in (wanted, wanted * LEAN_PART):
-        left.sort(key=lambda item: item.decode_factor)
-        built, left = _take_pipelines(left, model, tokens)
-        pipelines += built
-    if not pipelines:
-        pipelines, _ = _take_pipelines(left, model, 0)
-    return pipelines
+    groups = [
+        list(group)
+        for _, group in itertools.groupby(ordered, key=lambda item: item.zone)
+    ]
+    pipelines = [
+        pipeline
+        for group in groups
+        if (pipeline := best_pipeline(group, model)) is not None
+    ]
+    if pipelines:
+        return pipelines
+    ordered.sort(key=lambda item: item.decode_factor)
+    whole = best_pipeline(ordered, model)
+    return [whole] if whole is not None else []
+
+
+def best_pipeline(servers: list[Server], model: ModelProfile) -> list[Move] | None:
+    """Return the pipeline of the fastest servers that finishes most requests."""
+    pipelines = [
+        _divide(servers[:count], model)
+        for count in range(1, len(servers) + 1)
+        if _capacity(servers[:count], model, 0) >= model.layers
+    ]
+
+    def _value(moves: list[Move]) -> float:
+        return request_rate(moves, model) * (1 - SERVER_COST * len(moves))
+
+    return max(pipelines, key=_value, default=None)
+
+
+def request_rate(moves: list[Move], model: ModelProfile) -> float:
+    """Return how many usual requests a pipeline finishes in a second, memory full."""
+    usual = max(1, model.usual_prompt_tokens + model.usual_answer_tokens)
+    requests = min(room_tokens(move, model) for move in moves) / usual
+    batch = requests / len(moves)
+    step_ms = (
+        model.step_ms
+        + batch * model.step_ms_per_request
+        + batch * usual / 1000 * model.step_ms_per_kilotoken
+    )
+    token_ms = sum(
+        move.server.decode_factor * step_ms * move.layers.size / model.layers
+        for move in moves
+    )
+    seconds = WAIT_FACTOR * token_ms * max(1, model.usual_answer_tokens) / 1000
+    return requests / seconds
+
+
+def room_tokens(move: Move, model: ModelProfile) -> float:
+    """Return the tokens of requests that fit beside the layers of a move."""
+    free_mb = move.server.memory_mb - move.layers.size * model.layer_mb
+    return max(0.0, free_mb / (model.token_layer_mb * max(1, move.layers.size)))
 
 
 def wanted_tokens(model: ModelProfile) -> float:
-    """Return the tokens that every stage of a pipeline should have room for."""
+    """Return the tokens that a server which fills a hole should have room for."""
     usual = model.usual_prompt_tokens + model.usual_answer_tokens
-    return REQUESTS_PER_PIPELINE * usual
-
-
-def _take_pipelines(
-    servers: list[Server], model: ModelProfile, tokens: float
-) -> tuple[list[list[Move]], list[Server]]:
-    """Cut pipelines off the front of a list; returns them and what is left."""
-    pipelines: list[list[Move]] = []
-    left = list(servers)
-    while True:
-        count = next(
-            (
-                count
-                for count in range(1, len(left) + 1)
-                if _capacity(left[:count], model, tokens) >= model.layers
-            ),
-            None,
-        )
-        if count is None:
-            return pipelines, left
-        pipelines.append(_divide(left[:count], model, tokens))
-        left = left[count:]
+    return REQUESTS_PER_STAGE * usual
 
 
 def layers_within(server: Server, model: ModelProfile, tokens: float) -> int:
@@ -121,9 +144,9 @@
     return sum(layers_within(server, model, tokens) for server in servers)
 
 
-def _divide(servers: list[Server], model: ModelProfile, tokens: float) -> list[Move]:
+def _divide(servers: list[Server], model: ModelProfile) -> list[Move]:
     """Give the layers out so that every stage has room for as many tokens."""
-    low, high = tokens, tokens + 1
+    low, high = 0.0, 1.0
     while _capacity(servers, model, high) >= model.layers:
         low, high = high, high * 2
     while high - low > 1:
@@ -155,31 +178,89 @@
 
 
 def fill_holes(servers: list[Server], model: ModelProfile) -> list[Move]:
-    """Give the least covered layers to servers that hold none.
+    """Close the pipelines of all zones, or at least one that spans them."""
+    by_zone: dict[str, list[Server]] = {}
+    for server in servers:
+        by_zone.setdefault(server.zone, []).append(server)
+    moves = [move for group in by_zone.values() for move in _fill_zone(group, model)]
+    return moves or _fill_anywhere(servers, model)
+
 
-    Where a layer is held by nobody and no server is free, one whose layers others hold
-    as well is moved.
-    """
+def _fill_zone(servers: list[Server], model: ModelProfile) -> list[Move]:
+    """Cover the layers that nobody holds in one zone, by free servers or neighbours."""
+    if not any(server.held.size for server in servers):
+        return best_pipeline(servers, model) or []
+    moves: list[Move] = []
     counts = coverage(servers, model)
     free = sorted(
         (server for server in servers if not server.held.size),
         key=lambda server: server.decode_factor,
     )
-    moves: list[Move] = []
-    while min(counts) < max(counts):
+    while min(counts) == 0:
         hole = _widest_hole(counts)
         server = _pick_free(free, hole, model)
         if server is None:
             break
         free.remove(server)
         moves.append(_cover(server, hole, model, counts))
+    if min(counts) == 0 and not moves:
+        moves = _extend_neighbours(servers, _widest_hole(counts), model)
+    return moves
+
+
+def _extend_neighbours(
+    servers: list[Server], hole: LayerRange, model: ModelProfile
+) -> list[Move]:
+    """Let the servers on both sides of a hole hold its layers as well, if they can."""
+
+    def _spare(server: Server) -> int:
+        most = layers_within(server, model, wanted_tokens(model))
+        return max(0, most - server.held.size)
+
+    before = [
+        server
+        for server in servers
+        if server.held.size and server.held.end == hole.first
+    ]
+    after = [
+        server
+        for server in servers
+        if server.held.size and server.held.first == hole.end
+    ]
+    left = max(before, key=_spare, default=None)
+    right = max(after, key=_spare, default=None)
+    left_most = _spare(left) if left else 0
+    right_most = _spare(right) if right else 0
+    if left_most + right_most < hole.size:
+        return []
+    share = hole.size * left_most // (left_most + right_most)
+    cut = hole.first + min(left_most, max(share, hole.size - right_most))
+    moves = []
+    if left is not None and cut > hole.first:
+        moves.append(Move(left, LayerRange(left.held.first, cut)))
+    if right is not None and cut < hole.end:
+        moves.append(Move(right, LayerRange(cut, right.held.end)))
+    return moves
+
+
+def _fill_anywhere(servers: list[Server], model: ModelProfile) -> list[Move]:
+    """Cover layers that nobody holds in any zone, by free servers or by moving one."""
+    counts = coverage(servers, model)
+    free = [server for server in servers if not server.held.size]
+    moves: list[Move] = []
     while min(counts) == 0:
-        donor = _pick_donor(servers, counts, {move.server.name for move in moves})
-        if donor is None:
-            break
-        for layer in range(donor.held.first, donor.held.end):
-            counts[layer] -= 1
-        moves.append(_cover(donor, _widest_hole(counts), model, counts))
+        hole = _widest_hole(counts)
+        server = _pick_free(free, hole, model)
+        if server is not None:
+            free.remove(server)
+        else:
+            server = _pick_donor(servers, counts, {move.server.name for move in moves})
+            if server is None:
+                break
+            for layer in range(server.held.first, server.held.end):
+                counts[layer] -= 1
+            hole = _widest_hole(counts)
+        moves.append(_cover(server, hole, model, counts))
     return moves
 
 
@@ -236,10 +317,13 @@
     "LayerRange",
     "Move",
     "Server",
+    "best_pipeline",
     "build_pipelines",
     "coverage",
     "fill_holes",
     "layers_within",
     "plan",
+    "request_rate",
+    "room_tokens",
     "wanted_tokens",
 ]
--- a/src/yuccareach/placement/run.py
+++ b/src/yuccareach/placement/run.py
@@ -57,7 +57,10 @@
         while True:
             await asyncio.sleep(PLAN_INTERVAL_S)
             table = self.table()
-            if self.process.state.role is not Role.LEADER or table is None:
+            leads = self.process.state.role is Role.LEADER
+            # Before every member has had time to announce itself, layers seem to lack.
+            warm = self.process.members.warm(monotonic_ms())
+            if not leads or not warm or table is None:
                 self.ordered_by_name.clear()
                 continue
             for service in table.service_by_name.values():
--- a/src/yuccareach/platform/documents.py
+++ b/src/yuccareach/platform/documents.py
@@ -82,6 +82,8 @@
     usual: _Usual = msgspec.field(default_factory=_Usual)
     layers: int = 0
     layerMb: float = 0.0
+    activationBytes: float = 0.0
+    pipeMbps: float = 0.0
     delays: list[_Delay] = []
     kinds: list[_Kind] = []
 
@@ -228,6 +230,8 @@
             frozenset((delay.origin, delay.target)): delay.delay_ms
             for delay in engine.delays
         },
+        activation_bytes=engine.activationBytes,
+        zone_link_mbps=engine.pipeMbps,
     )
 
 
--- a/src/yuccareach/platform/headers.py
+++ b/src/yuccareach/platform/headers.py
@@ -155,6 +155,14 @@
         return {}
 
 
+def read_order_fault(body: bytes) -> str:
+    """Return the address that a refused order names, or an empty string."""
+    try:
+        return str(msgspec.json.decode(body).get("address", ""))
+    except (msgspec.DecodeError, AttributeError):
+        return ""
+
+
 DIALECT = Dialect(
     read_request=read_request,
     send_headers=send_headers,
@@ -163,6 +171,7 @@
     order_path="/-/order",
     report_path="/-/report",
     read_stalled=read_stalled,
+    read_order_fault=read_order_fault,
 )
 
 __all__ = ["DIALECT"]
--- a/src/yuccareach/platform/run_control.py
+++ b/src/yuccareach/platform/run_control.py
@@ -3,19 +3,23 @@
 from __future__ import annotations
 
 import asyncio
-import sys
+import zlib
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 from yuccareach.control.run import ControlOptions, ControlProcess
-from yuccareach.errors import YuccareachError
 from yuccareach.gateway.table import RoutingTable
 from yuccareach.placement.run import Placement
 from yuccareach.platform.control_app import control_app
 from yuccareach.platform.documents import decode_document
 from yuccareach.platform.orders import OrderClient
-from yuccareach.platform.settings import ProcessSettings, load_settings, settings_path
-from yuccareach.runtime import logs
-from yuccareach.runtime.process import serve_until_signal
+from yuccareach.platform.process import run_process
+from yuccareach.platform.settings import ProcessSettings, load_settings
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from yuccareach.runtime.process import Service
 
 # Heartbeats that may be missed before a runner counts as gone.
 MISSED_HEARTBEATS = 3
@@ -36,8 +40,6 @@
 
     def _table(self) -> RoutingTable | None:
         """Return the routing table in force, decoded once a version."""
-        import zlib
-
         document = self.process.machine.document
         if document.version and (
             self.table is None or self.table.version != document.version
@@ -45,6 +47,10 @@
             self.table = decode_document(zlib.decompress(document.content))
         return self.table
 
+    def take_settings(self, path: Path) -> None:
+        """Take what may change while the process runs."""
+        self.process.join_targets = load_settings(path).control_peers
+
     async def start(self) -> None:
         """Serve until stopped."""
         await self.process.start()
@@ -84,18 +90,13 @@
 
 
 def main() -> None:
-    """Run until told to stop; a bad settings file is one clear line."""
-    try:
-        settings = load_settings(settings_path())
-        logs.configure("info", settings.instance)
-        asyncio.run(_serve(settings))
-    except YuccareachError as error:
-        print(f"error: {error}", file=sys.stderr)
-        sys.exit(2)
-
-
-async def _serve(settings: ProcessSettings) -> None:
-    await serve_until_signal(PlatformControl(settings))
+    """Run until told to stop."""
+    run_process(_build)
+
+
+def _build(settings: ProcessSettings) -> tuple[Service, Callable[[Path], None]]:
+    control = PlatformControl(settings)
+    return control, control.take_settings
 
 
 if __name__ == "__main__":
--- a/src/yuccareach/platform/run_gateway.py
+++ b/src/yuccareach/platform/run_gateway.py
@@ -2,21 +2,21 @@
 
 from __future__ import annotations
 
-import asyncio
-import sys
 from typing import TYPE_CHECKING
 
-from yuccareach.errors import YuccareachError
 from yuccareach.gateway.run import GatewayAddresses, GatewayProcess
 from yuccareach.gateway.state import GatewayTerms
 from yuccareach.platform.documents import decode_document
 from yuccareach.platform.headers import DIALECT
-from yuccareach.platform.settings import load_settings, settings_path
-from yuccareach.runtime import logs
-from yuccareach.runtime.process import serve_until_signal
+from yuccareach.platform.process import run_process
+from yuccareach.platform.settings import load_settings
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+    from pathlib import Path
+
     from yuccareach.platform.settings import ProcessSettings
+    from yuccareach.runtime.process import Service
 
 # Part of the time within which a revoked key must be refused everywhere; the rest is
 # for a request that is admitted in the last moment to reach its backend server.
@@ -43,18 +43,18 @@
 
 
 def main() -> None:
-    """Run until told to stop; a bad settings file is one clear line."""
-    try:
-        settings = load_settings(settings_path())
-        logs.configure("info", settings.instance)
-        asyncio.run(_serve(settings))
-    except YuccareachError as error:
-        print(f"error: {error}", file=sys.stderr)
-        sys.exit(2)
-
-
-async def _serve(settings: ProcessSettings) -> None:
-    await serve_until_signal(build_gateway(settings))
+    """Run until told to stop."""
+    run_process(_build)
+
+
+def _build(settings: ProcessSettings) -> tuple[Service, Callable[[Path], None]]:
+    gateway = build_gateway(settings)
+
+    def _take_settings(path: Path) -> None:
+        """Take what may change while the process runs."""
+        gateway.follower.reseed(load_settings(path).control_peers)
+
+    return gateway, _take_settings
 
 
 if __name__ == "__main__":
--- a/src/yuccareach/runtime/process.py
+++ b/src/yuccareach/runtime/process.py
@@ -29,10 +29,13 @@
     return secrets.token_hex(6)
 
 
-async def serve_until_signal(service: Service) -> None:
+async def serve_until_signal(
+    service: Service, reload: Callable[[], None] | None = None
+) -> None:
     """Run a role until SIGTERM or SIGINT, then shut it down gracefully.
 
-    A second signal ends the wait for work in flight.
+    A second signal ends the wait for work in flight. SIGHUP reloads the settings of a
+    role that can.
     """
     loop = asyncio.get_running_loop()
     first, second = asyncio.Event(), asyncio.Event()
@@ -42,6 +45,8 @@
 
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, _signalled)
+    if reload is not None:
+        loop.add_signal_handler(signal.SIGHUP, reload)
     await service.start()
     await first.wait()
     await _first_of(service.drain, second.wait)
