--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -18,9 +18,10 @@
 
 # Callers wait for about four objectives; the rest is for the first event itself.
 WAIT_OBJECTIVES = 3.0
-# Room that became free lately tells how fast a queue moves.
+# Room that was given lately tells how fast a queue moves.
 RATE_WINDOW_S = 2.0
-# Before anything has ended, a queue of this many seconds' room may form.
+# At the start of a burst, what was given at once counts as given over this time.
+LEAST_SPAN_S = 0.5
 LEAST_RETRY_S = 0.2
 MOST_RETRY_S = 6.0
 # One that has waited for this part of its time is not overtaken by smaller requests.
@@ -59,7 +60,8 @@
 
     def __init__(self) -> None:
         self.waiting_by_number: dict[int, Waiting[Room]] = {}
-        self.freed: deque[tuple[float, int]] = deque()
+        # Loop times and tokens of the requests that were given room lately.
+        self.given: deque[tuple[float, int]] = deque()
         self.held_by_workspace: Counter[str] = Counter()
 
     def tokens_ahead(self, ticket: Ticket) -> int:
@@ -73,10 +75,11 @@
     def expected_wait_s(self, ticket: Ticket, now_s: float) -> float | None:
         """Return how long a request would wait; None where nothing moves."""
         self._forget(now_s)
-        freed = sum(tokens for _, tokens in self.freed)
-        if not freed:
+        given = sum(tokens for _, tokens in self.given)
+        if not given:
             return None if self.waiting_by_number else 0.0
-        return (self.tokens_ahead(ticket) + ticket.tokens) * RATE_WINDOW_S / freed
+        span_s = max(LEAST_SPAN_S, now_s - self.given[0][0])
+        return (self.tokens_ahead(ticket) + ticket.tokens) * span_s / given
 
     def should_wait(self, ticket: Ticket, now_s: float) -> bool:
         """Return whether room is likely to come before the caller gives up."""
@@ -98,19 +101,21 @@
         """Stop waiting."""
         self.waiting_by_number.pop(ticket.number, None)
 
-    def hold(self, workspace: str, tokens: int) -> None:
-        """Count the room that a request takes."""
+    def hold(self, workspace: str, tokens: int, now_s: float) -> None:
+        """Count the room that a request is given."""
         self.held_by_workspace[workspace] += tokens
+        self.given.append((now_s, tokens))
+        self._forget(now_s)
 
-    def free(self, workspace: str, tokens: int, now_s: float) -> None:
+    def free(self, workspace: str, tokens: int) -> None:
         """Count the room that a request gives back."""
         self.held_by_workspace[workspace] -= tokens
-        self.freed.append((now_s, tokens))
-        self._forget(now_s)
+        if self.held_by_workspace[workspace] <= 0:
+            del self.held_by_workspace[workspace]
 
     def _forget(self, now_s: float) -> None:
-        while self.freed and now_s - self.freed[0][0] > RATE_WINDOW_S:
-            self.freed.popleft()
+        while self.given and now_s - self.given[0][0] > RATE_WINDOW_S:
+            self.given.popleft()
 
     def order(self, now_s: float) -> list[Waiting[Room]]:
         """Return who is to have room, first come last in doubt."""
@@ -125,12 +130,12 @@
 
     def pump(self, now_s: float) -> None:
         """Give room to those who wait, and let those go who have waited in vain."""
+        for item in self.waiting_by_number.values():
+            if now_s >= item.ticket.waits_until_s and not item.granted.done():
+                item.granted.set_result(None)
         for item in self.order(now_s):
             if item.granted.done():
                 continue
-            if now_s >= item.ticket.waits_until_s:
-                item.granted.set_result(None)
-                continue
             room = item.find_room()
             if room is not None:
                 item.granted.set_result(room)
--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -124,12 +124,16 @@
 
 
 class _Way(NamedTuple):
-    """The cheapest way found to a cut."""
+    """The cheapest way found to a cut that ends in one zone."""
 
     cost: float
     parts: tuple[Part, ...]
 
 
+# By index of a cut, the ways that lead there, by the zone of their last server.
+_Ways = list[dict[str, _Way]]
+
+
 def find_chain(
     graph: Graph, model: ModelProfile, demand: Demand, head: Part | None = None
 ) -> Chain | None:
@@ -137,30 +141,39 @@
 
     A head is a first part that stays as it is; the rest is sought from its end on.
     """
-    best: list[_Way | None] = [None] * len(graph.cuts)
+    ways: _Ways = [{} for _ in graph.cuts]
     start = graph.cuts.index(head.end_layer) if head else 0
-    best[start] = _Way(0.0, (head,) if head else ())
+    start_zone = head.backend.announced.zone if head else demand.zone
+    ways[start][start_zone] = _Way(0.0, (head,) if head else ())
     cost_by_server = _costs(graph, model, demand, head)
     for index in range(start, len(graph.cuts) - 1):
-        way = best[index]
-        if way is None:
-            continue
-        previous = way.parts[-1].backend if way.parts else None
-        for holder in graph.holders[index]:
-            layer_cost = cost_by_server.get(holder.name)
-            if layer_cost is None:
-                continue
-            if previous is None and holder.starting >= STARTS_MOST:
-                continue
-            entered = way.cost + layer_cost.enter
-            entered += _hop_ms(previous, holder, model, demand.zone)
-            _extend(graph, best, index, way, holder, entered, layer_cost.layer)
-    found = best[-1]
+        for way in tuple(ways[index].values()):
+            for holder in graph.holders[index]:
+                cost = cost_by_server.get(holder.name)
+                if cost is not None:
+                    hop_ms = _enter_ms(way, holder, model, demand.zone)
+                    if hop_ms is not None:
+                        entered = way.cost + cost.enter + hop_ms
+                        _extend(graph, ways, index, way, holder, entered, cost.layer)
+    found = min(ways[-1].values(), key=lambda way: way.cost, default=None)
     if found is None:
         return None
     return Chain(found.parts, token_time_ms(found.parts, model, demand.zone))
 
 
+def _enter_ms(
+    way: _Way, holder: Backend, model: ModelProfile, zone: str
+) -> float | None:
+    """Return the cost of going on to a server, or None where it may not be."""
+    if any(part.backend is holder for part in way.parts):
+        return None
+    if way.parts:
+        return _hop_ms(way.parts[-1].backend, holder, model, zone)
+    if holder.starting >= STARTS_MOST:
+        return None
+    return _hop_ms(None, holder, model, zone)
+
+
 class _Cost(NamedTuple):
     """Cost of entering a server, and of each layer there."""
 
@@ -189,7 +202,7 @@
 
 def _extend(
     graph: Graph,
-    best: list[_Way | None],
+    ways: _Ways,
     index: int,
     way: _Way,
     holder: Backend,
@@ -198,16 +211,15 @@
 ) -> None:
     """Note the ways that lead on over one server, to each cut that it reaches."""
     first = graph.cuts[index]
+    zone = holder.announced.zone
     for further in range(index + 1, len(graph.cuts)):
         cut = graph.cuts[further]
         if cut > holder.announced.end_layer:
             return
         cost = entered + layer_cost * (cut - first)
-        known = best[further]
+        known = ways[further].get(zone)
         if known is None or cost < known.cost:
-            if any(part.backend is holder for part in way.parts):
-                return
-            best[further] = _Way(cost, (*way.parts, Part(holder, first, cut)))
+            ways[further][zone] = _Way(cost, (*way.parts, Part(holder, first, cut)))
 
 
 def _hop_ms(
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -138,7 +138,7 @@
     def hold(self, chain: Chain) -> None:
         """Count the request at every backend server of a chain."""
         self.chain = chain
-        self.queue.hold(self.workspace, self.tokens)
+        self.queue.hold(self.workspace, self.tokens, self.gateway.now())
         self._started()
         if not self.attempt_events:
             self.starting_at = chain.parts[0].backend
@@ -158,9 +158,8 @@
             part.backend.tokens -= tokens
             part.backend.running -= 1
         self.attempt_events = 0
-        now_s = self.gateway.now()
-        self.queue.free(self.workspace, self.tokens, now_s)
-        self.queue.pump(now_s)
+        self.queue.free(self.workspace, self.tokens)
+        self.queue.pump(self.gateway.now())
 
 
 async def serve_stream(gateway: Gateway, admitted: Admitted, reply: Reply) -> None:
--- a/src/yuccareach/placement/planner.py
+++ b/src/yuccareach/placement/planner.py
@@ -2,10 +2,10 @@
 
 A fresh fleet is divided into one pipeline for each availability zone, since a hop to
 another zone carries every token's activations over a link that all requests share. A
-pipeline takes the fastest accelerators of its zone, as many as raise the rate at
-which it finishes requests by enough; the others stay free, to step in where one is
-lost. From then on ranges stay where they are, and only holes in the coverage are filled,
-so that few weights are loaded.
+pipeline takes the fastest accelerators of its zone, as many as pay off in requests
+finished in a second; the others stay free, to step in where one is lost. From then on
+ranges stay where they are, and only holes in the coverage are filled, so that few
+weights are loaded.
 """
 
 from __future__ import annotations
@@ -60,13 +60,19 @@
     layers: LayerRange
 
 
-def plan(servers: list[Server], model: ModelProfile) -> list[Move]:
-    """Return what has to change; servers that drain must not be among them."""
+def plan(
+    servers: list[Server], model: ModelProfile, *, divide_anew: bool = False
+) -> list[Move]:
+    """Return what has to change; servers that drain must not be among them.
+
+    With divide_anew, a zone whose holes cannot be closed is divided as a fresh one,
+    which loads many weights.
+    """
     if not any(server.held.size for server in servers):
         return [
             move for pipeline in build_pipelines(servers, model) for move in pipeline
         ]
-    return fill_holes(servers, model)
+    return fill_holes(servers, model, divide_anew=divide_anew)
 
 
 # A fresh fleet.
@@ -177,34 +183,72 @@
     return counts
 
 
-def fill_holes(servers: list[Server], model: ModelProfile) -> list[Move]:
+def fill_holes(
+    servers: list[Server], model: ModelProfile, *, divide_anew: bool
+) -> list[Move]:
     """Close the pipelines of all zones, or at least one that spans them."""
     by_zone: dict[str, list[Server]] = {}
     for server in servers:
         by_zone.setdefault(server.zone, []).append(server)
-    moves = [move for group in by_zone.values() for move in _fill_zone(group, model)]
+    moves = [
+        move
+        for group in by_zone.values()
+        for move in _fill_zone(group, model, divide_anew=divide_anew)
+    ]
     return moves or _fill_anywhere(servers, model)
 
 
-def _fill_zone(servers: list[Server], model: ModelProfile) -> list[Move]:
+def _fill_zone(
+    servers: list[Server], model: ModelProfile, *, divide_anew: bool
+) -> list[Move]:
     """Cover the layers that nobody holds in one zone, by free servers or neighbours."""
-    if not any(server.held.size for server in servers):
+    holders = [server for server in servers if server.held.size]
+    if not holders:
         return best_pipeline(servers, model) or []
-    moves: list[Move] = []
     counts = coverage(servers, model)
+    if min(counts) > 0:
+        return []
+    hole = _widest_hole(counts)
     free = sorted(
         (server for server in servers if not server.held.size),
         key=lambda server: server.decode_factor,
     )
-    while min(counts) == 0:
-        hole = _widest_hole(counts)
-        server = _pick_free(free, hole, model)
-        if server is None:
-            break
-        free.remove(server)
-        moves.append(_cover(server, hole, model, counts))
-    if min(counts) == 0 and not moves:
-        moves = _extend_neighbours(servers, _widest_hole(counts), model)
+    if free:
+        return _cover_by_free(free, hole, holders, model)
+    moves = _extend_neighbours(servers, hole, model)
+    if not moves and divide_anew:
+        moves = best_pipeline(servers, model) or []
+    return moves
+
+
+def _cover_by_free(
+    free: list[Server], hole: LayerRange, holders: list[Server], model: ModelProfile
+) -> list[Move]:
+    """Divide a hole among free servers, enough to leave as much room as the others.
+
+    What they cannot cover remains a hole.
+    """
+    wanted = min(room_tokens(Move(item, item.held), model) for item in holders)
+    tokens = max(wanted, wanted_tokens(model))
+    count = next(
+        (
+            count
+            for count in range(1, len(free) + 1)
+            if _capacity(free[:count], model, tokens) >= hole.size
+        ),
+        len(free),
+    )
+    chosen = free[:count]
+    if _capacity(chosen, model, tokens) < hole.size:
+        tokens = min(tokens, wanted_tokens(model))
+    moves = []
+    first = hole.first
+    for server in chosen:
+        most = max(1, layers_within(server, model, tokens))
+        end = min(hole.end, first + most)
+        if end > first:
+            moves.append(Move(server, LayerRange(first, end)))
+        first = end
     return moves
 
 
--- a/src/yuccareach/placement/run.py
+++ b/src/yuccareach/placement/run.py
@@ -7,7 +7,14 @@
 
 from yuccareach.control.errors import NotLeader
 from yuccareach.control.raft_types import ReadAsked, Role
-from yuccareach.placement.planner import NO_LAYERS, LayerRange, Move, Server, plan
+from yuccareach.placement.planner import (
+    NO_LAYERS,
+    LayerRange,
+    Move,
+    Server,
+    coverage,
+    plan,
+)
 from yuccareach.runtime.logs import logger
 from yuccareach.runtime.reducer import monotonic_ms
 
@@ -25,6 +32,8 @@
 # A range that was ordered counts as held for the time it takes to load, and for this
 # long until a heartbeat tells it.
 CONFIRM_MS = 3_500
+# A server that crashed is back sooner, as a rule.
+LASTING_HOLE_MS = 6_000
 _log = logger("placement")
 
 
@@ -51,6 +60,8 @@
         self.ordered_by_name: dict[str, Ordered] = {}
         self.members_known = 0
         self.settled_ms = 0
+        # When every zone that holds layers was last known to hold all of them.
+        self.whole_ms = monotonic_ms()
 
     async def run(self) -> None:
         """Plan for as long as the process lives."""
@@ -62,6 +73,7 @@
             warm = self.process.members.warm(monotonic_ms())
             if not leads or not warm or table is None:
                 self.ordered_by_name.clear()
+                self.whole_ms = monotonic_ms()
                 continue
             for service in table.service_by_name.values():
                 if service.model is not None:
@@ -69,8 +81,10 @@
 
     async def _place(self, service: str, model: ModelProfile) -> None:
         servers = self._servers(service, model)
-        moves = plan(servers, model) if servers else []
-        if not moves or not self._settled(servers):
+        if not servers or not self._settled(servers):
+            return
+        moves = plan(servers, model, divide_anew=self._hole_lasts(servers, model))
+        if not moves:
             return
         try:
             # An instance that was cut off or suspended must not give orders.
@@ -79,6 +93,18 @@
             return
         await asyncio.gather(*(self._order(move, model) for move in moves))
 
+    def _hole_lasts(self, servers: list[Server], model: ModelProfile) -> bool:
+        """Return whether a zone has lacked layers for longer than a restart takes."""
+        now = monotonic_ms()
+        zones = {server.zone for server in servers if server.held.size}
+        whole = all(
+            min(coverage([item for item in servers if item.zone == zone], model)) > 0
+            for zone in zones
+        )
+        if whole:
+            self.whole_ms = now
+        return now - self.whole_ms > LASTING_HOLE_MS
+
     def _settled(self, servers: list[Server]) -> bool:
         """Return whether a fresh fleet has had time to announce itself."""
         now = monotonic_ms()
--- /dev/null
+++ b/tests/gateway/test_chains.py
@@ -0,0 +1,127 @@
+"""Chains that run every layer once and in order."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from tests.gateway.fleet import MODEL, backend, two_zones
+from yuccareach.gateway.backends import Backend
+from yuccareach.gateway.chains import (
+    STARTS_MOST,
+    Chain,
+    Demand,
+    Part,
+    build_graph,
+    find_chain,
+    memory_tokens,
+)
+
+
+class FindChainTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.backends = two_zones()
+        self.by_name = {item.name: item for item in self.backends}
+
+    def find(
+        self,
+        zone: str = "z1",
+        tokens: int = 974,
+        excluded: frozenset[str] = frozenset(),
+        head: Part | None = None,
+        now_s: float = 0.0,
+    ) -> Chain | None:
+        graph = build_graph(self.backends, MODEL)
+        return find_chain(graph, MODEL, Demand(zone, tokens, now_s, excluded), head)
+
+    def names(self, chain: Chain | None) -> list[str]:
+        assert chain is not None
+        return [part.backend.name for part in chain.parts]
+
+    def test_chain_stays_within_the_zone_of_the_entry(self) -> None:
+        self.assertEqual(self.names(self.find("z1")), ["a1", "a2", "a3", "a4"])
+        self.assertEqual(self.names(self.find("z2")), ["b1", "b2", "b3"])
+
+    def test_zone_with_a_hole_is_left_whole_rather_than_crossed_twice(self) -> None:
+        # Found on the bench: detours through other zones filled the link that all
+        # requests share, until nothing was served any more.
+        self.backends.remove(self.by_name["a3"])
+        self.assertEqual(self.names(self.find("z1")), ["b1", "b2", "b3"])
+
+    def test_full_zone_gives_way_to_one_with_room(self) -> None:
+        self.by_name["a3"].tokens = memory_tokens(self.by_name["a3"], MODEL)
+        self.assertEqual(self.names(self.find("z1")), ["b1", "b2", "b3"])
+
+    def test_tokens_of_other_entries_count(self) -> None:
+        for item in self.backends:
+            item.tokens_elsewhere = memory_tokens(item, MODEL)
+        self.assertIsNone(self.find())
+
+    def test_layers_that_nobody_holds_allow_no_chain(self) -> None:
+        for name in ("a1", "b1"):
+            self.backends.remove(self.by_name[name])
+        self.assertIsNone(self.find())
+
+    def test_server_that_failed_is_taken_only_where_there_is_no_other(self) -> None:
+        self.by_name["a2"].failed(0.0)
+        self.assertEqual(self.names(self.find("z1", now_s=0.1)), ["b1", "b2", "b3"])
+        self.by_name["b2"].failed(0.0)
+        self.assertIsNotNone(self.find("z1", now_s=0.1))
+
+    def test_excluded_incarnation_takes_no_part(self) -> None:
+        chain = self.find("z1", excluded=frozenset({"a1@1"}))
+        self.assertNotIn("a1", self.names(chain))
+
+    def test_detour_keeps_its_first_part(self) -> None:
+        head = Part(self.by_name["a1"], 0, 29)
+        chain = self.find("z1", excluded=frozenset({"a2@1"}), head=head)
+        assert chain is not None
+        self.assertEqual(chain.parts[0], head)
+        self.assertNotIn("a2", self.names(chain))
+
+    def test_starts_at_one_first_stage_are_bounded(self) -> None:
+        self.by_name["a1"].starting = STARTS_MOST
+        self.assertEqual(self.names(self.find("z1")), ["b1", "b2", "b3"])
+
+
+class TilingTests(unittest.TestCase):
+    def test_random_holdings_are_tiled_without_gap_or_overlap(self) -> None:
+        random = Random(5)
+        found = 0
+        for _ in range(300):
+            backends = [self.random_backend(random, number) for number in range(20)]
+            graph = build_graph(backends, MODEL)
+            chain = find_chain(graph, MODEL, Demand("z1", 10, 0.0))
+            if chain is None:
+                self.assertFalse(self.covered(backends))
+                continue
+            found += 1
+            self.check(chain)
+        self.assertGreater(found, 50)
+
+    def random_backend(self, random: Random, number: int) -> Backend:
+        first = random.randrange(0, 80, 5)
+        end = min(80, first + random.choice((5, 10, 15, 20)))
+        zone = random.choice(("z1", "z2", "z3"))
+        return backend(f"s{number}", zone, "a100", first, end)
+
+    def covered(self, backends: list[Backend]) -> bool:
+        held = {
+            layer
+            for item in backends
+            for layer in range(item.announced.first_layer, item.announced.end_layer)
+        }
+        return held == set(range(80))
+
+    def check(self, chain: Chain) -> None:
+        layer = 0
+        for part in chain.parts:
+            self.assertEqual(part.first_layer, layer)
+            self.assertLess(part.first_layer, part.end_layer)
+            held = part.backend.announced
+            self.assertLessEqual(held.first_layer, part.first_layer)
+            self.assertLessEqual(part.end_layer, held.end_layer)
+            layer = part.end_layer
+        self.assertEqual(layer, 80)
+        names = [part.backend.name for part in chain.parts]
+        self.assertEqual(len(names), len(set(names)))
--- /dev/null
+++ b/tests/platform/deployment.py
@@ -0,0 +1,166 @@
+"""Control, a gateway and stand-in runners in one process, over loopback sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+import yaml
+
+from tests.platform.examples import HOST, KEY, MODEL, PLAIN, document, settings
+from yuccareach.gateway.run import GatewayProcess
+from yuccareach.placement.planner import LayerRange
+from yuccareach.platform.run_control import PlatformControl
+from yuccareach.platform.run_gateway import build_gateway
+from yuccareach.platform.settings import ProcessSettings, load_settings
+from yuccareach.platform.standin import Group, Runner, put_document
+
+HEARTBEAT_MS = 200
+WAIT_S = 20
+
+
+def free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Answer:
+    """What a caller got."""
+
+    def __init__(self, status: int, headers: Any, body: bytes, whole: bool) -> None:
+        self.status = status
+        self.headers = headers
+        self.body = body
+        self.whole = whole
+
+
+class DeploymentTestCase(unittest.IsolatedAsyncioTestCase):
+    """One control instance and one gateway; runners are added by the tests."""
+
+    revocation_ms = 5_000
+
+    async def asyncSetUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.peer_port = free_port()
+        self.control_address = f"127.0.0.1:{free_port()}"
+        self.group = Group(80)
+        self.control = PlatformControl(self.process_settings("control"))
+        await self.control.start()
+        self.addAsyncCleanup(self.stop_control)
+        self.gateway = build_gateway(self.process_settings("gateway"))
+        await self.gateway.start()
+        self.addAsyncCleanup(self.gateway.stop)
+        self.http = aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(force_close=True)
+        )
+        self.addAsyncCleanup(self.http.close)
+        await self.until(lambda: self.leads())
+        self.assertEqual(await put_document(self.control_address, document()), 200)
+
+    def leads(self) -> bool:
+        return str(self.control.process.state.role) == "leader"
+
+    async def stop_control(self) -> None:
+        control, self.control = self.control, None  # type: ignore[assignment]
+        if control is not None:
+            await control.stop()
+
+    def process_settings(self, name: str) -> ProcessSettings:
+        listen = {
+            "front": "127.0.0.1:0",
+            "ready": "127.0.0.1:0",
+            "control": self.control_address,
+        }
+        content = settings(
+            nodeId=name,
+            listen=listen,
+            internalPorts=[self.peer_port, self.peer_port + 1],
+            seeds=[self.control_address],
+            dataDir=str(self.folder / name),
+            heartbeatMs=HEARTBEAT_MS,
+            faultTolerance={"machines": 0},
+            bounds={"revokeMs": self.revocation_ms, "budgetSlack": 200, "graceS": 8},
+        )
+        path = self.folder / f"{name}.yaml"
+        path.write_text(yaml.safe_dump(content))
+        return load_settings(path)._replace(metrics_port=0)
+
+    async def until(self, condition: Any) -> None:
+        async with asyncio.timeout(WAIT_S):
+            while not condition():
+                await asyncio.sleep(0.02)
+
+    async def add_runner(
+        self, name: str, kind: str = "", first: int = 0, end: int = 0, zone: str = "z1"
+    ) -> Runner:
+        runner = Runner(self.group, name, MODEL if kind else PLAIN, zone, kind)
+        runner.layers = LayerRange(first, end)
+        await runner.start()
+        self.addAsyncCleanup(runner.stop)
+        task = asyncio.create_task(runner.announce([self.control_address]))
+        runner.announcing = task  # type: ignore[attr-defined]
+        self.addCleanup(task.cancel)
+        return runner
+
+    async def add_pipeline(self, zone: str) -> list[Runner]:
+        """Add three runners that hold a whole model, with room for small requests."""
+        return [
+            await self.add_runner(f"{zone}-1", "a100", 0, 30, zone),
+            await self.add_runner(f"{zone}-2", "a100", 30, 60, zone),
+            await self.add_runner(f"{zone}-3", "a100", 60, 80, zone),
+        ]
+
+    async def known(self, *names: str) -> None:
+        """Wait until the gateway knows some runners and their layers."""
+        fleet = self.gateway.gateway.fleet
+        await self.until(lambda: set(names) <= set(fleet.backend_by_name))
+
+    @property
+    def process(self) -> GatewayProcess:
+        return self.gateway
+
+    async def ask(
+        self,
+        path: str,
+        request_id: str,
+        *,
+        method: str = "POST",
+        key: str | None = KEY,
+        events: int = 0,
+        on_event: Any = None,
+        **headers: str,
+    ) -> Answer:
+        port = self.gateway.callers.listeners[0].sockets[0].getsockname()[1]
+        sent = {
+            "Host": HOST,
+            "Yuccareach-Request-Id": request_id,
+            "Yuccareach-Deadline-Ms": "4000",
+            **{name.replace("_", "-"): value for name, value in headers.items()},
+        }
+        if key is not None:
+            sent["Authorization"] = f"Token {key}"
+        if events:
+            sent["Yuccareach-Token-Usage"] = f"100,{events}"
+        url = f"http://127.0.0.1:{port}{path}"
+        body = b""
+        async with self.http.request(method, url, headers=sent, data=b"x") as answer:
+            try:
+                async for chunk in answer.content.iter_any():
+                    body += chunk
+                    if on_event is not None:
+                        await on_event(body)
+            except aiohttp.ClientError:
+                return Answer(answer.status, answer.headers, body, False)
+            return Answer(answer.status, answer.headers, body, True)
+
+
+__all__ = ["Answer", "DeploymentTestCase"]
--- /dev/null
+++ b/tests/platform/test_documents.py
@@ -0,0 +1,70 @@
+"""The operator's configuration."""
+
+from __future__ import annotations
+
+import json
+import unittest
+from typing import Any
+
+from tests.platform.examples import HOST, KEY, MODEL, PLAIN, document, route
+from yuccareach.gateway.table import RouteKind, RoutingTable
+from yuccareach.platform.documents import decode_document
+from yuccareach.platform.errors import InvalidDocument
+
+
+def decode(value: dict[str, Any]) -> RoutingTable:
+    return decode_document(json.dumps(value).encode())
+
+
+class DecodeDocumentTests(unittest.TestCase):
+    def test_route_with_the_longest_prefix_serves_a_path(self) -> None:
+        routes = [route("/a/", "safe", PLAIN), route("/a/b/", "stream", MODEL)]
+        table = decode(document(routes=routes))
+        matched = table.match(HOST, "/a/b/c")
+        assert matched is not None
+        self.assertEqual(matched.path_prefix, "/a/b/")
+        self.assertIs(matched.kind, RouteKind.STREAM)
+        self.assertIsNone(table.match(HOST, "/ab"))
+        self.assertIsNone(table.match("other.example", "/a/b/c"))
+
+    def test_stream_may_be_repeated_only_where_it_may_be_resumed(self) -> None:
+        routes = [
+            route("/s/", "stream", MODEL),
+            route("/r/", "stream", MODEL, streamResume=True),
+            route("/u/", "unsafe", PLAIN),
+            route("/g/", "safe", PLAIN),
+        ]
+        table = decode(document(routes=routes))
+        idempotent = {
+            item.path_prefix: item.idempotent for item in table.routes_by_host[HOST]
+        }
+        expected = {"/s/": False, "/r/": True, "/u/": False, "/g/": True}
+        self.assertEqual(idempotent, expected)
+
+    def test_keys_lead_to_workspaces(self) -> None:
+        table = decode(document())
+        self.assertEqual(table.workspace_by_key[KEY].name, "a")
+        self.assertTrue(table.keyed)
+        self.assertFalse(decode(document(tenants=None)).keyed)
+
+    def test_invalid_documents_are_refused_with_their_reason(self) -> None:
+        split = [{"service": PLAIN, "weight": 0}]
+        twice = [route("/a/", "safe", PLAIN), route("/a/", "unsafe", PLAIN)]
+        tenants = [{"name": "a", "apiKeys": ["k"]}, {"name": "b", "apiKeys": ["k"]}]
+        cases = {
+            "unknown service": document(routes=[route("/a/", "safe", "none")]),
+            "host and prefix": document(routes=twice),
+            "weights": document(routes=[route("/a/", "safe", "", trafficSplit=split)]),
+            "timeoutMs": document(routes=[route("/a/", "safe", PLAIN, timeoutMs=0)]),
+            "shares a key": document(tenants=tenants),
+        }
+        for reason, invalid in cases.items():
+            with self.subTest(reason=reason):
+                with self.assertRaisesRegex(InvalidDocument, reason):
+                    decode(invalid)
+
+    def test_document_that_is_cut_short_is_refused(self) -> None:
+        whole = json.dumps(document()).encode()
+        for end in (0, 1, len(whole) // 2, len(whole) - 1):
+            with self.subTest(end=end), self.assertRaises(InvalidDocument):
+                decode_document(whole[:end])
--- /dev/null
+++ b/tests/platform/test_headers.py
@@ -0,0 +1,87 @@
+"""Requests and answers as the platform spells them."""
+
+from __future__ import annotations
+
+import unittest
+
+from yuccareach.gateway.dialect import SendFacts, Stage
+from yuccareach.platform.headers import DIALECT
+
+
+class RequestTests(unittest.TestCase):
+    def test_facts_of_a_generation(self) -> None:
+        facts = DIALECT.read_request(
+            [
+                (b"yuccareach-request-id", b"r1"),
+                (b"yuccareach-deadline-ms", b"20000"),
+                (b"yuccareach-token-usage", b"1460,80"),
+                (b"yuccareach-length-hint", b"50"),
+                (b"last-event-id", b"12"),
+                (b"authorization", b"Token secret"),
+            ]
+        )
+        self.assertEqual(facts.request_id, b"r1")
+        self.assertEqual(facts.deadline_ms, 20_000)
+        self.assertEqual((facts.prompt_tokens, facts.max_answer_tokens), (1460, 80))
+        self.assertEqual(facts.expected_answer_tokens, 50)
+        self.assertEqual(facts.last_event_id, 12)
+        self.assertEqual(facts.api_key, "secret")
+
+    def test_neither_the_key_nor_what_we_set_ourselves_is_passed_on(self) -> None:
+        headers = [
+            (b"host", b"h"),
+            (b"x-own", b"1"),
+            (b"x-hop", b"2"),
+            (b"connection", b"x-hop, keep-alive"),
+            (b"authorization", b"Token secret"),
+            (b"yuccareach-tenant", b"someone-else"),
+            (b"yuccareach-target-runner", b"i-0"),
+            (b"yuccareach-hop-count", b"1.2.3.4:5=0-80"),
+            (b"yuccareach-model", b"m"),
+            (b"transfer-encoding", b"chunked"),
+        ]
+        forwarded = dict(DIALECT.read_request(headers).forwarded)
+        self.assertEqual(set(forwarded), {b"host", b"x-own", b"yuccareach-model"})
+
+    def test_numbers_that_are_none_are_left_out(self) -> None:
+        facts = DIALECT.read_request(
+            [(b"yuccareach-deadline-ms", b"soon"), (b"yuccareach-token-usage", b",")]
+        )
+        self.assertIsNone(facts.deadline_ms)
+        self.assertEqual(facts.prompt_tokens, 0)
+        self.assertIsNone(facts.api_key)
+
+
+class SendTests(unittest.TestCase):
+    def test_chain_is_told_to_the_first_runner(self) -> None:
+        stages = (Stage("i-1", "1.1.1.1:1", 0, 30), Stage("i-2", "2.2.2.2:2", 30, 80))
+        headers = dict(DIALECT.send_headers(SendFacts(900, "i-1", "a", stages, 7, 2)))
+        self.assertEqual(
+            headers[b"Yuccareach-Hop-Count"], b"1.1.1.1:1=0-30,2.2.2.2:2=30-80"
+        )
+        self.assertEqual(headers[b"Yuccareach-Target-Runner"], b"i-1")
+        self.assertEqual(headers[b"Yuccareach-Tenant"], b"a")
+        self.assertEqual(headers[b"Last-Event-Id"], b"7")
+
+
+class AnswerTests(unittest.TestCase):
+    def test_only_a_stated_refusal_has_not_run(self) -> None:
+        refused = [(b"yuccareach-not-executed", b"1"), (b"at-server", b"1.1.1.1:1")]
+        facts = DIALECT.read_answer(503, refused)
+        self.assertTrue(facts.not_run)
+        self.assertEqual(facts.faulty_address, "1.1.1.1:1")
+        self.assertTrue(DIALECT.read_answer(421, []).not_run)
+        self.assertFalse(DIALECT.read_answer(503, []).not_run)
+
+    def test_load_that_cannot_be_read_is_left_out(self) -> None:
+        facts = DIALECT.read_answer(200, [(b"yuccareach-runner-load", b"1,x")])
+        self.assertIsNone(facts.running)
+
+
+class ReportTests(unittest.TestCase):
+    def test_stalled_requests_name_what_they_wait_for(self) -> None:
+        report = b'{"stalled":[{"id":"r1","address":"1.1.1.1:1"}]}'
+        self.assertEqual(DIALECT.read_stalled(report), {b"r1": "1.1.1.1:1"})
+        for broken in (b"", b"[]", b'{"stalled":[{}]}', b'{"stalled":3}'):
+            with self.subTest(report=broken):
+                self.assertEqual(DIALECT.read_stalled(broken), {})
--- /dev/null
+++ b/tests/platform/test_settings.py
@@ -0,0 +1,55 @@
+"""The settings file of a process."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+import yaml
+
+from tests.platform.examples import settings
+from yuccareach.platform.errors import InvalidProcessSettings
+from yuccareach.platform.run_control import control_options
+from yuccareach.platform.settings import ProcessSettings, load_settings
+
+
+class LoadSettingsTests(unittest.TestCase):
+    def load(self, **fields: Any) -> ProcessSettings:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        path = Path(folder.name) / "local.yaml"
+        path.write_text(yaml.safe_dump(settings(**fields)))
+        return load_settings(path)
+
+    def test_fields_that_are_not_known_are_ignored(self) -> None:
+        loaded = self.load()
+        self.assertEqual(loaded.instance, "front-z1-1")
+        self.assertEqual(loaded.control_peers, ("127.0.0.1:7340", "127.0.0.2:7340"))
+        self.assertEqual(loaded.revocation_ms, 5_000)
+
+    def test_only_the_first_seed_starts_a_cluster_and_only_at_first(self) -> None:
+        self.assertTrue(self.load().bootstraps)
+        self.assertFalse(self.load(bootstrap=False).bootstraps)
+        listen = {"control": "127.0.0.2:8003"}
+        self.assertFalse(self.load(listen=listen).bootstraps)
+
+    def test_voters_outnumber_the_losses_to_be_borne(self) -> None:
+        options = control_options(self.load(faultTolerance={"machines": 2}))
+        self.assertEqual(options.voters, 5)
+
+    def test_bad_file_is_one_clear_line(self) -> None:
+        cases: list[dict[str, Any]] = [
+            {"internalPorts": [7340]},
+            {"seeds": []},
+            {"zone": 3},
+            {"heartbeatMs": "often"},
+        ]
+        for fields in cases:
+            with self.subTest(fields=fields):
+                with self.assertRaises(InvalidProcessSettings) as raised:
+                    self.load(**fields)
+                self.assertNotIn("\n", str(raised.exception))
+        with self.assertRaises(InvalidProcessSettings):
+            load_settings(Path("/nonexistent/local.yaml"))
--- /dev/null
+++ b/tests/platform/test_whole_path.py
@@ -0,0 +1,260 @@
+"""The whole path: operator, control, gateway and runners."""
+
+from __future__ import annotations
+
+import asyncio
+import json
+from typing import Any
+
+from tests.platform.deployment import Answer, DeploymentTestCase
+from tests.platform.examples import MODEL, PLAIN, document, route
+from yuccareach.platform.standin import Runner, get_document, put_document, tiles_layers
+
+
+def events_of(answer: Answer) -> list[int]:
+    """Return the ids of a stream's events, each of which ran every layer once."""
+    lines = answer.body.decode().split("\n")
+    assert not any(line.endswith("bad") for line in lines), answer.body
+    return [int(line[4:]) for line in lines if line.startswith("id: ")]
+
+
+class StreamTests(DeploymentTestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.near = await self.add_pipeline("z1")
+        self.far = await self.add_pipeline("z2")
+        await self.known(*(runner.name for runner in (*self.near, *self.far)))
+
+    def slow(self) -> None:
+        for runner in (*self.near, *self.far):
+            runner.event_interval_s = 0.02
+
+    async def stream(self, events: int, on_event: Any = None) -> Answer:
+        return await self.ask("/draft/1", "r1", events=events, on_event=on_event)
+
+    async def test_many_streams_arrive_whole_with_their_own_ids(self) -> None:
+        answers = await asyncio.gather(
+            *(self.ask("/draft/1", f"r{number}", events=20) for number in range(20))
+        )
+        for number, answer in enumerate(answers):
+            self.assertEqual(answer.status, 200)
+            self.assertTrue(answer.whole)
+            self.assertEqual(events_of(answer), list(range(1, 21)))
+            self.assertEqual(answer.headers["Yuccareach-Request-Id"], f"r{number}")
+
+    async def test_neither_key_nor_claimed_tenant_reaches_a_runner(self) -> None:
+        await self.ask("/draft/1", "r1", events=2, Yuccareach_Tenant="someone")
+        seen = self.near[0].headers_seen[-1]
+        self.assertNotIn("Authorization", seen)
+        self.assertEqual(seen["Yuccareach-Tenant"], "a")
+        self.assertLessEqual(int(seen["Yuccareach-Deadline-Ms"]), 4_000)
+
+    async def lose(self, runner: Runner, announced: bool) -> None:
+        runner.announcing.cancel()  # type: ignore[attr-defined]
+        await runner.stop()
+
+    async def stream_with_loss(self, lost: Runner) -> Answer:
+        """Lose a runner once a stream is under way."""
+        self.slow()
+        gone = False
+
+        async def _lose(body: bytes) -> None:
+            nonlocal gone
+            if not gone and body.count(b"id:") >= 5:
+                gone = True
+                await self.lose(lost, announced=False)
+
+        return await self.stream(40, _lose)
+
+    async def test_lost_stage_is_replaced_within_the_answer(self) -> None:
+        answer = await self.stream_with_loss(self.near[1])
+        self.assertTrue(answer.whole)
+        self.assertEqual(events_of(answer), list(range(1, 41)))
+        self.assertEqual(self.group.runs.count("r1"), 1)
+
+    async def test_lost_first_stage_has_the_stream_resumed_elsewhere(self) -> None:
+        answer = await self.stream_with_loss(self.near[0])
+        self.assertTrue(answer.whole)
+        self.assertEqual(events_of(answer), list(range(1, 41)))
+
+    async def test_broken_stream_is_resumed_after_its_last_event(self) -> None:
+        self.near[0].cut_after_events = 7
+        answer = await self.stream(20)
+        self.assertEqual(events_of(answer), list(range(1, 21)))
+        self.assertEqual(self.far[0].headers_seen[-1]["Last-Event-Id"], "7")
+
+    async def test_stream_that_cannot_be_finished_does_not_look_whole(self) -> None:
+        for runner in (self.near[0], self.far[0]):
+            runner.cut_after_events = 7
+        answer = await self.stream(20)
+        self.assertEqual(events_of(answer), list(range(1, 8)))
+        self.assertFalse(answer.whole)
+
+    async def test_full_runner_is_passed_over(self) -> None:
+        self.near[0].full = True
+        answer = await self.stream(5)
+        self.assertEqual(events_of(answer), list(range(1, 6)))
+        self.assertEqual(self.group.runs, ["r1"])
+
+    async def test_refusal_when_all_are_full_is_true_and_says_when_to_return(
+        self,
+    ) -> None:
+        for runner in (self.near[0], self.far[0]):
+            runner.full = True
+        answer = await self.stream(5)
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), 0)
+        self.assertEqual(self.group.runs, [])
+
+    async def test_draining_runner_gets_no_new_streams(self) -> None:
+        self.near[0].draining = True
+        fleet = self.gateway.gateway.fleet
+        name = self.near[0].name
+        await self.until(lambda: fleet.backend_by_name[name].announced.draining)
+        await self.stream(5)
+        self.assertEqual(self.near[0].headers_seen, [])
+
+
+class CallTests(DeploymentTestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.runners = [await self.add_runner(f"p{number}") for number in range(2)]
+        await self.known("p0", "p1")
+
+    async def test_call_is_answered_unchanged(self) -> None:
+        answer = await self.ask("/claim/1", "r1")
+        self.assertEqual((answer.status, answer.body), (200, b"x"))
+        self.assertTrue(answer.headers["Yuccareach-Runner-Signature"].endswith("r1"))
+
+    async def test_callers_without_a_right_are_turned_away(self) -> None:
+        self.assertEqual((await self.ask("/claim/1", "r1", key="no")).status, 401)
+        self.assertEqual((await self.ask("/claim/1", "r2", key=None)).status, 401)
+        self.assertEqual((await self.ask("/none/1", "r3")).status, 404)
+        self.assertEqual((await self.ask("/open/1", "r4", key=None)).status, 200)
+        self.assertEqual(self.group.runs, ["r4"])
+
+    async def test_non_idempotent_call_that_may_have_run_is_not_sent_again(
+        self,
+    ) -> None:
+        for runner in self.runners:
+            runner.silent = True
+        answer = await self.ask("/claim/1", "r1", Yuccareach_Deadline_Ms="300")
+        self.assertEqual(answer.status, 504)
+        self.assertEqual(sum(len(r.headers_seen) for r in self.runners), 1)
+
+    async def test_idempotent_call_is_sent_on_from_a_silent_runner(self) -> None:
+        self.runners[0].silent = True
+        answer = await self.ask("/look/1", "r1", method="GET")
+        self.assertEqual(answer.status, 200)
+
+    async def test_failure_of_the_runner_is_passed_on(self) -> None:
+        for runner in self.runners:
+            runner.status = 500
+        answer = await self.ask("/claim/1", "r1")
+        self.assertEqual(answer.status, 500)
+        self.assertIn("Yuccareach-Runner-Signature", answer.headers)
+
+    async def test_full_service_is_a_refusal_that_did_not_run(self) -> None:
+        for runner in self.runners:
+            runner.full = True
+        answer = await self.ask("/claim/1", "r1")
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
+
+    async def test_reused_address_does_not_get_another_servers_call(self) -> None:
+        # The runner at this address now has another id, which the gateway cannot know.
+        self.runners[0].name = "reborn"
+        self.runners[1].full = True
+        answer = await self.ask("/claim/1", "r1")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self.group.runs, [])
+
+
+class DocumentTests(DeploymentTestCase):
+    async def test_highest_version_wins_and_resends_are_acknowledged(self) -> None:
+        control = self.control_address
+        other = document(routes=[route("/new/", "safe", PLAIN)])
+        for version, content in ((9, other), (8, document()), (9, document())):
+            status = await put_document(control, {**content, "version": version})
+            self.assertEqual(status, 200)
+        status, content = await get_document(control)
+        self.assertEqual(status, 200)
+        self.assertEqual(json.loads(content), {**other, "version": 9})
+        gateway = self.gateway.gateway
+        await self.until(lambda: gateway.table and gateway.table.version == 9)
+        self.assertEqual((await self.ask("/claim/1", "r1")).status, 404)
+
+    async def test_invalid_document_changes_nothing(self) -> None:
+        invalid = document(version=9, routes=[route("/a/", "safe", "unknown")])
+        self.assertEqual(await put_document(self.control_address, invalid), 400)
+        _, content = await get_document(self.control_address)
+        self.assertEqual(json.loads(content)["version"], 7)
+
+    async def test_malformed_heartbeat_names_no_runner_and_hurts_no_other(
+        self,
+    ) -> None:
+        await self.add_runner("p0")
+        await self.known("p0")
+        url = f"http://{self.control_address}/-/runners/p0/heartbeat"
+        for body in (b"{", b"[]", b'{"service": 3}'):
+            async with self.http.post(url, data=body) as answer:
+                self.assertEqual(answer.status, 400)
+        self.assertEqual((await self.ask("/claim/1", "r1")).status, 200)
+
+
+class RevocationTests(DeploymentTestCase):
+    revocation_ms = 1_200
+
+    async def test_key_is_refused_where_control_is_out_of_reach(self) -> None:
+        await self.add_runner("p0")
+        await self.known("p0")
+        self.assertEqual((await self.ask("/claim/1", "r1")).status, 200)
+        await self.stop_control()
+        await self.until(lambda: not self.gateway.gateway.leased)
+        answer = await self.ask("/claim/1", "r2")
+        self.assertEqual(answer.status, 503)
+        self.assertEqual((await self.ask("/open/1", "r3", key=None)).status, 200)
+        self.assertFalse(self.gateway.gateway.ready)
+
+
+class PlacementTests(DeploymentTestCase):
+    async def test_empty_fleet_is_placed_before_the_first_request(self) -> None:
+        runners = [
+            await self.add_runner(f"{zone}-{kind}-{number}", kind, zone=zone)
+            for zone in ("z1", "z2")
+            for kind, count in (("a100", 1), ("l40s", 4), ("l4", 1))
+            for number in range(count)
+        ]
+        fleet = self.gateway.gateway.fleet
+        holding = [runner for runner in runners if runner.kind != "l4"]
+        await self.until(lambda: all(runner.layers.size for runner in holding))
+        await self.until(
+            lambda: sum(
+                backend.announced.end_layer - backend.announced.first_layer
+                for backend in fleet.backend_by_name.values()
+            )
+            >= 160
+        )
+        answer = await self.ask("/draft/1", "r1", events=10)
+        self.assertEqual(events_of(answer), list(range(1, 11)))
+        (path,) = [
+            runner.path_by_request["r1"]
+            for runner in runners
+            if "r1" in runner.path_by_request
+        ]
+        self.assertTrue(tiles_layers(path, 80))
+        self.assertEqual({runner.service for runner in runners}, {MODEL})
+
+
+class DrainTests(DeploymentTestCase):
+    async def test_shutdown_finishes_what_is_in_flight(self) -> None:
+        for runner in await self.add_pipeline("z1"):
+            runner.event_interval_s = 0.05
+        await self.known("z1-1", "z1-2", "z1-3")
+        stream = asyncio.create_task(self.ask("/draft/1", "r1", events=70))
+        await self.until(lambda: self.gateway.gateway.streams)
+        await self.gateway.drain()
+        self.assertFalse(self.gateway.gateway.ready)
+        answer = await stream
+        self.assertTrue(answer.whole)
+        self.assertEqual(len(events_of(answer)), 70)
