Hot replicas on spare cards, lost stages found by connecting, members recalled

Cause: a stage that crashed was found only by its neighbours' report, a good half second later, and its streams went over other zones until spares had loaded; after a restart of all processes members were unknown until they announced themselves, up to four seconds.

Change: spare cards hold the layers with least room as well; gateways connect to the stages of a stream that pauses unusually long; control writes its members down and recalls them.

--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -10,6 +10,8 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from yuccareach.proto import control_pb2 as cpb
 
 LEASE_MS = 3_000
@@ -18,6 +20,8 @@
 MEMBER_BYTES = 100
 SILENT_SOURCE_MS = 10_000
 DEPARTURES_KEPT = 10_000
+# After a restart, members may be slow to find a control instance again.
+RECALLED_LEASE_MS = 10_000
 # A heartbeat may arrive this long after its sender has left.
 TOMBSTONE_MS = 60_000
 LAST_SEQUENCE = (1 << 64) - 1
@@ -36,6 +40,8 @@
         self.revision = 0
         # Whether its agent's stream to this instance is open.
         self.attached = False
+        # Whether it is only known from before a restart of this instance.
+        self.recalled = False
 
 
 class Departure(NamedTuple):
@@ -92,13 +98,14 @@
                 member, now_ms, source
             )
             self._mark(known, now_ms)
-        changed = _visible(known.member) != _visible(member)
+        changed = known.recalled or _visible(known.member) != _visible(member)
         load_due = now_ms - known.forwarded_ms >= self._load_interval_ms()
         loaded = known.forwarded_load != _loaded(member)
         known.member = member
         known.heard_ms = now_ms
         known.source = source
         known.attached = not source
+        known.recalled = False
         known.revision = max(known.revision, revision)
         if changed or (loaded and load_due):
             self._mark(known, now_ms)
@@ -117,7 +124,8 @@
         known = self.heard_by_name.get(member.backend_server)
         if known is not None:
             known_order = (known.member.started_ms, known.member.sequence)
-            if order < known_order or (order == known_order and not relayed):
+            repeated = order == known_order and not relayed and not known.recalled
+            if order < known_order or repeated:
                 return True
         rivals = [
             heard.member
@@ -202,17 +210,31 @@
         expired = [
             name
             for name, heard in self.heard_by_name.items()
-            if (
-                now_ms - heard.heard_ms > self.lease_ms
-                if not heard.source
-                else now_ms - max(heard.heard_ms, heard_ms_by_source[heard.source])
-                > SILENT_SOURCE_MS
-            )
+            if self._expired(heard, now_ms, heard_ms_by_source)
         ]
         for name in expired:
             self._depart(name)
         return expired
 
+    def _expired(
+        self, heard: HeardMember, now_ms: int, heard_ms_by_source: dict[str, int]
+    ) -> bool:
+        if heard.recalled:
+            return now_ms - heard.heard_ms > RECALLED_LEASE_MS
+        if not heard.source:
+            return now_ms - heard.heard_ms > self.lease_ms
+        last_ms = max(heard.heard_ms, heard_ms_by_source[heard.source])
+        return now_ms - last_ms > SILENT_SOURCE_MS
+
+    def recall(self, members: Iterable[cpb.Member], now_ms: int) -> None:
+        """Take members known before a restart, until they are heard of or expire."""
+        for member in members:
+            self.hear(member, now_ms)
+            known = self.heard_by_name.get(member.backend_server)
+            if known is not None:
+                known.recalled = True
+                known.attached = False
+
     def _depart(self, name: str) -> None:
         del self.heard_by_name[name]
         self.version += 1
@@ -234,7 +256,7 @@
         return [
             heard
             for heard in self.heard_by_name.values()
-            if not heard.source and heard.version > version
+            if not heard.source and not heard.recalled and heard.version > version
         ]
 
     def departed_after(self, version: int) -> list[str]:
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -55,6 +55,8 @@
 # Longer than elections take, so that only one who was removed asks again.
 REJOIN_AFTER_MS = 2_500
 REOPEN_DISK_MS = 500
+# Members change rarely; a save costs one sync of the disk.
+MEMBERS_SAVE_S = 0.5
 DRAIN_SETTLE_MS = 10
 _log = logger("control")
 
@@ -99,6 +101,9 @@
         self.run_id = new_incarnation()
         self.members = MemberTable(monotonic_ms(), options.member_lease_ms)
         self.views = Views()
+        recalled = self.store.load_members().heard
+        self.members.recall((item.member for item in recalled), monotonic_ms())
+        self.saved_members = self.members.version
         self.watchers: set[Watcher] = set()
         self.relayed_watchers: dict[str, list[cpb.WatchRequest]] = {}
         self.relay_heard_ms: dict[str, int] = {}
@@ -156,6 +161,7 @@
         self.tasks = [
             asyncio.create_task(self._tick()),
             asyncio.create_task(self._relay()),
+            asyncio.create_task(self._remember_members()),
         ]
         if options.join:
             self.tasks.append(asyncio.create_task(self._stay_joined()))
@@ -428,6 +434,22 @@
                 dismissed=dismissed,
             )
 
+    async def _remember_members(self) -> None:
+        """Write down who is a member, so that a restart does not begin with nobody."""
+        while True:
+            await asyncio.sleep(MEMBERS_SAVE_S)
+            version = self.members.version
+            if version == self.saved_members or self.state.role is Role.FAILED:
+                continue
+            heard = self.members.heard_by_name.values()
+            frame = cpb.RaftFrame(heard=[cpb.Heartbeat(member=h.member) for h in heard])
+            try:
+                self.store.save_members(frame)
+            except DiskFailed as error:
+                _log.warning("members_not_saved", extra={"reason": str(error)})
+                continue
+            self.saved_members = version
+
     def revisions_in_force(self) -> list[cpb.WatchRequest]:
         """Return what every watching process reports, here and elsewhere."""
         relayed = itertools.chain.from_iterable(self.relayed_watchers.values())
--- a/src/yuccareach/control/store.py
+++ b/src/yuccareach/control/store.py
@@ -191,6 +191,20 @@
         except OSError as error:
             raise DiskFailed(f"{path}: {error.strerror}") from error
 
+    def save_members(self, members: cpb.RaftFrame) -> None:
+        """Replace the list of members known here, synced."""
+        self._replace(self.folder / "members", members.SerializeToString())
+
+    def load_members(self) -> cpb.RaftFrame:
+        """Return the members known before a restart; damage only loses them."""
+        path = self.folder / "members"
+        if not path.exists():
+            return cpb.RaftFrame()
+        try:
+            return cpb.RaftFrame.FromString(self._read_whole(path))
+        except (OSError, CorruptLog, DecodeError):
+            return cpb.RaftFrame()
+
     def check_writable(self) -> None:
         """Write and remove a file; raises DiskFailed where the disk refuses."""
         path = self.folder / "writable"
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -49,6 +49,7 @@
         self.avoid_until_s = 0.0
         # Set where it could not be connected to, or was named as the cause of a stall.
         self.unreachable_until_s = 0.0
+        self.probed_s = -1.0
 
     @property
     def name(self) -> str:
--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -268,6 +268,13 @@
             )
         return connection
 
+    def keep_fresh(self, connection: BackendConnection) -> None:
+        """Keep a connection that nothing was sent on yet."""
+        now_s = asyncio.get_running_loop().time()
+        connection.idle_since_s = now_s
+        connection.reusable_until_s = now_s + DEFAULT_KEEP_ALIVE_S
+        self.give_back(connection)
+
     def give_back(self, connection: BackendConnection) -> None:
         """Keep a connection for later requests, if it may be used again."""
         if connection.usable:
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -7,13 +7,14 @@
 
 from yuccareach.gateway.chains import Chain, find_chain
 from yuccareach.gateway.http_client import ask
+from yuccareach.gateway.probes import find_lost, suspected
 from yuccareach.gateway.streams import StreamRun, describe, stages
 
 if TYPE_CHECKING:
     from yuccareach.gateway.backends import Backend
     from yuccareach.gateway.state import Gateway
 
-WATCH_INTERVAL_S = 0.1
+WATCH_INTERVAL_S = 0.05
 # A stream is looked into after this many of its longest good pauses without an event.
 PAUSES_PATIENT = 1.5
 # The first event has to read the prompt first.
@@ -32,21 +33,36 @@
         await asyncio.sleep(WATCH_INTERVAL_S)
         for queue in gateway.queue_by_service.values():
             queue.pump(gateway.now())
-        stalled: dict[str, list[StreamRun]] = {}
-        for run in tuple(gateway.streams):
-            if run.sent is not None and not run.repairing and _stopped(gateway, run):
-                stalled.setdefault(run.sent.backend.name, []).append(run)
-        for runs in stalled.values():
-            for run in runs:
-                run.repairing = True
-            task = asyncio.create_task(_look_into(gateway, runs))
-            task.add_done_callback(_retrieve)
+        open_runs = [
+            run
+            for run in gateway.streams
+            if run.sent is not None and run.chain is not None and not run.repairing
+        ]
+        _probe_suspects(gateway, open_runs)
+        _repair_stopped(gateway, open_runs)
 
 
-def _retrieve(task: asyncio.Task[None]) -> None:
-    """Let a failure of the task surface in the loop's exception handler."""
-    if not task.cancelled():
-        task.result()
+def _probe_suspects(gateway: Gateway, runs: list[StreamRun]) -> None:
+    """Connect to the stages of streams that have paused for unusually long."""
+    now_s = gateway.now()
+    chain_by_parts = {
+        run.chain.parts: run.chain
+        for run in runs
+        if run.chain is not None and suspected(run, now_s)
+    }
+    for chain in chain_by_parts.values():
+        gateway.start(find_lost(gateway, chain))
+
+
+def _repair_stopped(gateway: Gateway, runs: list[StreamRun]) -> None:
+    stopped: dict[str, list[StreamRun]] = {}
+    for run in runs:
+        if run.sent is not None and _stopped(gateway, run):
+            stopped.setdefault(run.sent.backend.name, []).append(run)
+    for group in stopped.values():
+        for run in group:
+            run.repairing = True
+        gateway.start(_look_into(gateway, group))
 
 
 def _stopped(gateway: Gateway, run: StreamRun) -> bool:
@@ -75,7 +91,8 @@
     try:
         if first is None:
             return
-        stalled = await _ask_stalled(gateway, first)
+        known = all(_lost_part(gateway, run) is not None for run in runs)
+        stalled = {} if known else await _ask_stalled(gateway, first)
         for run in runs:
             if run.sent is not None and run.sent.backend is first:
                 await _treat(gateway, run, first, stalled)
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -17,6 +17,8 @@
 from yuccareach.runtime.logs import Log, logger, write_log
 
 if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
     from yuccareach.gateway.dialect import Dialect
     from yuccareach.gateway.streams import StreamRun
     from yuccareach.gateway.table import RoutingTable, Service
@@ -70,6 +72,7 @@
         self.queue_by_service: dict[str, AdmissionQueue[Chain]] = {}
         self.graph_by_service: dict[str, CachedGraph] = {}
         self.registry = Registry()
+        self.tasks: set[asyncio.Task[Any]] = set()
         self.started_s = self.now()
         self.first_view = asyncio.Event()
         self.members_due_s = 0.0
@@ -87,6 +90,17 @@
         """Whether members are still to be heard of since the first view."""
         return self.now() < self.members_due_s
 
+    def start(self, work: Coroutine[Any, Any, Any]) -> None:
+        """Run something beside the requests; its failure is logged."""
+        task = asyncio.create_task(work)
+        self.tasks.add(task)
+        task.add_done_callback(self._ended)
+
+    def _ended(self, task: asyncio.Task[Any]) -> None:
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            self.log("task_crashed", logging.ERROR, error=repr(task.exception()))
+
     def limits(self) -> Limits:
         """Return the limits in force."""
         return self.table.limits if self.table is not None else Limits()
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -34,6 +34,8 @@
 LEAST_S = 0.1
 # Attempts whose backend server said at once that it did not run the request.
 REFUSALS_MOST = 3
+# Weight of the newest pause in the usual one.
+PAUSE_WEIGHT = 0.2
 # Attempts beyond the route's, where the backend servers of earlier ones were lost.
 LOST_MOST = 2
 # A resumed stream goes before all others: its caller waits in the middle of an answer.
@@ -67,6 +69,8 @@
         self.sent: Sent | None = None
         # When the stream last moved, as far as the search for stalls is concerned.
         self.progress_s = gateway.now()
+        # Usual pause between events of the attempt under way.
+        self.pause_s: float | None = None
         # When the caller last had an event.
         self.event_s = self.progress_s
         self.events = 0
@@ -96,9 +100,14 @@
             self._take_event(event)
 
     def _take_event(self, event: bytes) -> None:
-        self.progress_s = self.gateway.now()
-        if not self.attempt_events:
+        now_s = self.gateway.now()
+        if self.attempt_events:
+            pause_s = now_s - self.progress_s
+            usual_s = pause_s if self.pause_s is None else self.pause_s
+            self.pause_s = usual_s + PAUSE_WEIGHT * (pause_s - usual_s)
+        else:
             self._started()
+        self.progress_s = now_s
         self.attempt_events += 1
         number = event_id(event)
         if number is not None:
--- a/src/yuccareach/placement/planner.py
+++ b/src/yuccareach/placement/planner.py
@@ -206,13 +206,14 @@
     if not holders:
         return best_pipeline(servers, model) or []
     counts = coverage(servers, model)
-    if min(counts) > 0:
-        return []
-    hole = _widest_hole(counts)
     free = sorted(
         (server for server in servers if not server.held.size),
         key=lambda server: server.decode_factor,
     )
+    if min(counts) > 0:
+        return _reinforce(free, holders, model)
+    hole = _widest_hole(counts)
+    free += _redundant(holders, counts)
     if free:
         return _cover_by_free(free, hole, holders, model)
     moves = _extend_neighbours(servers, hole, model)
@@ -221,6 +222,42 @@
     return moves
 
 
+def _redundant(holders: list[Server], counts: list[int]) -> list[Server]:
+    """Return servers that may leave their layers to others, the slowest first."""
+    left = list(counts)
+    chosen = []
+    for server in sorted(holders, key=lambda item: -item.decode_factor):
+        layers = range(server.held.first, server.held.end)
+        if min(left[layer] for layer in layers) > 1:
+            chosen.append(server)
+            for layer in layers:
+                left[layer] -= 1
+    return chosen
+
+
+def _reinforce(
+    free: list[Server], holders: list[Server], model: ModelProfile
+) -> list[Move]:
+    """Let free servers hold the layers with least room as well, the last ones first.
+
+    They take over where a stage is lost, until its layers are loaded elsewhere. The
+    first stage of a stream cannot be replaced, so that its layers come last.
+    """
+    room = [0.0] * model.layers
+    for server in holders:
+        for layer in range(server.held.first, server.held.end):
+            room[layer] += room_tokens(Move(server, server.held), model)
+    moves = []
+    for server in free:
+        weak = _widest_hole([round(tokens / wanted_tokens(model)) for tokens in room])
+        most = max(1, layers_within(server, model, wanted_tokens(model)))
+        move = Move(server, LayerRange(max(weak.first, weak.end - most), weak.end))
+        moves.append(move)
+        for layer in range(move.layers.first, move.layers.end):
+            room[layer] += room_tokens(move, model)
+    return moves
+
+
 def _cover_by_free(
     free: list[Server], hole: LayerRange, holders: list[Server], model: ModelProfile
 ) -> list[Move]:
--- a/tests/control/test_members.py
+++ b/tests/control/test_members.py
@@ -7,6 +7,7 @@
 from yuccareach.control.members import (
     LEASE_MS,
     LOAD_FORWARD_MS,
+    RECALLED_LEASE_MS,
     SILENT_SOURCE_MS,
     MemberTable,
 )
@@ -139,3 +140,24 @@
         self.assertFalse(self.table.dismiss("a", 5, 0))
         self.table.hear(announced("a", 5, 7), 10)
         self.assertEqual(self.names(), set())
+
+
+class RecallTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = MemberTable(0)
+        self.table.recall([announced("a", 5, 3), announced("b", 5, 3)], 0)
+
+    def test_recalled_members_last_until_they_could_have_come_back(self) -> None:
+        self.assertEqual(self.table.expire(RECALLED_LEASE_MS, {}), [])
+        self.assertEqual(set(self.table.expire(RECALLED_LEASE_MS + 1, {})), {"a", "b"})
+
+    def test_member_that_is_heard_again_is_passed_on(self) -> None:
+        self.assertEqual(self.table.direct_after(0), [])
+        self.table.hear(announced("a", 5, 3), 10)
+        (heard,) = self.table.direct_after(0)
+        self.assertEqual(heard.member.backend_server, "a")
+        self.assertEqual(self.table.expire(10 + LEASE_MS + 1, {}), ["a"])
+
+    def test_recalled_member_gives_way_to_a_newer_run(self) -> None:
+        self.table.hear(announced("c", 6, 1, "at-a"), 10)
+        self.assertNotIn("a", self.table.heard_by_name)
