Size replicas by the room beside them, and move a server to layers that lack room

Change: a replica leaves half the room of the stages beside it; where some layers have less than 0.6 of the usual room, a server whose layers others hold as well is moved there.

--- a/src/yuccareach/placement/planner.py
+++ b/src/yuccareach/placement/planner.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import itertools
+import statistics
 from typing import TYPE_CHECKING, NamedTuple
 
 if TYPE_CHECKING:
@@ -25,6 +26,12 @@
 # Each further server is one more that may be lost, and one less to step in: it has to
 # raise the rate by more than this part.
 SERVER_COST = 0.02
+# A replica has room for this part of what the stages beside it have.
+REPLICA_PART = 0.5
+# Room that differs by less than this factor is about the same.
+ABOUT = 1.2
+# Layers with less than this part of the usual room hold the whole pipeline back.
+WEAK_PART = 0.6
 
 
 class Server(NamedTuple):
@@ -243,14 +250,14 @@
     They take over where a stage is lost, until its layers are loaded elsewhere. The
     first stage of a stream cannot be replaced, so that its layers come last.
     """
-    room = [0.0] * model.layers
-    for server in holders:
-        for layer in range(server.held.first, server.held.end):
-            room[layer] += room_tokens(Move(server, server.held), model)
+    if not free:
+        return _rebalance(holders, model)
+    room = _room_by_layer(holders, model)
+    tokens = max(wanted_tokens(model), REPLICA_PART * statistics.median(room))
     moves = []
     for server in free:
-        weak = _widest_hole([round(tokens / wanted_tokens(model)) for tokens in room])
-        most = max(1, layers_within(server, model, wanted_tokens(model)))
+        weak = _weakest_run(room)
+        most = max(1, layers_within(server, model, tokens))
         move = Move(server, LayerRange(max(weak.first, weak.end - most), weak.end))
         moves.append(move)
         for layer in range(move.layers.first, move.layers.end):
@@ -258,6 +265,40 @@
     return moves
 
 
+def _room_by_layer(holders: list[Server], model: ModelProfile) -> list[float]:
+    """Return the tokens of requests that all holders of each layer have room for."""
+    room = [0.0] * model.layers
+    for server in holders:
+        for layer in range(server.held.first, min(server.held.end, model.layers)):
+            room[layer] += room_tokens(Move(server, server.held), model)
+    return room
+
+
+def _weakest_run(room: list[float]) -> LayerRange:
+    """Return the longest run of layers whose room is about the least."""
+    bound = min(room) * ABOUT
+    return _widest_hole([0 if tokens <= bound else 1 for tokens in room])
+
+
+def _rebalance(holders: list[Server], model: ModelProfile) -> list[Move]:
+    """Move one server from layers with room to spare to those that hold others back."""
+    room = _room_by_layer(holders, model)
+    weak = _weakest_run(room)
+    least = room[weak.first]
+    if least > WEAK_PART * statistics.median(room):
+        return []
+    for server in sorted(holders, key=lambda item: item.decode_factor):
+        own = room_tokens(Move(server, server.held), model)
+        held = range(server.held.first, server.held.end)
+        spared = min(room[layer] for layer in held) - own
+        moved = Move(server, weak)
+        fits = weak.size <= layers_within(server, model, max(least, 1.0))
+        apart = server.held.end <= weak.first or weak.end <= server.held.first
+        if fits and apart and spared > ABOUT * (least + room_tokens(moved, model)) / 2:
+            return [moved]
+    return []
+
+
 def _cover_by_free(
     free: list[Server], hole: LayerRange, holders: list[Server], model: ModelProfile
 ) -> list[Move]:
