Explain requests from logs, check the platform's files, bound the logs

Cause: logs went to standard error and blocked with a stalled reader; nothing joined the lines of several processes; a bad file named its first fault only.

--- a/bench/reference.py
+++ b/bench/reference.py
@@ -25,7 +25,10 @@
     "yuccareach-load": load.main,
     "yuccareach-standin": standin.main,
 }
-_LOG = re.compile(r'Log\(\s*"(\w+)"|(?:_log|self\.log)\.\w+\(\s*"(\w+)"')
+_LOG = re.compile(
+    r'Log\(\s*"(\w+)"|(?:_log|self\.log)\.\w+\(\s*"(\w+)"'
+    r'|(?:gateway|self)\.log\(\s*"(\w+)"|_note\(\s*"(\w+)"'
+)
 _METRIC = re.compile(r'(Observe|Count)\(\s*"(\w+)"')
 _REFUSAL = re.compile(r'Refusal\(\s*(\d{3}),\s*"(\w+)"')
 _ERROR = re.compile(r'class (\w+)\((\w+(?:Error|Settings))\):\n    """(.+?)"""')
@@ -82,7 +85,7 @@
 
 def _events() -> Iterator[str]:
     events = {
-        first or second for text in _sources() for first, second in _LOG.findall(text)
+        next(filter(None, found)) for text in _sources() for found in _LOG.findall(text)
     }
     metrics = {found for text in _sources() for found in _METRIC.findall(text)}
     yield "## Log events"
--- a/src/yuccareach/cli/explain.py
+++ b/src/yuccareach/cli/explain.py
@@ -3,14 +3,19 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import sys
 from datetime import UTC, datetime
+from pathlib import Path
 from typing import Any
 
 import aiohttp
 import click
 
 from yuccareach.cli.operator_client import OperatorError
-from yuccareach.cli.options import CONTEXT, clear_errors, option
+from yuccareach.cli.options import CONTEXT, EXIT_FAILURE, clear_errors, option
+from yuccareach.tracing.lines import read_lines
+from yuccareach.tracing.verdict import explain as explain_lines
 
 OK = 200
 
@@ -32,15 +37,49 @@
 
 @click.command(context_settings=CONTEXT)
 @click.argument("request")
-@option("--url", "EXPLAIN", required=True, help="The entry that the request names.")
-@option("--key", "EXPLAIN", required=True, help="A key of the request's workspace.")
+@option("--url", "EXPLAIN", help="The entry that the request names.")
+@option("--key", "EXPLAIN", help="A key of the request's workspace.")
+@click.option(
+    "--logs",
+    multiple=True,
+    type=click.Path(exists=True, dir_okay=False, path_type=Path),
+    help="Log files of any processes, in place of an entry; may be given again.",
+)
 @clear_errors
-def explain(request: str, url: str, key: str) -> None:
-    """Tell what happened to a recent REQUEST: its chains, epochs and refusals."""
+def explain(
+    request: str, url: str | None, key: str | None, logs: tuple[Path, ...]
+) -> None:
+    """Tell what happened to a REQUEST, asked of its entry or read from logs."""
+    if logs:
+        _explain_from_logs(request, logs)
+    elif url and key:
+        _explain_from_entry(request, url, key)
+    else:
+        raise click.UsageError("give either --logs, or --url and --key")
+
+
+def _explain_from_entry(request: str, url: str, key: str) -> None:
     for event in asyncio.run(_fetch(url, key, request)):
         moment = datetime.fromtimestamp(event["at_ms"] / 1000, UTC)
         fields = " ".join(f"{name}={value}" for name, value in event["fields"].items())
         click.echo(f"{moment:%H:%M:%S.%f}Z  {event['event']}  {fields}")
 
 
+def _explain_from_logs(request: str, logs: tuple[Path, ...]) -> None:
+    texts = itertools.chain.from_iterable(
+        path.read_text(encoding="utf-8", errors="replace").splitlines() for path in logs
+    )
+    explanation = explain_lines(request, read_lines(texts))
+    for line in explanation.lines:
+        fields = " ".join(
+            f"{name}={value}"
+            for name, value in line.fields.items()
+            if name != "request"
+        )
+        click.echo(f"{line.time}  {line.instance}  {line.event}  {fields}")
+    click.echo(explanation.sentence)
+    if not explanation.caused:
+        sys.exit(EXIT_FAILURE)
+
+
 __all__ = ["explain"]
--- a/src/yuccareach/cli/main.py
+++ b/src/yuccareach/cli/main.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from importlib.metadata import entry_points
+
 import click
 
 from yuccareach import __version__
@@ -18,6 +20,8 @@
 from yuccareach.cli.status import status
 from yuccareach.cli.validate import validate
 
+ADDED_COMMANDS = "yuccareach.commands"
+
 
 @click.group(context_settings=CONTEXT)
 @click.version_option(__version__, prog_name="yuccareach")
@@ -40,4 +44,7 @@
 ):
     main.add_command(_command)
 
+for _added in entry_points(group=ADDED_COMMANDS):
+    main.add_command(_added.load(), _added.name)
+
 __all__ = ["main"]
--- a/src/yuccareach/gateway/requests.py
+++ b/src/yuccareach/gateway/requests.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.dialect import Headers, RequestFacts
@@ -93,8 +94,10 @@
     kind = str(admitted.route.kind)
     gateway.registry.observe("request", workspace, kind, duration_ms)
     gateway.registry.count("answers", outcome.reason)
+    bad = outcome.status >= 500 or not outcome.status
     gateway.log(
         "request_ended",
+        logging.WARNING if bad else logging.INFO,
         request=admitted.request_id,
         route=admitted.route.name,
         service=admitted.service.name,
--- a/src/yuccareach/platform/documents.py
+++ b/src/yuccareach/platform/documents.py
@@ -107,7 +107,9 @@
     priority: int | None = None
 
 
-class _Document(msgspec.Struct):
+class Document(msgspec.Struct):
+    """The configuration as the operator writes it."""
+
     version: int
     routes: list[_Route]
     services: list[_Service]
@@ -115,10 +117,14 @@
     tenants: list[_Tenant] | None = None
 
 
+# Lists whose entries are checked one by one, so that every fault is found.
+DOCUMENT_PARTS = {"routes": _Route, "services": _Service, "tenants": _Tenant}
+
+
 def decode_document(content: bytes) -> RoutingTable:
     """Check a configuration and return its routing table, or raise InvalidDocument."""
     try:
-        document = msgspec.json.decode(content, type=_Document)
+        document = msgspec.json.decode(content, type=Document)
     except (msgspec.DecodeError, UnicodeDecodeError) as error:
         raise InvalidDocument(f"unreadable: {error}") from error
     faults = find_faults(document)
@@ -139,7 +145,7 @@
     )
 
 
-def find_faults(document: _Document) -> list[str]:
+def find_faults(document: Document) -> list[str]:
     """Return every reason for which a readable configuration is invalid."""
     names = {service.name for service in document.services}
     faults = []
@@ -235,4 +241,4 @@
     )
 
 
-__all__ = ["decode_document", "find_faults"]
+__all__ = ["DOCUMENT_PARTS", "Document", "decode_document", "find_faults"]
--- a/src/yuccareach/platform/settings.py
+++ b/src/yuccareach/platform/settings.py
@@ -54,6 +54,13 @@
     bounds: _Bounds = msgspec.field(default_factory=_Bounds)
 
 
+# The file's shape, and the lists whose entries are checked one by one.
+SETTINGS_PARTS: tuple[Any, dict[str, Any]] = (
+    _File,
+    {"internalPorts": int, "seeds": str},
+)
+
+
 class ProcessSettings(NamedTuple):
     """What the platform tells a process, in our words."""
 
@@ -105,11 +112,35 @@
     return getattr(yaml, "CSafeLoader", yaml.SafeLoader)
 
 
-def _convert(path: Path, file: _File) -> ProcessSettings:
-    if len(file.internalPorts) != 2 or file.internalPorts[0] >= file.internalPorts[1]:
-        raise InvalidProcessSettings(f"{path}: internalPorts must be two rising ports")
+def find_settings_faults(decoded: Any) -> list[str]:
+    """Return every reason for which a file of the right shape cannot be used."""
+    return _faults(msgspec.convert(decoded, _File))
+
+
+def _faults(file: _File) -> list[str]:
+    faults = []
+    ports = file.internalPorts
+    if len(ports) != 2 or ports[0] >= ports[1]:
+        faults.append("internalPorts must be two rising ports")
     if not file.seeds:
-        raise InvalidProcessSettings(f"{path}: seeds is empty")
+        faults.append("seeds is empty")
+    addresses = [("seeds", seed) for seed in file.seeds]
+    addresses += [
+        (f"listen.{name}", value)
+        for name, value in msgspec.structs.asdict(file.listen).items()
+        if value
+    ]
+    for place, address in addresses:
+        host, _, port = address.rpartition(":")
+        if not host or not port.isdigit():
+            faults.append(f"{place}: {address} is no HOST:PORT")
+    return faults
+
+
+def _convert(path: Path, file: _File) -> ProcessSettings:
+    faults = _faults(file)
+    if faults:
+        raise InvalidProcessSettings(f"{path}: {'; '.join(faults)}")
     peer_port, last_port = file.internalPorts
     return ProcessSettings(
         instance=file.nodeId,
@@ -135,4 +166,11 @@
     )
 
 
-__all__ = ["SETTINGS_VARIABLE", "ProcessSettings", "load_settings", "settings_path"]
+__all__ = [
+    "SETTINGS_PARTS",
+    "SETTINGS_VARIABLE",
+    "ProcessSettings",
+    "find_settings_faults",
+    "load_settings",
+    "settings_path",
+]
--- /dev/null
+++ b/src/yuccareach/tracing/__init__.py
@@ -0,0 +1,1 @@
+"""Explaining afterwards, from the logs of all processes, what happened to a request."""
--- /dev/null
+++ b/tests/platform/test_check.py
@@ -0,0 +1,67 @@
+"""Checking the platform's files."""
+
+from __future__ import annotations
+
+import json
+import tempfile
+import unittest
+from pathlib import Path
+
+import yaml
+from click.testing import CliRunner, Result
+
+from tests.platform.examples import PLAIN, document, route, settings
+from yuccareach.cli.main import main
+
+
+class CheckTests(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+
+    def check(self, name: str, text: str) -> Result:
+        path = self.folder / name
+        path.write_text(text)
+        return CliRunner().invoke(main, ["check", str(path)])
+
+    def test_sound_files(self) -> None:
+        result = self.check("document.json", json.dumps(document()))
+        self.assertEqual(result.exit_code, 0, result.output)
+        result = self.check("local.yaml", yaml.safe_dump(settings()))
+        self.assertEqual(result.exit_code, 0, result.output)
+
+    def test_every_fault_of_a_document_is_listed_with_its_place(self) -> None:
+        routes = [
+            route("/a/", "safe", PLAIN, timeoutMs="soon"),
+            route("/b/", "safe", PLAIN),
+            {"name": "r"},
+        ]
+        result = self.check("d.json", json.dumps(document(routes=routes, limits=3)))
+        self.assertEqual(result.exit_code, 2)
+        self.assertIn("routes[0]: Expected `int`", result.output)
+        self.assertIn("routes[2]: Object missing required field", result.output)
+        self.assertIn("$.limits", result.output)
+        self.assertIn("3 faults", result.output)
+
+    def test_every_reason_against_a_readable_document_is_listed(self) -> None:
+        routes = [
+            route("/a/", "safe", "none", timeoutMs=0),
+            route("/b/", "odd", PLAIN),
+        ]
+        result = self.check("d.json", json.dumps(document(routes=routes)))
+        for reason in ("unknown service none", "timeoutMs is 0", "unknown kind odd"):
+            self.assertIn(reason, result.output)
+
+    def test_every_fault_of_a_settings_file_is_listed(self) -> None:
+        broken = settings(seeds=["nowhere", "1.1.1.1:80"], internalPorts=[5, 4])
+        result = self.check("local.yaml", yaml.safe_dump(broken))
+        self.assertEqual(result.exit_code, 2)
+        self.assertIn("nowhere is no HOST:PORT", result.output)
+        self.assertIn("internalPorts", result.output)
+
+    def test_file_that_cannot_be_read_is_one_fault(self) -> None:
+        for name, text in (("d.json", "{"), ("s.yaml", "a: [")):
+            result = self.check(name, text)
+            self.assertEqual(result.exit_code, 2)
+            self.assertIn("1 faults", result.output)
--- a/tests/runtime/test_logs.py
+++ b/tests/runtime/test_logs.py
@@ -2,23 +2,93 @@
 
 from __future__ import annotations
 
-import io
 import logging
+import os
 import unittest
 
 from yuccareach.runtime import logs
 
 
-class ConfigureTests(unittest.TestCase):
-    def test_one_line_of_pairs_for_each_event(self) -> None:
+class PipeTestCase(unittest.TestCase):
+    """Logs into a pipe that the test reads, or does not."""
+
+    def setUp(self) -> None:
+        self.reader, self.pipe = os.pipe()
+        self.addCleanup(os.close, self.reader)
+        self.addCleanup(os.close, self.pipe)
+        os.set_blocking(self.reader, False)
         logs.configure("info", "i1")
-        handler = logging.getLogger("yuccareach").handlers[0]
-        output = io.StringIO()
-        handler.setStream(output)
+        root = logging.getLogger("yuccareach")
+        self.handler = root.handlers[0]
+        assert isinstance(self.handler, logs.BoundedHandler)
+        self.writer = self.handler.writer = logs.LogWriter(self.pipe)
+        self.addCleanup(root.handlers.clear)
+        self.log = logs.logger("test")
+
+    def read(self) -> list[str]:
+        """Return all lines that can be read now."""
+        data = b""
+        while True:
+            try:
+                chunk = os.read(self.reader, 1 << 16)
+            except BlockingIOError:
+                if not self.writer.buffer:
+                    return data.decode().splitlines()
+                self.writer.flush()
+                continue
+            data += chunk
+
+
+class ConfigureTests(PipeTestCase):
+    def test_one_line_of_pairs_for_each_event(self) -> None:
         text = 'two words "quoted"\nand a line'
-        logs.logger("test").info("something", extra={"reason": text, "count": 3})
-        line = output.getvalue()
-        self.assertEqual(line.count("\n"), 1)
+        self.log.info("something", extra={"reason": text, "count": 3})
+        (line,) = self.read()
         expected = r'reason="two words \"quoted\"\nand a line" count=3'
-        self.assertTrue(line.rstrip().endswith(expected), line)
+        self.assertTrue(line.endswith(expected), line)
         self.assertIn("event=something instance=i1", line)
+
+
+class BoundedTests(PipeTestCase):
+    def test_stalled_reader_blocks_nothing_and_loses_no_order(self) -> None:
+        for number in range(5_000):
+            self.log.warning(f"event{number}", extra={"text": "x" * 100})
+        self.assertGreater(self.writer.buffered, 0)
+        lines = self.read()
+        numbers = [int(line.split("event=event")[1].split()[0]) for line in lines]
+        self.assertEqual(numbers, list(range(len(numbers))))
+        self.assertEqual(len(numbers), 5_000)
+
+    def test_bad_endings_are_the_last_to_be_left_out(self) -> None:
+        for number in range(30_000):
+            self.log.info(f"routine{number}", extra={"text": "x" * 100})
+        self.log.warning("request_failed")
+        lines = self.read()
+        self.assertLess(len(lines), 30_000)
+        self.assertIn("event=request_failed", lines[-1])
+
+    def test_one_event_cannot_flood_the_logs(self) -> None:
+        for _ in range(3 * logs.ROUTINE_LINES_PER_S):
+            self.log.info("busy")
+        self.log.info("other")
+        lines = self.read()
+        busy = sum("event=busy" in line for line in lines)
+        # The loop may touch a second boundary, after which a new count begins.
+        self.assertLessEqual(busy, 2 * logs.ROUTINE_LINES_PER_S)
+        self.assertTrue(any("event=other" in line for line in lines))
+
+    def test_what_was_left_out_is_said_once(self) -> None:
+        writer = self.writer
+        most = logs.ROUTINE_LINES_PER_S
+        admitted = [writer.admit("busy", False, 100.0) for _ in range(most + 7)]
+        self.assertEqual(admitted.count(True), most)
+        self.assertEqual(writer.take_omitted(100.5), {"n_busy": 7})
+        self.assertEqual(writer.take_omitted(102.0), {})
+
+    def test_reader_that_is_gone_hurts_nothing(self) -> None:
+        reader, pipe = os.pipe()
+        os.close(reader)
+        self.handler.writer = logs.LogWriter(pipe)
+        self.addCleanup(os.close, pipe)
+        self.log.info("something")
+        self.assertEqual(self.handler.writer.buffered, 0)
--- /dev/null
+++ b/tests/tracing/test_verdict.py
@@ -0,0 +1,54 @@
+"""Explaining a request from logs."""
+
+from __future__ import annotations
+
+import unittest
+
+from yuccareach.tracing.lines import parse_line, read_lines
+from yuccareach.tracing.verdict import Explanation, explain
+
+REFUSED = """
+ 1.2 front-1 time="2026-01-01 00:00:01,100" level=INFO event=stream_sent instance=g1 request=r1 attempt=1 chain="a=0-40,b=40-80"
+ 1.3 front-1 time="2026-01-01 00:00:01,200" level=INFO event=attempt_failed instance=g1 request=r1 backend_server=a ending=complete status=503 not_run=True faulty=1.1.1.1:1
+ 1.1 front-1 time="2026-01-01 00:00:01,000" level=INFO event=other instance=g1 request=r2
+ 1.4 front-1 time="2026-01-01 00:00:01,300" level=WARNING event=request_ended instance=g1 request=r1 status=503 reason=no_room attempts=1
+not a log line
+"""  # noqa: E501
+CUT = """
+time="2026-01-01 00:00:01,100" level=INFO event=stream_sent instance=g1 request=r1 attempt=1
+time="2026-01-01 00:00:02,000" level=INFO event=started instance=g2
+time="2026-01-01 00:00:03,000" level=INFO event=started instance=g1
+"""  # noqa: E501
+
+
+def explained(request: str, text: str) -> Explanation:
+    return explain(request, read_lines(text.splitlines()))
+
+
+class LineTests(unittest.TestCase):
+    def test_quoted_values_come_back_as_they_were(self) -> None:
+        line = parse_line(r'x time=1 event=e text="two \"words\"\nand" instance=i n=3')
+        assert line is not None
+        self.assertEqual(line.fields, {"text": 'two "words"\nand', "n": "3"})
+        self.assertEqual((line.event, line.instance), ("e", "i"))
+
+    def test_line_without_an_event_is_none(self) -> None:
+        self.assertIsNone(parse_line("Traceback (most recent call last):"))
+
+
+class ExplainTests(unittest.TestCase):
+    def test_refused_request_names_the_cause_and_the_attempts(self) -> None:
+        found = explained("r1", REFUSED)
+        self.assertTrue(found.caused)
+        self.assertEqual(len(found.lines), 3)
+        self.assertIn("status 503 at g1: no chain of backend servers", found.sentence)
+        self.assertIn("1.1.1.1:1", found.sentence)
+
+    def test_request_cut_by_the_end_of_its_process(self) -> None:
+        found = explained("r1", CUT)
+        self.assertTrue(found.caused)
+        self.assertIn("the process on g1 ended", found.sentence)
+
+    def test_request_that_nobody_logged_has_no_cause(self) -> None:
+        self.assertFalse(explained("r9", REFUSED).caused)
+        self.assertFalse(explained("r2", REFUSED).caused)
