--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -19,8 +19,9 @@
 # A hop's own cost beside the delay between availability zones: one more server to wait
 # for, and to lose.
 HOP_MS = 0.5
-# Traffic between the entry and a first stage elsewhere is dear; counted as delay.
-REMOTE_ENTRY_MS = 2.0
+# Traffic between the entry and a first stage elsewhere is dear; counted as delay, so
+# that a zone's own pipeline is used until it is much fuller than others.
+REMOTE_ENTRY_MS = 8.0
 # Cost of a server that has failed lately; more than any chain without one.
 AVOIDED_MS = 1_000.0
 # Part of a stage's memory that is given out; other entries' latest requests and answers
