--- a/src/yuccareach/control/membership.py
+++ b/src/yuccareach/control/membership.py
@@ -87,7 +87,10 @@
     caught_up = [
         peer
         for peer in state.membership.peers
-        if not peer.voter and _caught_up(state, peer) and _heard(state, peer, now)
+        if not peer.voter
+        and not peer.volatile
+        and _caught_up(state, peer)
+        and _heard(state, peer, now)
     ]
     for learner in caught_up:
         namesakes = [peer for peer in voters if peer.name == learner.name]
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -80,6 +80,8 @@
     member_lease_ms: int = LEASE_MS
     # Voters to keep; 0 lets every instance that joins under a new name vote.
     voters: int = 0
+    # Whether the data folder does not last, so that this instance must not vote.
+    volatile: bool = False
     # The operators' address that others are sent to; empty for the one bound.
     operator_address: str = ""
 
@@ -176,6 +178,7 @@
             identity=self.state.identity,
             address=self.address,
             operator_address=self.options.operator_address or self.http.address,
+            volatile=self.options.volatile,
         )
 
     async def _stay_joined(self) -> None:
--- a/src/yuccareach/platform/run_control.py
+++ b/src/yuccareach/platform/run_control.py
@@ -24,6 +24,7 @@
 # Heartbeats that may be missed before a runner counts as gone.
 MISSED_HEARTBEATS = 3
 SNAPSHOT_EVERY = 64
+VOLATILE_FOLDER = "/tmp/yuccareach-control"
 
 
 class PlatformControl:
@@ -73,12 +74,13 @@
     return ControlOptions(
         instance=settings.instance,
         availability_zone=settings.zone,
-        data=Path(settings.data_folder or "/tmp/yuccareach-control"),
+        data=Path(settings.data_folder or VOLATILE_FOLDER),
+        volatile=not settings.data_folder,
         host=settings.host,
         port=settings.peer_port,
         http_port=int(port),
         advertise=f"{settings.host}:{settings.peer_port}",
-        bootstrap=settings.bootstraps,
+        bootstrap=settings.bootstraps and bool(settings.data_folder),
         join=settings.control_peers,
         snapshot_every=SNAPSHOT_EVERY,
         member_lease_ms=MISSED_HEARTBEATS * settings.heartbeat_ms + 500,
--- /dev/null
+++ b/tests/control/test_membership.py
@@ -0,0 +1,81 @@
+"""Which control instances vote."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from yuccareach.control.machine import Machine
+from yuccareach.control.membership import SILENT_AFTER_MS, repair
+from yuccareach.control.raft_types import Progress, RaftState, Role, StoredState
+from yuccareach.proto import control_pb2 as cpb
+
+NOW = 10_000
+
+
+def leader(*peers: cpb.Peer, voters_wanted: int = 3) -> RaftState:
+    """Return the state of "a", which leads and has heard everyone lately."""
+    membership = cpb.Membership(peers=peers)
+    snapshot = cpb.SnapshotFile(last_index=5, last_term=1, membership=membership)
+    hard_state = cpb.HardState(identity="a", term=1)
+    stored = StoredState(hard_state, snapshot, [])
+    state = RaftState("a", stored, Machine(), Random(1), 100, voters_wanted)
+    state.role = Role.LEADER
+    for peer in peers:
+        progress = state.progress_by_peer[peer.identity] = Progress(6, NOW)
+        progress.match_index = 5
+    return state
+
+
+def peer(identity: str, *, voter: bool = True, **fields: object) -> cpb.Peer:
+    return cpb.Peer(identity=identity, name=f"n{identity}", voter=voter, **fields)
+
+
+def fall_silent(state: RaftState, identity: str) -> None:
+    state.progress_by_peer[identity].heard_ms = NOW - SILENT_AFTER_MS - 1
+
+
+def voters_after(state: RaftState) -> set[str]:
+    repair(state, NOW)
+    return {item.identity for item in state.membership.peers if item.voter}
+
+
+class RepairTests(unittest.TestCase):
+    def test_further_instance_stands_by(self) -> None:
+        state = leader(peer("a"), peer("b"), peer("c"), peer("d", voter=False))
+        self.assertEqual(voters_after(state), {"a", "b", "c"})
+
+    def test_missing_voter_is_made_up_for(self) -> None:
+        state = leader(peer("a"), peer("b"), peer("c", voter=False))
+        self.assertEqual(voters_after(state), {"a", "b", "c"})
+
+    def test_silent_voter_gives_way_to_one_that_stands_by(self) -> None:
+        state = leader(peer("a"), peer("b"), peer("c"), peer("d", voter=False))
+        fall_silent(state, "b")
+        self.assertEqual(voters_after(state), {"a", "c"})
+
+    def test_silent_voter_stays_where_nobody_stands_by(self) -> None:
+        state = leader(peer("a"), peer("b"), peer("c"))
+        fall_silent(state, "b")
+        self.assertEqual(voters_after(state), {"a", "b", "c"})
+
+    def test_silent_instance_is_not_promoted(self) -> None:
+        state = leader(peer("a"), peer("b"), peer("d", voter=False))
+        fall_silent(state, "d")
+        self.assertEqual(voters_after(state), {"a", "b"})
+
+    def test_voter_too_many_leaves_once_it_is_silent(self) -> None:
+        state = leader(peer("a"), peer("b"), peer("c"), peer("d"))
+        self.assertEqual(voters_after(state), {"a", "b", "c", "d"})
+        fall_silent(state, "d")
+        self.assertEqual(voters_after(state), {"a", "b", "c"})
+
+    def test_instance_without_a_disk_never_votes(self) -> None:
+        volatile = peer("c", voter=False, volatile=True)
+        state = leader(peer("a"), peer("b"), volatile)
+        self.assertEqual(voters_after(state), {"a", "b"})
+
+    def test_emptied_disk_replaces_the_voter_of_its_name(self) -> None:
+        learner = cpb.Peer(identity="b2", name="nb")
+        state = leader(peer("a"), peer("b"), peer("c"), learner)
+        self.assertEqual(voters_after(state), {"a", "c"})
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -39,6 +39,11 @@
         options = control_options(self.load(faultTolerance={"machines": 2}))
         self.assertEqual(options.voters, 5)
 
+    def test_instance_without_a_disk_never_votes_or_starts_a_cluster(self) -> None:
+        options = control_options(self.load(dataDir=None))
+        self.assertTrue(options.volatile)
+        self.assertFalse(options.bootstrap)
+
     def test_bad_file_is_one_clear_line(self) -> None:
         cases: list[dict[str, Any]] = [
             {"internalPorts": [7340]},
