Begin streams where slots are free

Change: gateways tell each other the slots they use and count them as room; the planner makes as many servers hold the first layers as memory has requests for. A test for each.

--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -25,11 +25,18 @@
 UNREACHABLE_LEASE_MS = 1_500
 
 
+class Use(NamedTuple):
+    """What requests take of a backend server: tokens of memory, and slots."""
+
+    tokens: int
+    first: int
+
+
 class EntryReport(NamedTuple):
     """What an entry said with its last request for a view."""
 
     heard_ms: int
-    tokens_by_server: dict[str, int]
+    use_by_server: dict[str, Use]
 
 
 class Views:
@@ -41,8 +48,8 @@
 
     def note(self, request: cpb.ViewRequest, now_ms: int) -> None:
         """Take what a request says, and forget what is too old."""
-        tokens = {use.backend_server: use.tokens for use in request.uses}
-        self.report_by_entry[request.instance] = EntryReport(now_ms, tokens)
+        uses = {use.backend_server: Use(use.tokens, use.first) for use in request.uses}
+        self.report_by_entry[request.instance] = EntryReport(now_ms, uses)
         for incarnation in request.unreachable:
             self.unreachable_ms_by_incarnation[incarnation] = now_ms
         self.report_by_entry = {
@@ -60,13 +67,15 @@
         }
         return set(self.unreachable_ms_by_incarnation)
 
-    def tokens_of_others(self, entry: str) -> dict[str, int]:
-        """Return the tokens that all entries but one hold, by backend server."""
-        totals: dict[str, int] = {}
+    def uses_of_others(self, entry: str) -> dict[str, Use]:
+        """Return what the requests of all entries but one take, by backend server."""
+        totals: dict[str, Use] = {}
         for other, report in self.report_by_entry.items():
-            if other != entry:
-                for server, tokens in report.tokens_by_server.items():
-                    totals[server] = totals.get(server, 0) + tokens
+            if other == entry:
+                continue
+            for server, use in report.use_by_server.items():
+                known = totals.get(server, Use(0, 0))
+                totals[server] = Use(known.tokens + use.tokens, known.first + use.first)
         return totals
 
 
@@ -121,7 +130,7 @@
     same_source = request.source == process.run_id
     members_version = request.members_version if same_source else 0
     delta = process.members.delta(members_version, monotonic_ms())
-    uses = process.views.tokens_of_others(request.instance)
+    uses = process.views.uses_of_others(request.instance)
     view = cpb.View(
         control_addresses=_addresses(process),
         source=process.run_id,
@@ -131,8 +140,8 @@
         departed=delta.departed,
         entries=len(process.views.report_by_entry),
         uses=[
-            cpb.ServerUse(backend_server=server, tokens=tokens)
-            for server, tokens in uses.items()
+            cpb.ServerUse(backend_server=server, tokens=use.tokens, first=use.first)
+            for server, use in uses.items()
         ],
     )
     if request.document_version < process.machine.document.version:
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -44,6 +44,9 @@
         # Tokens that this entry's requests hold here, and those of other entries.
         self.tokens = 0
         self.tokens_elsewhere = 0
+        # Streams of this entry that begin here, and those of other entries.
+        self.first = 0
+        self.first_elsewhere = 0
         self.failures_in_row = 0
         self.failure_share = 0.0
         self.avoid_until_s = 0.0
@@ -123,10 +126,11 @@
         if self.backend_by_address.get(known.announced.address) is known:
             del self.backend_by_address[known.announced.address]
 
-    def take_uses(self, tokens_by_server: dict[str, int]) -> None:
-        """Take what other entries' requests hold."""
+    def take_uses(self, use_by_server: dict[str, tuple[int, int]]) -> None:
+        """Take the tokens and the slots that other entries' requests hold."""
         for name, backend in self.backend_by_name.items():
-            backend.tokens_elsewhere = tokens_by_server.get(name, 0)
+            tokens, first = use_by_server.get(name, (0, 0))
+            backend.tokens_elsewhere, backend.first_elsewhere = tokens, first
 
     def of_service(self, service: str) -> list[Backend]:
         """Return the backend servers of a service that take new work."""
--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -35,6 +35,10 @@
 # Requests of this entry that may wait for their first event at one first stage. Prompts
 # are read one after the other, so that more would only make all of them late.
 STARTS_MOST = 5
+# Part of a first stage's slots that is given out, for the same reason.
+SLOTS_PART = 0.92
+# Cost of a first stage whose slots are all taken, against one that has them free.
+FULL_SLOTS_MS = 10.0
 DEFAULT_CARD_FACTOR = 16.0
 
 
@@ -170,8 +174,7 @@
 ) -> float | None:
     """Return the cost of going on to a server, or None where it may not be."""
     if not way.parts:
-        free = holder.starting < STARTS_MOST
-        return _hop_ms(None, holder, model, demand.zone) if free else None
+        return _begin_ms(holder, model, demand)
     if any(part.backend is holder for part in way.parts):
         return None
     previous = way.parts[-1].backend
@@ -207,6 +210,14 @@
     return costs
 
 
+def _begin_ms(holder: Backend, model: ModelProfile, demand: Demand) -> float | None:
+    """Return the cost of beginning at a server, or None where it takes no more."""
+    taken = (holder.first + holder.first_elsewhere + 1) / max(1, model.slots)
+    if holder.starting >= STARTS_MOST or taken > SLOTS_PART:
+        return None
+    return FULL_SLOTS_MS * taken + _hop_ms(None, holder, model, demand.zone)
+
+
 def _extend(
     graph: Graph,
     ways: _Ways,
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -163,6 +163,7 @@
             self.starting_at = chain.parts[0].backend
             self.starting_at.starting += 1
         self.held = [int(self.tokens * part.share) for part in chain.parts]
+        chain.parts[0].backend.first += 1
         for part, tokens in zip(chain.parts, self.held, strict=True):
             part.backend.tokens += tokens
             part.backend.running += 1
@@ -173,6 +174,7 @@
         self._started()
         if chain is None:
             return
+        chain.parts[0].backend.first -= 1
         for part, tokens in zip(chain.parts, self.held, strict=True):
             part.backend.tokens -= tokens
             part.backend.running -= 1
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -108,7 +108,9 @@
             members_version=self.members_version,
             unreachable=gateway.fleet.unreachable(now_s),
             uses=[
-                cpb.ServerUse(backend_server=name, tokens=backend.tokens)
+                cpb.ServerUse(
+                    backend_server=name, tokens=backend.tokens, first=backend.first
+                )
                 for name, backend in gateway.fleet.backend_by_name.items()
                 if backend.tokens
             ],
@@ -159,7 +161,9 @@
             )
         for name in view.departed:
             gateway.log("member_departed", backend_server=name)
-        gateway.fleet.take_uses({use.backend_server: use.tokens for use in view.uses})
+        gateway.fleet.take_uses(
+            {use.backend_server: (use.tokens, use.first) for use in view.uses}
+        )
         gateway.entries = max(1, view.entries)
         if not gateway.leased and gateway.table is not None:
             gateway.log("lease_gained", table=gateway.table.version)
--- a/src/yuccareach/placement/planner.py
+++ b/src/yuccareach/placement/planner.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 import statistics
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -254,17 +255,34 @@
         return _rebalance(holders, model)
     room = _room_by_layer(holders, model)
     tokens = max(wanted_tokens(model), REPLICA_PART * statistics.median(room))
+    first_missing = _first_stages_wanted(room, model) - sum(
+        server.held.first == 0 for server in holders
+    )
     moves = []
-    for server in free:
-        weak = _weakest_run(room)
-        most = max(1, layers_within(server, model, tokens))
-        move = Move(server, LayerRange(max(weak.first, weak.end - most), weak.end))
+    for server in reversed(free):
+        if first_missing > 0:
+            first_missing -= 1
+            most = layers_within(server, model, statistics.median(room))
+            move = Move(server, LayerRange(0, max(1, most)))
+        else:
+            weak = _weakest_run(room)
+            most = max(1, layers_within(server, model, tokens))
+            move = Move(server, LayerRange(max(weak.first, weak.end - most), weak.end))
         moves.append(move)
         for layer in range(move.layers.first, move.layers.end):
             room[layer] += room_tokens(move, model)
     return moves
 
 
+def _first_stages_wanted(room: list[float], model: ModelProfile) -> int:
+    """Return how many servers have to hold the first layer.
+
+    A stream takes a slot of its first stage, and slots may run out before memory does.
+    """
+    usual = max(1, model.usual_prompt_tokens + model.usual_answer_tokens)
+    return math.ceil(statistics.median(room) / usual / max(1, model.slots))
+
+
 def _room_by_layer(holders: list[Server], model: ModelProfile) -> list[float]:
     """Return the tokens of requests that all holders of each layer have room for."""
     room = [0.0] * model.layers
--- a/tests/gateway/test_chains.py
+++ b/tests/gateway/test_chains.py
@@ -101,6 +101,14 @@
         self.by_name["a1"].starting = STARTS_MOST
         self.assertEqual(self.names(self.find("z1")), ["b1", "b2", "b3"])
 
+    def test_stream_begins_where_slots_are_free(self) -> None:
+        # Found on a grown deployment: one first stage had all its slots taken, and the
+        # first event of each stream waited for one of them.
+        self.by_name["a1"].first_elsewhere = MODEL.slots
+        self.backends.append(backend("a0", "z1", "l4", 0, 5))
+        chain = self.find("z1")
+        self.assertEqual(self.names(chain)[:2], ["a0", "a1"])
+
 
 class TilingTests(unittest.TestCase):
     def test_random_holdings_are_tiled_without_gap_or_overlap(self) -> None:
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -89,6 +89,19 @@
     def test_fleet_too_small_for_the_model_is_left_alone(self) -> None:
         self.assertEqual(plan([server("s", "z1", "l4")], MODEL), [])
 
+    def test_first_stages_have_slots_for_what_memory_holds(self) -> None:
+        servers = fresh_fleet()
+        placed = carry_out(servers, plan(servers, MODEL))
+        placed = carry_out(placed, plan(placed, MODEL))
+        for zone in FLEET:
+            held = [item for item in placed if item.zone == zone and item.held.size]
+            slots = MODEL.slots * sum(item.held.first == 0 for item in held)
+            pipeline = [item for item in held if item.decode_factor < FACTOR["l4"]]
+            room = min(room_tokens(Move(item, item.held), MODEL) for item in pipeline)
+            usual = MODEL.usual_prompt_tokens + MODEL.usual_answer_tokens
+            with self.subTest(zone=zone):
+                self.assertGreaterEqual(slots, room / usual)
+
 
 class RepairTests(PlannerTestCase):
     def setUp(self) -> None:
