--- a/src/yuccareach/standin/engine.py
+++ b/src/yuccareach/standin/engine.py
@@ -95,6 +95,8 @@
         self.queue: deque[tuple[epb.Step, asyncio.Queue[Any]]] = deque()
         self.work = asyncio.Event()
         self.running = 0
+        # Sequences cancelled while a batch that may hold their steps runs.
+        self.cancelled_in_batch: set[str] = set()
         self.executions = Executions()
         self.prefix_cache: OrderedDict[int, None] = OrderedDict()
         self.cached: list[int] = []
@@ -174,6 +176,8 @@
     def _cancel(self, sequence: str) -> None:
         """Free a sequence and drop its steps that have not run."""
         self.sequence_by_id.pop(sequence, None)
+        if self.running:
+            self.cancelled_in_batch.add(sequence)
         if any(step.sequence == sequence for step, _ in self.queue):
             self.queue = deque(
                 item for item in self.queue if item[0].sequence != sequence
@@ -252,8 +256,15 @@
             batch = self._take_batch()
             self.running = len(batch)
             await self._wait_for(batch)
-            self._compute(batch)
+            self._compute(
+                [
+                    item
+                    for item in batch
+                    if item[0].sequence not in self.cancelled_in_batch
+                ]
+            )
             self.running = 0
+            self.cancelled_in_batch.clear()
 
     def _take_batch(self) -> list[tuple[epb.Step, asyncio.Queue[Any]]]:
         """Take the steps of highest priority, each sequence in its own order."""
