Load no more weights at once than the store serves well; two entries for a loss

Single slow entries took sound servers for lost.

Change: in use, no more loads at once than the store's figure; a loss counts once two entries say so; replicas are placed with the fresh fleet.

--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -23,6 +23,8 @@
 ENTRY_LEASE_MS = 2_000
 # An entry's word that an incarnation is unreachable counts for this long.
 UNREACHABLE_LEASE_MS = 1_500
+# Entries that must agree on it before layers are loaded elsewhere.
+WITNESSES = 2
 
 
 class Use(NamedTuple):
@@ -44,14 +46,16 @@
 
     def __init__(self) -> None:
         self.report_by_entry: dict[str, EntryReport] = {}
-        self.unreachable_ms_by_incarnation: dict[str, int] = {}
+        # By incarnation, when which entry last said that it cannot reach it.
+        self.unreached_ms_by_incarnation: dict[str, dict[str, int]] = {}
 
     def note(self, request: cpb.ViewRequest, now_ms: int) -> None:
         """Take what a request says, and forget what is too old."""
         uses = {use.backend_server: Use(use.tokens, use.first) for use in request.uses}
         self.report_by_entry[request.instance] = EntryReport(now_ms, uses)
         for incarnation in request.unreachable:
-            self.unreachable_ms_by_incarnation[incarnation] = now_ms
+            unreached = self.unreached_ms_by_incarnation.setdefault(incarnation, {})
+            unreached[request.instance] = now_ms
         self.report_by_entry = {
             entry: report
             for entry, report in self.report_by_entry.items()
@@ -59,13 +63,27 @@
         }
 
     def unreachable(self, now_ms: int) -> set[str]:
-        """Return the incarnations that an entry could not reach lately."""
-        self.unreachable_ms_by_incarnation = {
-            incarnation: noted_ms
-            for incarnation, noted_ms in self.unreachable_ms_by_incarnation.items()
-            if now_ms - noted_ms < UNREACHABLE_LEASE_MS
+        """Return the incarnations that several entries could not reach lately.
+
+        One entry alone may be at fault itself, unless it is the only one.
+        """
+        self.unreached_ms_by_incarnation = {
+            incarnation: recent
+            for incarnation, unreached in self.unreached_ms_by_incarnation.items()
+            if (
+                recent := {
+                    entry: noted_ms
+                    for entry, noted_ms in unreached.items()
+                    if now_ms - noted_ms < UNREACHABLE_LEASE_MS
+                }
+            )
+        }
+        needed = min(WITNESSES, max(1, len(self.report_by_entry)))
+        return {
+            incarnation
+            for incarnation, unreached in self.unreached_ms_by_incarnation.items()
+            if len(unreached) >= needed
         }
-        return set(self.unreachable_ms_by_incarnation)
 
     def uses_of_others(self, entry: str) -> dict[str, Use]:
         """Return what the requests of all entries but one take, by backend server."""
--- a/src/yuccareach/gateway/table.py
+++ b/src/yuccareach/gateway/table.py
@@ -69,6 +69,8 @@
     prefill_tokens_per_s: float
     slots: int
     load_s: float
+    # Loads that the store of weights serves at full speed at the same time.
+    loads_at_once: int
     usual_prompt_tokens: int
     usual_answer_tokens: int
     card_by_name: dict[str, CardKind]
--- a/src/yuccareach/placement/planner.py
+++ b/src/yuccareach/placement/planner.py
@@ -77,15 +77,26 @@
     which loads many weights.
     """
     if not any(server.held.size for server in servers):
-        return [
-            move for pipeline in build_pipelines(servers, model) for move in pipeline
-        ]
+        return _place_fresh(servers, model)
     return fill_holes(servers, model, divide_anew=divide_anew)
 
 
 # A fresh fleet.
 
 
+def _place_fresh(servers: list[Server], model: ModelProfile) -> list[Move]:
+    """Place pipelines and replicas at once, while loads are quick."""
+    moves = [move for pipeline in build_pipelines(servers, model) for move in pipeline]
+    layers_by_name = {move.server.name: move.layers for move in moves}
+    placed = [
+        server._replace(held=layers_by_name.get(server.name, server.held))
+        for server in servers
+    ]
+    if not moves:
+        return []
+    return moves + fill_holes(placed, model, divide_anew=False)
+
+
 def build_pipelines(servers: Iterable[Server], model: ModelProfile) -> list[list[Move]]:
     """Form a pipeline in each zone that can hold one, else one over all zones."""
     ordered = sorted(servers, key=lambda item: (item.zone, item.decode_factor))
--- a/src/yuccareach/placement/run.py
+++ b/src/yuccareach/placement/run.py
@@ -80,10 +80,14 @@
                     await self._place(service.name, service.model)
 
     async def _place(self, service: str, model: ModelProfile) -> None:
+        self._forget_orders()
         servers = self._servers(service, model)
         if not servers or not self._settled(servers):
             return
-        moves = plan(servers, model, divide_anew=self._hole_lasts(servers, model))
+        divide_anew = self._hole_lasts(servers, model)
+        moves = self._within_load_limit(
+            plan(servers, model, divide_anew=divide_anew), servers, model
+        )
         if not moves:
             return
         try:
@@ -93,6 +97,19 @@
             return
         await asyncio.gather(*(self._order(move, model) for move in moves))
 
+    def _within_load_limit(
+        self, moves: list[Move], servers: list[Server], model: ModelProfile
+    ) -> list[Move]:
+        """Return the moves that the store of weights can serve at full speed now.
+
+        More would slow all of them down, while layers that are given up are gone at
+        once. Before the first request all may start: nothing is given up, and nobody
+        waits.
+        """
+        if not any(server.held.size for server in servers):
+            return moves
+        return moves[: max(0, model.loads_at_once - len(self.ordered_by_name))]
+
     def _hole_lasts(self, servers: list[Server], model: ModelProfile) -> bool:
         """Return whether a zone has lacked layers for longer than a restart takes."""
         now = monotonic_ms()
@@ -128,6 +145,16 @@
         ]
         return [self._server(member, model, now) for member in members]
 
+    def _forget_orders(self) -> None:
+        """Forget orders that were never confirmed, and those to servers that left."""
+        now = monotonic_ms()
+        known = self.process.members.heard_by_name
+        self.ordered_by_name = {
+            name: ordered
+            for name, ordered in self.ordered_by_name.items()
+            if now < ordered.until_ms and name in known
+        }
+
     def _server(self, member: cpb.Member, model: ModelProfile, now: int) -> Server:
         card = model.card_by_name[member.kind]
         held = LayerRange(member.first_layer, member.end_layer)
@@ -136,10 +163,8 @@
             confirmed = held == ordered.layers
             if confirmed or ordered.incarnation != member.incarnation:
                 del self.ordered_by_name[member.backend_server]
-            elif now < ordered.until_ms:
-                held = ordered.layers
             else:
-                del self.ordered_by_name[member.backend_server]
+                held = ordered.layers
         return Server(
             member.backend_server,
             member.incarnation,
--- a/src/yuccareach/platform/documents.py
+++ b/src/yuccareach/platform/documents.py
@@ -79,6 +79,7 @@
     per_seq_ms: float = 0.0
     context_per_k: float = 0.0
     read_per_s: float = 1.0
+    loads_at_once: int = 1
     usual: _Usual = msgspec.field(default_factory=_Usual)
     layers: int = 0
     layerMb: float = 0.0
@@ -226,6 +227,7 @@
         prefill_tokens_per_s=engine.read_per_s,
         slots=engine.slots,
         load_s=engine.models[0].loadS if engine.models else 0.0,
+        loads_at_once=max(1, engine.loads_at_once),
         usual_prompt_tokens=engine.usual.prompt,
         usual_answer_tokens=engine.usual.answer,
         card_by_name={
--- a/tests/gateway/fleet.py
+++ b/tests/gateway/fleet.py
@@ -16,6 +16,7 @@
     prefill_tokens_per_s=105_000.0,
     slots=96,
     load_s=14.0,
+    loads_at_once=5,
     usual_prompt_tokens=774,
     usual_answer_tokens=200,
     card_by_name={
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -66,12 +66,13 @@
 
     def test_slow_cards_that_do_not_pay_off_become_replicas(self) -> None:
         servers = fresh_fleet()
-        placed = carry_out(servers, plan(servers, MODEL))
-        spares = {item.name for item in placed if not item.held.size}
+        pipelines = build_pipelines(servers, MODEL)
+        used = {move.server.name for moves in pipelines for move in moves}
+        spares = {item.name for item in servers} - used
         self.assertEqual({name.split("-")[1] for name in spares}, {"l4"})
-        replicas = plan(placed, MODEL)
-        self.assertEqual({move.server.name for move in replicas}, spares)
-        placed = carry_out(placed, replicas)
+        placed = carry_out(servers, plan(servers, MODEL))
+        replicas = {item.name for item in placed if item.held.size} - used
+        self.assertEqual(replicas, spares)
         self.check_memory(placed)
         self.assertEqual(plan(placed, MODEL), [])
 
@@ -92,7 +93,6 @@
     def test_first_stages_have_slots_for_what_memory_holds(self) -> None:
         servers = fresh_fleet()
         placed = carry_out(servers, plan(servers, MODEL))
-        placed = carry_out(placed, plan(placed, MODEL))
         for zone in FLEET:
             held = [item for item in placed if item.zone == zone and item.held.size]
             slots = MODEL.slots * sum(item.held.first == 0 for item in held)
@@ -114,9 +114,12 @@
         return lost
 
     def keep_no_replicas(self) -> None:
-        servers = fresh_fleet()
-        placed = carry_out(servers, plan(servers, MODEL))
-        self.servers = [item for item in placed if item.held.size]
+        pipelines = build_pipelines(fresh_fleet(), MODEL)
+        self.servers = [
+            move.server._replace(held=move.layers)
+            for moves in pipelines
+            for move in moves
+        ]
 
     def repair(self, *, divide_anew: bool = False) -> list[Move]:
         """Plan and carry out until nothing is left to do."""
