Route around backend servers that report to be slow

Change: a stream that stays slow has its stages' paces asked for, at most once a second each; slow servers are used only where nothing else has room, streams are carried on without them, and their pace is looked at again after two seconds. A server that answers 421 is avoided like a lost one. Members keep their lease for six heartbeats: one cut off from control alone goes on serving. Tests: a chain and a whole stream that leave a slow stage.

--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -71,9 +71,13 @@
 class MemberTable:
     """All backend servers heard of, with a version for each change."""
 
-    def __init__(self, now_ms: int, lease_ms: int = LEASE_MS) -> None:
+    def __init__(
+        self, now_ms: int, lease_ms: int = LEASE_MS, warm_ms: int | None = None
+    ) -> None:
         self.started_ms = now_ms
         self.lease_ms = lease_ms
+        # Within this time every living member has announced itself.
+        self.warm_ms = lease_ms if warm_ms is None else warm_ms
         self.version = 1
         self.heard_by_name: dict[str, HeardMember] = {}
         self.departures: deque[Departure] = deque(maxlen=DEPARTURES_KEPT)
@@ -81,7 +85,7 @@
 
     def warm(self, now_ms: int) -> bool:
         """Return whether every living agent has had time to announce itself."""
-        return now_ms - self.started_ms > self.lease_ms
+        return now_ms - self.started_ms > self.warm_ms
 
     def hear(
         self, member: cpb.Member, now_ms: int, source: str = "", revision: int = 0
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -78,6 +78,8 @@
     restore: Path | None = None
     # Without a new heartbeat for this long, a backend server is taken out.
     member_lease_ms: int = LEASE_MS
+    # Within this time of a start every living backend server has announced itself.
+    member_warm_ms: int = LEASE_MS
     # Voters to keep; 0 lets every instance that joins under a new name vote.
     voters: int = 0
     # Whether the data folder does not last, so that this instance must not vote.
@@ -101,7 +103,9 @@
         self.store = DiskStore(options.data, options.instance)
         self.state = self._load()
         self.run_id = new_incarnation()
-        self.members = MemberTable(monotonic_ms(), options.member_lease_ms)
+        self.members = MemberTable(
+            monotonic_ms(), options.member_lease_ms, options.member_warm_ms
+        )
         self.views = Views()
         recalled = self.store.load_members().heard
         self.members.recall((item.member for item in recalled), monotonic_ms())
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -53,6 +53,9 @@
         # Set where it could not be connected to, or was named as the cause of a stall.
         self.unreachable_until_s = 0.0
         self.probed_s = -1.0
+        # Multiple of its usual times, and when it was last asked for.
+        self.pace = 1.0
+        self.paced_s = -10.0
 
     @property
     def name(self) -> str:
--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -10,6 +10,8 @@
 import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
+from yuccareach.gateway.paces import SLOW_PACE
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -24,6 +26,9 @@
 REMOTE_ENTRY_MS = 8.0
 # Cost of a server that has failed lately; more than any chain without one.
 AVOIDED_MS = 1_000.0
+# Cost of a server that is slow, for each multiple of its usual times: every request of
+# its chain waits for it, so that it is used only where nothing else has room.
+SLOW_MS = 50.0
 # Part of a stage's memory that is given out; other entries' latest requests and answers
 # longer than expected take the rest.
 MEMORY_PART = 0.85
@@ -205,7 +210,9 @@
         if full > MEMORY_PART:
             continue
         enter = AVOIDED_MS if holder.avoided(demand.now_s) else 0.0
-        layer = layer_ms(holder, model) * (1 + FULL_FACTOR * full)
+        if holder.pace >= SLOW_PACE:
+            enter += SLOW_MS * holder.pace
+        layer = layer_ms(holder, model) * holder.pace * (1 + FULL_FACTOR * full)
         costs[holder.name] = _Cost(enter, layer)
     return costs
 
--- a/src/yuccareach/gateway/dialect.py
+++ b/src/yuccareach/gateway/dialect.py
@@ -72,6 +72,8 @@
     report_path: str
     # Addresses that a backend server's report names as the cause of a stalled request.
     read_stalled: Callable[[bytes], dict[bytes, str]]
+    # The multiple of its usual times that a backend server reports, if it does.
+    read_pace: Callable[[bytes], float | None]
     # The address that a refused order names as the cause, or an empty string.
     read_order_fault: Callable[[bytes], str]
 
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -7,6 +7,7 @@
 
 from yuccareach.gateway.chains import Chain, find_chain
 from yuccareach.gateway.http_client import ask
+from yuccareach.gateway.paces import due_again, measure
 from yuccareach.gateway.probes import find_lost, suspected
 from yuccareach.gateway.streams import StreamRun, describe, stages
 
@@ -32,8 +33,12 @@
     """Look into streams that have stopped, and those whose chain has lost a part."""
     while True:
         await asyncio.sleep(WATCH_INTERVAL_S)
+        if not gateway.streams:
+            continue
         for queue in gateway.queue_by_service.values():
             queue.pump(gateway.now())
+        if again := due_again(gateway):
+            gateway.start(measure(gateway, again))
         open_runs = [
             run
             for run in gateway.streams
@@ -132,8 +137,8 @@
     if address is not None:
         lost = gateway.fleet.backend_by_address.get(address, lost)
     if lost is None:
-        gateway.log("stream_slow", request=run.admitted.request_id)
         run.progress_s = now_s
+        await _treat_slow(gateway, run, first)
         return
     lost.lost(now_s)
     if lost is first:
@@ -143,6 +148,21 @@
     await _reroute(gateway, run, lost)
 
 
+async def _treat_slow(gateway: Gateway, run: StreamRun, first: Backend) -> None:
+    """Find out whether a stage has turned slow, and carry the stream on without it."""
+    parts = run.chain.parts if run.chain else ()
+    slow = await measure(gateway, [part.backend for part in parts])
+    gateway.log(
+        "stream_slow",
+        request=run.admitted.request_id,
+        slow=",".join(backend.name for backend in slow),
+    )
+    run.excluded.update(backend.announced.incarnation for backend in slow)
+    others = [backend for backend in slow if backend is not first]
+    if others and run.sent is not None and _find_detour(gateway, run) is not None:
+        await _reroute(gateway, run, others[0])
+
+
 def _interrupt(gateway: Gateway, run: StreamRun, reason: str) -> None:
     gateway.log(
         "stream_interrupted",
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -34,6 +34,7 @@
 LEAST_S = 0.1
 # Attempts whose backend server said at once that it did not run the request.
 REFUSALS_MOST = 3
+MISDIRECTED = 421
 # Weight of the newest pause in the usual one.
 PAUSE_WEIGHT = 0.2
 # Attempts beyond the route's, where the backend servers of earlier ones were lost.
@@ -406,7 +407,11 @@
     address = head.facts.faulty_address or sent.backend.announced.address
     faulty = run.gateway.fleet.backend_by_address.get(address, sent.backend)
     run.excluded.add(faulty.announced.incarnation)
-    faulty.refused(now_s)
+    if head.status == MISDIRECTED:
+        # It is another incarnation, or holds other layers than control knows of.
+        faulty.lost(now_s)
+    else:
+        faulty.refused(now_s)
 
 
 def stages(chain: Chain) -> tuple[Stage, ...]:
--- a/src/yuccareach/platform/headers.py
+++ b/src/yuccareach/platform/headers.py
@@ -156,6 +156,15 @@
         return {}
 
 
+def read_pace(report: bytes) -> float | None:
+    """Return how many times slower than usual a report says that its runner is."""
+    try:
+        # In a configuration's kinds the same name is the factor of a sound card.
+        return float(msgspec.json.decode(report)["pace"])
+    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        return None
+
+
 def read_order_fault(body: bytes) -> str:
     """Return the address that a refused order names, or an empty string."""
     try:
@@ -172,6 +181,7 @@
     order_path=ORDER_PATH,
     report_path="/-/report",
     read_stalled=read_stalled,
+    read_pace=read_pace,
     read_order_fault=read_order_fault,
 )
 
--- a/src/yuccareach/platform/run_control.py
+++ b/src/yuccareach/platform/run_control.py
@@ -21,8 +21,12 @@
 
     from yuccareach.runtime.process import Service
 
-# Heartbeats that may be missed before a runner counts as gone.
-MISSED_HEARTBEATS = 3
+# Heartbeats that may be missed before a runner counts as gone. Gateways notice sooner
+# that one is lost; one that is cut off from control only goes on serving meanwhile.
+MISSED_HEARTBEATS = 6
+# Heartbeats within which every runner has announced itself to a new process.
+WARM_HEARTBEATS = 3
+HEARTBEAT_SLACK_MS = 500
 SNAPSHOT_EVERY = 64
 VOLATILE_FOLDER = "/tmp/yuccareach-control"
 
@@ -83,7 +87,8 @@
         bootstrap=settings.bootstraps and bool(settings.data_folder),
         join=settings.control_peers,
         snapshot_every=SNAPSHOT_EVERY,
-        member_lease_ms=MISSED_HEARTBEATS * settings.heartbeat_ms + 500,
+        member_lease_ms=MISSED_HEARTBEATS * settings.heartbeat_ms + HEARTBEAT_SLACK_MS,
+        member_warm_ms=WARM_HEARTBEATS * settings.heartbeat_ms + HEARTBEAT_SLACK_MS,
         voters=2 * settings.lost_instances_borne + 1,
         operator_address=f"{host}:{port}",
     )
--- a/src/yuccareach/platform/standin.py
+++ b/src/yuccareach/platform/standin.py
@@ -55,6 +55,7 @@
         self.silent = False
         self.status = 200
         self.event_interval_s = 0.002
+        self.pace = 1.0
         self.stalled: dict[str, str] = {}
         self.path_by_request: dict[str, list[tuple[str, int, int]]] = {}
         self.orders: list[dict[str, Any]] = []
@@ -117,7 +118,7 @@
             {"id": request_id, "address": address}
             for request_id, address in self.stalled.items()
         ]
-        return web.json_response({"stalled": stalled})
+        return web.json_response({"stalled": stalled, "pace": self.pace})
 
     async def _order(self, request: web.Request) -> web.Response:
         order = await request.json()
@@ -190,9 +191,18 @@
             tiles = tiles_layers(self.path_by_request[request_id], self.group.layers)
             text = f"id: {number}\ndata: token-{number} {'ok' if tiles else 'bad'}\n\n"
             await response.write(text.encode())
-            await asyncio.sleep(self.event_interval_s)
+            await asyncio.sleep(self.event_interval_s * self._slowest(request_id))
         return response
 
+    def _slowest(self, request_id: str) -> float:
+        """Return the pace of the slowest stage of a request's path."""
+        runners = self.group.runner_by_address
+        return max(
+            runners[address].pace
+            for address, _, _ in self.path_by_request[request_id]
+            if address in runners
+        )
+
     async def _await_stages(self, request_id: str) -> None:
         """Wait while a stage of the path is gone, and report it as stalled."""
         while faulty := self._faulty(self.path_by_request[request_id]):
--- a/tests/gateway/test_chains.py
+++ b/tests/gateway/test_chains.py
@@ -86,6 +86,13 @@
         self.by_name["b2"].failed(0.0)
         self.assertIsNotNone(self.find("z1", now_s=0.1))
 
+    def test_slow_server_is_taken_only_where_nothing_else_has_room(self) -> None:
+        self.by_name["a2"].pace = 12.0
+        self.assertEqual(self.names(self.find("z1")), ["b1", "b2", "b3"])
+        for name in ("b1", "b2", "b3"):
+            self.by_name[name].tokens = memory_tokens(self.by_name[name], MODEL)
+        self.assertIn("a2", self.names(self.find("z1")))
+
     def test_excluded_incarnation_takes_no_part(self) -> None:
         chain = self.find("z1", excluded=frozenset({"a1@1"}))
         self.assertNotIn("a1", self.names(chain))
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -77,6 +77,22 @@
         self.assertTrue(answer.whole)
         self.assertEqual(events_of(answer), list(range(1, 41)))
 
+    async def test_stream_leaves_a_stage_that_has_turned_slow(self) -> None:
+        self.slow()
+        turned = False
+
+        async def _turn_slow(body: bytes) -> None:
+            nonlocal turned
+            if not turned and body.count(b"id:") >= 5:
+                turned = True
+                self.near[1].pace = 50.0
+
+        answer = await self.stream(30, _turn_slow)
+        self.assertTrue(answer.whole)
+        self.assertEqual(events_of(answer), list(range(1, 31)))
+        path = self.near[0].path_by_request["r1"]
+        self.assertNotIn(self.near[1].address, [address for address, _, _ in path])
+
     async def test_broken_stream_is_resumed_after_its_last_event(self) -> None:
         self.near[0].cut_after_events = 7
         answer = await self.stream(20)
