Bound what views cost the leader

Change: reads that wait share a round, uses are kept as totals, a gateway polls at most five times a second.

--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -23,6 +23,7 @@
     Applied,
     BatchEnd,
     RaftState,
+    ReadAsked,
     ReadConfirmed,
     Refused,
     Role,
@@ -31,7 +32,7 @@
 )
 from yuccareach.control.server import ControlService, Watcher
 from yuccareach.control.store import DiskStore
-from yuccareach.control.views import Views
+from yuccareach.control.views import ReadRounds, Views
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import (
     ControlStub,
@@ -107,6 +108,7 @@
             monotonic_ms(), options.member_lease_ms, options.member_warm_ms
         )
         self.views = Views()
+        self.reads = ReadRounds(lambda: self.ask(ReadAsked))
         recalled = self.store.load_members().heard
         self.members.recall((item.member for item in recalled), monotonic_ms())
         self.saved_members = self.members.version
--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -10,11 +10,13 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.control.errors import NotLeader
-from yuccareach.control.raft_types import ReadAsked, Role
+from yuccareach.control.raft_types import Role
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.runtime.reducer import monotonic_ms
 
 if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
     from yuccareach.control.run import ControlProcess
 
 # A view without news is given after this long.
@@ -34,6 +36,9 @@
     first: int
 
 
+NO_USE = Use(0, 0)
+
+
 class EntryReport(NamedTuple):
     """What an entry said with its last request for a view."""
 
@@ -46,21 +51,27 @@
 
     def __init__(self) -> None:
         self.report_by_entry: dict[str, EntryReport] = {}
+        self.total_by_server: dict[str, Use] = {}
         # By incarnation, when which entry last said that it cannot reach it.
         self.unreached_ms_by_incarnation: dict[str, dict[str, int]] = {}
 
     def note(self, request: cpb.ViewRequest, now_ms: int) -> None:
         """Take what a request says, and forget what is too old."""
         uses = {use.backend_server: Use(use.tokens, use.first) for use in request.uses}
+        gone = [request.instance] + [
+            entry
+            for entry, report in self.report_by_entry.items()
+            if now_ms - report.heard_ms >= ENTRY_LEASE_MS
+        ]
+        for entry in gone:
+            old = self.report_by_entry.pop(entry, None)
+            if old is not None:
+                self._add(old.use_by_server, -1)
         self.report_by_entry[request.instance] = EntryReport(now_ms, uses)
+        self._add(uses, 1)
         for incarnation in request.unreachable:
             unreached = self.unreached_ms_by_incarnation.setdefault(incarnation, {})
             unreached[request.instance] = now_ms
-        self.report_by_entry = {
-            entry: report
-            for entry, report in self.report_by_entry.items()
-            if now_ms - report.heard_ms < ENTRY_LEASE_MS
-        }
 
     def unreachable(self, now_ms: int) -> set[str]:
         """Return the incarnations that several entries could not reach lately.
@@ -86,15 +97,56 @@
         }
 
     def uses_of_others(self, entry: str) -> dict[str, Use]:
-        """Return what the requests of all entries but one take, by backend server."""
-        totals: dict[str, Use] = {}
-        for other, report in self.report_by_entry.items():
-            if other == entry:
-                continue
-            for server, use in report.use_by_server.items():
-                known = totals.get(server, Use(0, 0))
-                totals[server] = Use(known.tokens + use.tokens, known.first + use.first)
-        return totals
+        """Return what the requests of all entries but one take, by backend server.
+
+        The totals are kept up to date with each report, since every entry asks for them
+        several times a second.
+        """
+        report = self.report_by_entry.get(entry)
+        own = report.use_by_server if report is not None else {}
+        others = {
+            server: Use(total.tokens - own_use.tokens, total.first - own_use.first)
+            for server, total in self.total_by_server.items()
+            for own_use in (own.get(server, NO_USE),)
+        }
+        return {server: use for server, use in others.items() if use != NO_USE}
+
+    def _add(self, uses: dict[str, Use], sign: int) -> None:
+        """Add what an entry takes to the totals, or take it off."""
+        for server, use in uses.items():
+            total = self.total_by_server.get(server, NO_USE)
+            changed = Use(
+                total.tokens + sign * use.tokens, total.first + sign * use.first
+            )
+            if changed == NO_USE:
+                self.total_by_server.pop(server, None)
+            else:
+                self.total_by_server[server] = changed
+
+
+class ReadRounds:
+    """Confirms reads by a quorum, all that wait at a time in one round.
+
+    A round confirms only what was asked before it began, so that one who asks while a
+    round is under way joins the next.
+    """
+
+    def __init__(self, ask: Callable[[], Awaitable[None]]) -> None:
+        self.ask = ask
+        self.under_way: asyncio.Future[None] | None = None
+        self.next: asyncio.Future[None] | None = None
+
+    async def confirm(self) -> None:
+        """Return once a quorum has confirmed that this instance leads, or raise."""
+        if self.next is None:
+            self.next = asyncio.ensure_future(self._run_after(self.under_way))
+        await asyncio.shield(self.next)
+
+    async def _run_after(self, earlier: asyncio.Future[None] | None) -> None:
+        if earlier is not None:
+            await asyncio.wait((earlier,))
+        self.under_way, self.next = self.next, None
+        await self.ask()
 
 
 async def answer_view(process: ControlProcess, request: cpb.ViewRequest) -> cpb.View:
@@ -105,7 +157,7 @@
     if not _has_news(process, request):
         await _wait_for_news(process, request)
     try:
-        await process.ask(ReadAsked)
+        await process.reads.confirm()
     except NotLeader as error:
         return _redirect(process, error.leader_address)
     return _view(process, request)
@@ -167,4 +219,4 @@
     return view
 
 
-__all__ = ["Views", "answer_view"]
+__all__ = ["ReadRounds", "Use", "Views", "answer_view"]
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -24,8 +24,9 @@
 # Longer than the leader holds a request without news.
 POLL_TIMEOUT_S = 1.2
 RETRY_S = 0.1
-# Between two polls, so that changes in quick succession come together.
-PAUSE_S = 0.05
+# Between two polls, so that changes in quick succession come together. Every gateway
+# polls the one leader, whose processor time this bounds.
+PAUSE_S = 0.2
 # A leader that began lately may not have heard every member yet.
 RESYNC_S = 6.0
 
