Do not take sound servers for lost while held up; split what had grown large

Change: a wait that ends much later than it should says nothing of the server, and a late tick does not count against streams. Planner, streams and the control process are split by job (placement/moves, pipelines, repairs, replicas; gateway/stream_run; control/joining, upkeep).

--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -3,16 +3,15 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import itertools
 from random import Random
 from typing import TYPE_CHECKING, Any, NamedTuple
 
-import grpc
 from google.protobuf.message import DecodeError
 
 from yuccareach.control import raft
 from yuccareach.control.errors import CorruptLog, DiskFailed, NotLeader
+from yuccareach.control.joining import stay_joined
 from yuccareach.control.machine import Machine, load_machine
 from yuccareach.control.members import LEASE_MS, MemberTable
 from yuccareach.control.operators import operator_app
@@ -32,12 +31,10 @@
 )
 from yuccareach.control.server import ControlService, Watcher
 from yuccareach.control.store import DiskStore
+from yuccareach.control.upkeep import relay_members, remember_members
 from yuccareach.control.views import ReadRounds, Views
 from yuccareach.proto import control_pb2 as cpb
-from yuccareach.proto.control_pb2_grpc import (
-    ControlStub,
-    add_ControlServicer_to_server,
-)
+from yuccareach.proto.control_pb2_grpc import add_ControlServicer_to_server
 from yuccareach.runtime.http import HttpServer
 from yuccareach.runtime.logs import Log, logger, write_log
 from yuccareach.runtime.process import new_incarnation
@@ -49,15 +46,7 @@
     from pathlib import Path
 
 TICK_INTERVAL_MS = 50
-RELAY_INTERVAL_MS = 500
-RELAYS_PER_FULL = 10
-JOIN_RETRY_MS = 500
-JOIN_TIMEOUT_MS = 1_000
-# Longer than elections take, so that only one who was removed asks again.
-REJOIN_AFTER_MS = 2_500
 REOPEN_DISK_MS = 500
-# Members change rarely; a save costs one sync of the disk.
-MEMBERS_SAVE_S = 0.5
 DRAIN_SETTLE_MS = 10
 _log = logger("control")
 
@@ -162,23 +151,24 @@
         await self.server.start()
         await self.http.start()
         if options.restore is not None:
-            self.perform(raft.restore(self.state, self._own_peer(), self.backup))
+            self.perform(raft.restore(self.state, self.own_peer(), self.backup))
         elif options.bootstrap:
             now = monotonic_ms()
-            self.perform(raft.bootstrap(self.state, self._own_peer(), now))
+            self.perform(raft.bootstrap(self.state, self.own_peer(), now))
         self.tasks = [
             asyncio.create_task(self._tick()),
-            asyncio.create_task(self._relay()),
-            asyncio.create_task(self._remember_members()),
+            asyncio.create_task(relay_members(self)),
+            asyncio.create_task(remember_members(self)),
         ]
         if options.join:
-            self.tasks.append(asyncio.create_task(self._stay_joined()))
+            self.tasks.append(asyncio.create_task(stay_joined(self)))
         _log.info(
             "started",
             extra={"address": self.address, "http": self.http.address},
         )
 
-    def _own_peer(self) -> cpb.Peer:
+    def own_peer(self) -> cpb.Peer:
+        """Return this instance as the others are to know it."""
         return cpb.Peer(
             name=self.options.instance,
             identity=self.state.identity,
@@ -187,40 +177,6 @@
             volatile=self.options.volatile,
         )
 
-    async def _stay_joined(self) -> None:
-        """Ask the cluster to be let in whenever no leader counts this instance."""
-        tries = itertools.count()
-        leader = ""
-        while True:
-            if not self._needs_join():
-                await asyncio.sleep(JOIN_RETRY_MS / 1000)
-                continue
-            targets = self.join_targets
-            target = leader or targets[next(tries) % len(targets)]
-            leader = ""
-            if target != self.address:
-                leader = await self._ask_to_join(target)
-            await asyncio.sleep(JOIN_RETRY_MS / 2 / 1000)
-
-    async def _ask_to_join(self, target: str) -> str:
-        """Return the leader that a control instance names, if it is another."""
-        try:
-            async with grpc.aio.insecure_channel(target) as channel:
-                reply = await ControlStub(channel).Join(
-                    self._own_peer(), timeout=JOIN_TIMEOUT_MS / 1000
-                )
-        except grpc.RpcError:
-            return ""
-        return reply.leader_address if reply.leader_address != target else ""
-
-    def _needs_join(self) -> bool:
-        """Return whether no leader has been heard, or none has this instance."""
-        state = self.state
-        if not state.address_of(state.identity):
-            return True
-        silent_ms = monotonic_ms() - state.leader_heard_ms
-        return state.role is not Role.LEADER and silent_ms > REJOIN_AFTER_MS
-
     # Events and effects.
 
     def dispatch(self, event: Any) -> None:
@@ -415,50 +371,6 @@
         self.state = self.peers.state = state
         _log.info("disk_usable", extra={"last_index": state.last_index})
 
-    async def _relay(self) -> None:
-        """Tell the other control instances who is attached here, mostly changes."""
-        relayed_version = 0
-        for turn in itertools.count():
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(RELAY_INTERVAL_MS / 1000):
-                    await self.relay_due.wait()
-            self.relay_due.clear()
-            # One that has just started does not know yet whom it will hear from.
-            warm = self.members.warm(monotonic_ms())
-            everything = warm and turn % RELAYS_PER_FULL == 0
-            after = 0 if everything else relayed_version
-            heard = [
-                cpb.Heartbeat(member=item.member, revision=item.revision)
-                for item in self.members.direct_after(after)
-            ]
-            departed = self.members.departed_after(relayed_version)
-            relayed_version = self.members.version
-            watchers = [watcher.request for watcher in self.watchers]
-            dismissed, self.dismissed = self.dismissed, []
-            self.peers.relay(
-                heard=heard,
-                departed=departed,
-                heard_all=everything,
-                watchers=watchers,
-                dismissed=dismissed,
-            )
-
-    async def _remember_members(self) -> None:
-        """Write down who is a member, so that a restart does not begin with nobody."""
-        while True:
-            await asyncio.sleep(MEMBERS_SAVE_S)
-            version = self.members.version
-            if version == self.saved_members or self.state.role is Role.FAILED:
-                continue
-            heard = self.members.heard_by_name.values()
-            frame = cpb.RaftFrame(heard=[cpb.Heartbeat(member=h.member) for h in heard])
-            try:
-                self.store.save_members(frame)
-            except DiskFailed as error:
-                _log.warning("members_not_saved", extra={"reason": str(error)})
-                continue
-            self.saved_members = version
-
     def revisions_in_force(self) -> list[cpb.WatchRequest]:
         """Return what every watching process reports, here and elsewhere."""
         relayed = itertools.chain.from_iterable(self.relayed_watchers.values())
--- a/src/yuccareach/gateway/probes.py
+++ b/src/yuccareach/gateway/probes.py
@@ -14,12 +14,14 @@
     from yuccareach.gateway.backends import Backend
     from yuccareach.gateway.chains import Chain
     from yuccareach.gateway.state import Gateway
-    from yuccareach.gateway.streams import StreamRun
+    from yuccareach.gateway.stream_run import StreamRun
 
 # A connection within a region is made within a few milliseconds.
 CONNECT_TIMEOUT_S = 0.04
 # A lost packet is no lost server.
 TRIES = 2
+# A timer that fires later than this shows that the process itself was held up.
+OWN_DELAY_S = 0.02
 # What was found of a server holds this long.
 PROBE_INTERVAL_S = 0.12
 # A stream is suspected after this many of its usual pauses, or this long.
@@ -59,12 +61,20 @@
 
 
 async def _answers(backend: Backend) -> bool:
-    """Return whether a server accepts connections."""
+    """Return whether a server accepts connections, in doubt True.
+
+    Where a wait took far longer than it should, this process was held up itself, and
+    nothing is known of the server.
+    """
+    loop = asyncio.get_running_loop()
     for _ in range(TRIES):
+        begun_s = loop.time()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 connection = await backend.pool.connect()
         except TimeoutError:
+            if loop.time() - begun_s > CONNECT_TIMEOUT_S + OWN_DELAY_S:
+                return True
             continue
         except OSError:
             return False
@@ -73,4 +83,4 @@
     return False
 
 
-__all__ = ["find_lost", "suspected"]
+__all__ = ["OWN_DELAY_S", "find_lost", "suspected"]
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -8,8 +8,8 @@
 from yuccareach.gateway.chains import Chain, find_chain
 from yuccareach.gateway.http_client import ask
 from yuccareach.gateway.paces import due_again, measure
-from yuccareach.gateway.probes import find_lost, suspected
-from yuccareach.gateway.streams import StreamRun, describe, stages
+from yuccareach.gateway.probes import OWN_DELAY_S, find_lost, suspected
+from yuccareach.gateway.stream_run import StreamRun, describe, stages
 
 if TYPE_CHECKING:
     from yuccareach.gateway.backends import Backend
@@ -32,9 +32,11 @@
 async def watch_streams(gateway: Gateway) -> None:
     """Look into streams that have stopped, and those whose chain has lost a part."""
     while True:
+        due_s = gateway.now() + WATCH_INTERVAL_S
         await asyncio.sleep(WATCH_INTERVAL_S)
         if not gateway.streams:
             continue
+        _forgive_own_delay(gateway, gateway.now() - due_s)
         for queue in gateway.queue_by_service.values():
             queue.pump(gateway.now())
         if again := due_again(gateway):
@@ -48,6 +50,14 @@
         _repair_stopped(gateway, open_runs)
 
 
+def _forgive_own_delay(gateway: Gateway, late_s: float) -> None:
+    """Do not count against streams what held this process up itself."""
+    if late_s > OWN_DELAY_S:
+        now_s = gateway.now()
+        for run in gateway.streams:
+            run.progress_s = min(now_s, run.progress_s + late_s + LEAST_PAUSE_S)
+
+
 def _probe_suspects(gateway: Gateway, runs: list[StreamRun]) -> None:
     """Connect to the stages of streams that have paused for unusually long."""
     now_s = gateway.now()
@@ -114,8 +124,12 @@
 async def _ask_stalled(gateway: Gateway, first: Backend) -> dict[bytes, str] | None:
     """Return what a backend server says its requests wait for; None without a word."""
     path = gateway.dialect.report_path
+    begun_s = gateway.now()
     report = await ask(first.pool, b"GET", path, b"", ASK_TIMEOUT_S)
-    return None if report is None else gateway.dialect.read_stalled(report.body)
+    if report is not None:
+        return gateway.dialect.read_stalled(report.body)
+    held_up = gateway.now() - begun_s > ASK_TIMEOUT_S + OWN_DELAY_S
+    return {} if held_up else None
 
 
 async def _treat(
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -20,7 +20,7 @@
     from collections.abc import Coroutine
 
     from yuccareach.gateway.dialect import Dialect
-    from yuccareach.gateway.streams import StreamRun
+    from yuccareach.gateway.stream_run import StreamRun
     from yuccareach.gateway.table import RoutingTable, Service
 
 # After a restart of everything, control is back and has a leader within this time.
--- /dev/null
+++ b/src/yuccareach/placement/repairs.py
@@ -0,0 +1,199 @@
+"""Closing holes in the layers that a fleet in use holds."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccareach.placement.moves import (
+    LayerRange,
+    Move,
+    Server,
+    capacity,
+    coverage,
+    layers_within,
+    room_tokens,
+    wanted_tokens,
+)
+from yuccareach.placement.pipelines import best_pipeline
+from yuccareach.placement.replicas import reinforce
+from yuccareach.placement.runs import longest_run
+
+if TYPE_CHECKING:
+    from yuccareach.gateway.table import ModelProfile
+
+
+def fill_holes(
+    servers: list[Server], model: ModelProfile, *, divide_anew: bool
+) -> list[Move]:
+    """Close the pipelines of all zones, or at least one that spans them."""
+    by_zone: dict[str, list[Server]] = {}
+    for server in servers:
+        by_zone.setdefault(server.zone, []).append(server)
+    moves = [
+        move
+        for group in by_zone.values()
+        for move in _fill_zone(group, model, divide_anew=divide_anew)
+    ]
+    return moves or _fill_anywhere(servers, model)
+
+
+def _fill_zone(
+    servers: list[Server], model: ModelProfile, *, divide_anew: bool
+) -> list[Move]:
+    """Cover the layers that nobody holds in one zone, by free servers or neighbours."""
+    holders = [server for server in servers if server.held.size]
+    if not holders:
+        return best_pipeline(servers, model) or []
+    counts = coverage(servers, model)
+    free = sorted(
+        (server for server in servers if not server.held.size),
+        key=lambda server: server.decode_factor,
+    )
+    if min(counts) > 0:
+        return reinforce(free, holders, model)
+    hole = longest_run(counts)
+    free += _redundant(holders, counts)
+    if free:
+        return _cover_by_free(free, hole, holders, model)
+    moves = _extend_neighbours(servers, hole, model)
+    if not moves and divide_anew:
+        moves = best_pipeline(servers, model) or []
+    return moves
+
+
+def _cover_by_free(
+    free: list[Server], hole: LayerRange, holders: list[Server], model: ModelProfile
+) -> list[Move]:
+    """Divide a hole among free servers, enough to leave as much room as the others.
+
+    What they cannot cover remains a hole.
+    """
+    wanted = min(room_tokens(Move(item, item.held), model) for item in holders)
+    tokens = max(wanted, wanted_tokens(model))
+    count = next(
+        (
+            count
+            for count in range(1, len(free) + 1)
+            if capacity(free[:count], model, tokens) >= hole.size
+        ),
+        len(free),
+    )
+    chosen = free[:count]
+    if capacity(chosen, model, tokens) < hole.size:
+        tokens = min(tokens, wanted_tokens(model))
+    moves = []
+    first = hole.first
+    for server in chosen:
+        most = max(1, layers_within(server, model, tokens))
+        end = min(hole.end, first + most)
+        if end > first:
+            moves.append(Move(server, LayerRange(first, end)))
+        first = end
+    return moves
+
+
+def _extend_neighbours(
+    servers: list[Server], hole: LayerRange, model: ModelProfile
+) -> list[Move]:
+    """Let the servers on both sides of a hole hold its layers as well, if they can."""
+
+    def _spare(server: Server) -> int:
+        most = layers_within(server, model, wanted_tokens(model))
+        return max(0, most - server.held.size)
+
+    before = [
+        server
+        for server in servers
+        if server.held.size and server.held.end == hole.first
+    ]
+    after = [
+        server
+        for server in servers
+        if server.held.size and server.held.first == hole.end
+    ]
+    left = max(before, key=_spare, default=None)
+    right = max(after, key=_spare, default=None)
+    left_most = _spare(left) if left else 0
+    right_most = _spare(right) if right else 0
+    if left_most + right_most < hole.size:
+        return []
+    share = hole.size * left_most // (left_most + right_most)
+    cut = hole.first + min(left_most, max(share, hole.size - right_most))
+    moves = []
+    if left is not None and cut > hole.first:
+        moves.append(Move(left, LayerRange(left.held.first, cut)))
+    if right is not None and cut < hole.end:
+        moves.append(Move(right, LayerRange(cut, right.held.end)))
+    return moves
+
+
+def _fill_anywhere(servers: list[Server], model: ModelProfile) -> list[Move]:
+    """Cover layers that nobody holds in any zone, by free servers or by moving one."""
+    counts = coverage(servers, model)
+    free = [server for server in servers if not server.held.size]
+    moves: list[Move] = []
+    while min(counts) == 0:
+        hole = longest_run(counts)
+        server = _pick_free(free, hole, model)
+        if server is not None:
+            free.remove(server)
+        else:
+            server = _pick_donor(servers, counts, {move.server.name for move in moves})
+            if server is None:
+                break
+            for layer in range(server.held.first, server.held.end):
+                counts[layer] -= 1
+            hole = longest_run(counts)
+        moves.append(_cover(server, hole, model, counts))
+    return moves
+
+
+def _cover(
+    server: Server, hole: LayerRange, model: ModelProfile, counts: list[int]
+) -> Move:
+    most = max(1, layers_within(server, model, wanted_tokens(model)))
+    layers = LayerRange(hole.first, min(hole.end, hole.first + most))
+    for layer in range(layers.first, layers.end):
+        counts[layer] += 1
+    return Move(server, layers)
+
+
+def _pick_free(
+    free: list[Server], hole: LayerRange, model: ModelProfile
+) -> Server | None:
+    """Return the slowest free server that covers a hole alone, or the largest."""
+    tokens = wanted_tokens(model)
+    whole = [item for item in free if layers_within(item, model, tokens) >= hole.size]
+    if whole:
+        return whole[-1]
+    return max(free, key=lambda item: item.memory_mb, default=None)
+
+
+def _pick_donor(
+    servers: list[Server], counts: list[int], moved: set[str]
+) -> Server | None:
+    """Return the slowest server whose layers are all held by others as well."""
+    donors = [
+        server
+        for server in servers
+        if server.held.size
+        and server.name not in moved
+        and min(counts[server.held.first : server.held.end], default=0) > 1
+    ]
+    return max(donors, key=lambda server: server.decode_factor, default=None)
+
+
+def _redundant(holders: list[Server], counts: list[int]) -> list[Server]:
+    """Return servers that may leave their layers to others, the slowest first."""
+    left = list(counts)
+    chosen = []
+    for server in sorted(holders, key=lambda item: -item.decode_factor):
+        layers = range(server.held.first, server.held.end)
+        if min(left[layer] for layer in layers) > 1:
+            chosen.append(server)
+            for layer in layers:
+                left[layer] -= 1
+    return chosen
+
+
+__all__ = ["fill_holes"]
--- a/src/yuccareach/placement/run.py
+++ b/src/yuccareach/placement/run.py
@@ -7,14 +7,8 @@
 
 from yuccareach.control.errors import NotLeader
 from yuccareach.control.raft_types import ReadAsked, Role
-from yuccareach.placement.planner import (
-    NO_LAYERS,
-    LayerRange,
-    Move,
-    Server,
-    coverage,
-    plan,
-)
+from yuccareach.placement.moves import NO_LAYERS, LayerRange, Move, Server, coverage
+from yuccareach.placement.planner import plan
 from yuccareach.runtime.logs import logger
 from yuccareach.runtime.reducer import monotonic_ms
 
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -6,16 +6,16 @@
 from random import Random
 
 from tests.gateway.fleet import MODEL
-from yuccareach.placement.planner import (
+from yuccareach.placement.moves import (
     NO_LAYERS,
     LayerRange,
     Move,
     Server,
-    build_pipelines,
     coverage,
-    plan,
     room_tokens,
 )
+from yuccareach.placement.pipelines import build_pipelines
+from yuccareach.placement.planner import plan
 
 MEMORY = {"a100": 72_000.0, "l40s": 43_200.0, "l4": 21_600.0}
 FACTOR = {"a100": 2.4, "l40s": 5.6, "l4": 16.0}
