Tell the attempts of a request whose caller left

A call's attempts are kept in CallRun. Before: the new test reads 0 attempts; after: 1, and the events delivered. Conclusion: the log tells such an end as it was. Nothing callers see changes.

--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -10,6 +10,7 @@
 from yuccareach.gateway.exchange import send
 from yuccareach.gateway.http_client import AnswerHead, Ending
 from yuccareach.gateway.requests import (
+    CALLER_LEFT,
     Admitted,
     Outcome,
     answer_headers,
@@ -68,12 +69,31 @@
 _NOT_SENT = Attempt(Ending.NOT_SENT, None, b"")
 
 
+class CallRun:
+    """The attempts that one call has had."""
+
+    def __init__(self) -> None:
+        self.tries = 0
+        # Attempts that may have run at a backend server.
+        self.runs = 0
+        self.last = _NOT_SENT
+
+
 async def serve_call(gateway: Gateway, admitted: Admitted, reply: Reply) -> None:
+    """Answer a call with what came of its attempts."""
+    run = CallRun()
+    try:
+        await _attempt_all(gateway, admitted, run)
+    except asyncio.CancelledError:
+        record(gateway, admitted, CALLER_LEFT, run.tries)
+        raise
+    outcome = _answer(admitted, reply, run.last, may_have_run=run.runs > 0)
+    record(gateway, admitted, outcome, run.tries)
+
+
+async def _attempt_all(gateway: Gateway, admitted: Admitted, run: CallRun) -> None:
     """Send a call until it is answered, may not be repeated, or time is up."""
     excluded: set[str] = set()
-    may_have_run = False
-    tries = runs = 0
-    last = _NOT_SENT
     while True:
         backend = choose_backend(
             gateway.fleet.of_service(admitted.service.name),
@@ -82,29 +102,28 @@
             excluded,
         )
         if _remaining_ms(gateway, admitted) < LEAST_MS:
-            break
+            return
         if backend is None and gateway.members_due:
             await asyncio.sleep(MEMBERS_CHECK_S)
             continue
         if backend is None:
-            break
-        if tries and not gateway.may_repeat(admitted.service.name):
-            break
-        tries += 1
-        last = await _attempt(gateway, admitted, backend, repeatable=runs == 0)
+            return
+        if run.tries and not gateway.may_repeat(admitted.service.name):
+            return
+        run.tries += 1
+        last = await _attempt(gateway, admitted, backend, repeatable=run.runs == 0)
+        run.last = last
         excluded.add(backend.announced.incarnation)
         _log_attempt(gateway, admitted, backend, last)
         if last.succeeded:
-            break
+            return
         if not last.not_run:
-            runs += 1
-            may_have_run = True
+            run.runs += 1
             if not admitted.route.idempotent:
-                break
-        if last.ending is not Ending.NOT_SENT and tries >= admitted.route.max_attempts:
-            break
-    outcome = _answer(admitted, reply, last, may_have_run)
-    record(gateway, admitted, outcome, tries)
+                return
+        sent = last.ending is not Ending.NOT_SENT
+        if sent and run.tries >= admitted.route.max_attempts:
+            return
 
 
 def _remaining_ms(gateway: Gateway, admitted: Admitted) -> int:
--- a/src/yuccareach/gateway/handler.py
+++ b/src/yuccareach/gateway/handler.py
@@ -7,7 +7,7 @@
 import xxhash
 
 from yuccareach.gateway.calls import serve_call
-from yuccareach.gateway.requests import Admitted, Outcome, record, refuse
+from yuccareach.gateway.requests import Admitted, refuse
 from yuccareach.gateway.streams import serve_stream
 from yuccareach.gateway.table import RouteKind
 
@@ -50,8 +50,6 @@
             await serve_call(gateway, admitted, reply)
     finally:
         gateway.active -= 1
-        if not reply.finished:
-            record(gateway, admitted, Outcome(0, "caller_left"), 0)
 
 
 def admit(gateway: Gateway, request: CallerRequest, facts: RequestFacts) -> Admitted:
--- a/src/yuccareach/gateway/requests.py
+++ b/src/yuccareach/gateway/requests.py
@@ -50,6 +50,10 @@
     reason: str
 
 
+# The server of callers cancels the work for one who closes the connection.
+CALLER_LEFT = Outcome(0, "caller_left")
+
+
 def answer_headers(head: AnswerHead) -> Headers:
     """Return a backend server's headers without those of its connection."""
     return [item for item in head.headers if item[0] not in _ONE_CONNECTION]
@@ -113,6 +117,7 @@
 
 
 __all__ = [
+    "CALLER_LEFT",
     "Admitted",
     "Outcome",
     "answer_headers",
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -16,6 +16,7 @@
 from yuccareach.gateway.exchange import Sent, send
 from yuccareach.gateway.http_client import AnswerHead, Ending
 from yuccareach.gateway.requests import (
+    CALLER_LEFT,
     Admitted,
     Outcome,
     answer_headers,
@@ -60,10 +61,17 @@
     gateway.streams.add(run)
     try:
         outcome = await _run(run)
+    except asyncio.CancelledError:
+        _record(run, CALLER_LEFT)
+        raise
     finally:
         run.let_go()
         gateway.streams.discard(run)
-    record(gateway, admitted, outcome, run.tries, run.events, run.first_event_s)
+    _record(run, outcome)
+
+
+def _record(run: StreamRun, outcome: Outcome) -> None:
+    record(run.gateway, run.admitted, outcome, run.tries, run.events, run.first_event_s)
 
 
 async def _run(run: StreamRun) -> Outcome:
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import json
+import logging
 from typing import Any
 
 from tests.platform.deployment import Answer, DeploymentTestCase
@@ -130,6 +131,25 @@
         await self.stream(5)
         self.assertEqual(self.near[0].headers_seen, [])
 
+    async def test_end_by_a_caller_who_leaves_tells_what_was_done(self) -> None:
+        self.slow()
+        first_event = asyncio.Event()
+
+        async def _note(body: bytes) -> None:
+            if b"id:" in body:
+                first_event.set()
+
+        with self.assertLogs("yuccareach.gateway", logging.INFO) as logs:
+            asking = asyncio.create_task(self.stream(100, _note))
+            await first_event.wait()
+            asking.cancel()
+            await asyncio.gather(asking, return_exceptions=True)
+            await self.until(lambda: self.gateway.gateway.active == 0)
+        ends = [vars(line) for line in logs.records if line.msg == "request_ended"]
+        self.assertEqual([end["reason"] for end in ends], ["caller_left"])
+        self.assertEqual(ends[0]["attempts"], 1)
+        self.assertGreater(ends[0]["events"], 0)
+
 
 class CallTests(DeploymentTestCase):
     async def asyncSetUp(self) -> None:
