Split recovery from the entry's model requests

Cause: entry/requests.py had 428 lines and two subjects: a request's attempts and ends, and what to do after a loss. Change: failed attempts, lost links and members, and recover move to entry/recovery.py, which imports requests and is not imported by it. Shared names lose their underscore: open_attempt, log_fields, chain_names. No behaviour changes. Checked: checks, test_system and test_demo pass (20 tests).

--- a/src/yuccareach/entry/reducer.py
+++ b/src/yuccareach/entry/reducer.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING, Any
 
 from yuccareach.control.client import WatchUpdated
-from yuccareach.entry import calls, fleet, quarantine, requests, stalls
+from yuccareach.entry import calls, fleet, quarantine, recovery, requests, stalls
 from yuccareach.entry.events import (
     CallAsked,
     CallerLeft,
@@ -41,7 +41,7 @@
                 state, request
             )
         case LinkLost(peer=peer):
-            return requests.link_lost(state, peer, now) + calls.link_lost(
+            return recovery.link_lost(state, peer, now) + calls.link_lost(
                 state, peer, now
             )
         case WatchUpdated(update=update):
@@ -59,7 +59,7 @@
         case pb.Token():
             return requests.token(state, body, now)
         case pb.Failed():
-            return requests.failed(state, body, now)
+            return recovery.failed(state, body, now)
         case pb.Ready():
             return requests.accepted(state, body)
         case pb.Reply():
@@ -79,7 +79,7 @@
     effects += quarantine.learn(state, update.losses, now)
     if update.departed or update.members or update.members_snapshot:
         effects += quarantine.settle_pending(state, now)
-        effects += requests.members_changed(state, now)
+        effects += recovery.members_changed(state, now)
         effects += calls.members_changed(state, now)
     return effects
 
--- a/src/yuccareach/entry/requests.py
+++ b/src/yuccareach/entry/requests.py
@@ -1,4 +1,4 @@
-"""Model requests: attempts in epochs, delivery in order, recovery."""
+"""Model requests: attempts in epochs, delivery in order, their ends."""
 
 from __future__ import annotations
 
@@ -15,7 +15,6 @@
     Refusal,
     Refuse,
 )
-from yuccareach.entry.quarantine import Loss
 from yuccareach.entry.state import Request
 from yuccareach.outcome import Outcome
 from yuccareach.proto import data_pb2 as pb
@@ -26,8 +25,6 @@
     from yuccareach.entry.state import EntryState
 
 Effects = list[Any]
-FAILURES_ALLOWED = 6
-REROUTES_ALLOWED = 20
 RETRY_PAUSE_MS = 100
 GAP_WEIGHT = 0.3
 NO_CHAIN_WAIT_MS = 10_000
@@ -89,7 +86,7 @@
         waited_ms = now - request.started_ms
         workspace, name = request.workspace.name, request.request_class.name
         effects.append(Observe("queueing", workspace, name, waited_ms))
-        effects += _open(state, request, now)
+        effects += open_attempt(state, request, now)
     return effects
 
 
@@ -106,7 +103,7 @@
     ]
 
 
-def _open(state: EntryState, request: Request, now: int) -> Effects:
+def open_attempt(state: EntryState, request: Request, now: int) -> Effects:
     """Open the next attempt; wait a moment where no chain is whole."""
     previous = request.chain
     chain = fleet.choose_for(state, request, now)
@@ -142,7 +139,11 @@
     return [
         *effects,
         Send(chain[0].address, opened),
-        Log("attempt", _fields(request) | {"chain": _names(chain)}, logging.DEBUG),
+        Log(
+            "attempt",
+            log_fields(request) | {"chain": chain_names(chain)},
+            logging.DEBUG,
+        ),
     ]
 
 
@@ -235,12 +236,12 @@
         Count("finished", reason),
         Log(
             "request_finished",
-            _fields(request)
+            log_fields(request)
             | {
                 "reason": reason,
                 "duration_ms": duration_ms,
                 "tokens": len(request.delivered),
-                "chain": _names(request.chain),
+                "chain": chain_names(request.chain),
             },
         ),
         *start_ready(state, request.pipeline, now),
@@ -270,7 +271,7 @@
         Count("failed", refusal.reason),
         Log(
             "request_failed",
-            _fields(request)
+            log_fields(request)
             | {"reason": refusal.reason, "outcome": outcome, "text": refusal.text},
         ),
         *_cancel_at(request, request.chain),
@@ -278,22 +279,6 @@
     ]
 
 
-def failed(state: EntryState, message: pb.Failed, now: int) -> Effects:
-    """Open another attempt after one has failed."""
-    request = state.request_by_id.get(message.request)
-    if request is None or message.epoch != request.epoch:
-        return []
-    if message.outcome == pb.NOT_RUN:
-        return _reroute(state, request, message, now)
-    if message.reason not in ("resume_gap", "inputs_not_retained"):
-        fleet.suspect(state, message.backend_server, now)
-    else:
-        # No state can be carried on, so every stage starts anew.
-        request.resume = False
-    loss = Loss(message.reason, message.incarnation, message.accepted)
-    return _lost(state, request, loss, now)
-
-
 def accepted(state: EntryState, message: pb.Ready) -> Effects:
     """Note that the first stage has taken an attempt."""
     request = state.request_by_id.get(message.request)
@@ -302,74 +287,6 @@
     return []
 
 
-def _lost(state: EntryState, request: Request, loss: Loss, now: int) -> Effects:
-    """Recover from a loss, unless the request has caused too many."""
-    effects = quarantine.note_loss(state, request, loss, now)
-    request.losses = quarantine.losses(state, request.fingerprint, now)
-    quarantined = quarantine.refusal(state, request.fingerprint, now)
-    if quarantined is not None:
-        ended = quarantined._replace(outcome=Outcome.UNKNOWN)
-        return effects + fail(state, request, ended, now)
-    return effects + recover(state, request, loss.reason, now)
-
-
-def _reroute(
-    state: EntryState, request: Request, message: pb.Failed, now: int
-) -> Effects:
-    """Choose again after a refusal; our view of that backend server was old."""
-    server = state.server_by_name.get(message.backend_server)
-    if server is not None and message.reason == "draining":
-        server.draining = True
-    elif server is not None:
-        fleet.suspect(state, message.backend_server, now)
-    request.reroutes += 1
-    request.refused_by.add(message.incarnation)
-    if request.reroutes > REROUTES_ALLOWED:
-        text = "backend servers kept refusing the request"
-        refusal = Refusal(503, "refused", text, retry_after_s=RETRY_AFTER_S)
-        return fail(state, request, refusal, now)
-    return _open(state, request, now)
-
-
-def recover(state: EntryState, request: Request, reason: str, now: int) -> Effects:
-    """Carry a request on in a new epoch after part of its chain was lost."""
-    request.failures += 1
-    request.interrupted_ms = request.interrupted_ms or now
-    if request.failures > FAILURES_ALLOWED:
-        text = f"the request failed {request.failures} times, last by {reason}"
-        refusal = Refusal(
-            502, "failed_repeatedly", text, Outcome.UNKNOWN, RETRY_AFTER_S
-        )
-        return fail(state, request, refusal, now)
-    fields = _fields(request) | {"reason": reason, "chain": _names(request.chain)}
-    return [
-        Log("recovering", fields),
-        Count("recoveries", reason),
-        *_open(state, request, now),
-    ]
-
-
-def link_lost(state: EntryState, address: str, now: int) -> Effects:
-    """Recover the requests whose first stage cannot be reached."""
-    effects: Effects = []
-    for request in list(state.request_by_id.values()):
-        if request.chain and request.chain[0].address == address:
-            fleet.suspect(state, request.chain[0].backend_server, now)
-            first = request.chain[0].incarnation
-            loss = Loss("link_lost", first, request.accepted)
-            effects += _lost(state, request, loss, now)
-    return effects
-
-
-def members_changed(state: EntryState, now: int) -> Effects:
-    """Recover the requests whose chain holds a backend server that is gone."""
-    effects: Effects = []
-    for request in list(state.request_by_id.values()):
-        if not all(fleet.is_present(state, member) for member in request.chain):
-            effects += recover(state, request, "member_gone", now)
-    return effects
-
-
 def caller_left(state: EntryState, identifier: str, now: int) -> Effects:
     """Cancel everywhere the work of a caller who has gone."""
     request = state.request_by_id.get(identifier)
@@ -379,7 +296,7 @@
     _forget(state, request, used, now)
     return [
         Count("cancelled", "caller_left"),
-        Log("caller_left", _fields(request)),
+        Log("caller_left", log_fields(request)),
         *_cancel_at(request, request.chain),
         *start_ready(state, request.pipeline, now),
     ]
@@ -397,15 +314,15 @@
             refusal = Refusal(504, "deadline", "the deadline has passed")
             effects += fail(state, request, refusal, now)
         elif request.retry_ms and now >= request.retry_ms:
-            effects += _open(state, request, now)
+            effects += open_attempt(state, request, now)
     return effects
 
 
-def _names(chain: Any) -> str:
+def chain_names(chain: Any) -> str:
     return ",".join(member.backend_server for member in chain)
 
 
-def _fields(request: Request) -> dict[str, Any]:
+def log_fields(request: Request) -> dict[str, Any]:
     return {
         "request": request.identifier,
         "workspace": request.workspace.name,
@@ -414,15 +331,15 @@
 
 
 __all__ = [
+    "RETRY_AFTER_S",
     "accepted",
     "ask",
-    "start_ready",
     "caller_left",
+    "chain_names",
     "fail",
-    "failed",
-    "link_lost",
-    "members_changed",
-    "recover",
+    "log_fields",
+    "open_attempt",
+    "start_ready",
     "tick",
     "token",
 ]
--- a/src/yuccareach/entry/stalls.py
+++ b/src/yuccareach/entry/stalls.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from yuccareach.entry import fleet, requests
+from yuccareach.entry import fleet, recovery
 from yuccareach.proto import data_pb2 as pb
 from yuccareach.runtime.links import Send
 
@@ -65,12 +65,12 @@
     if culprit is None and _stands_still(request, now):
         # Everyone waits for a message that was lost: start anew everywhere.
         request.resume = False
-        return requests.recover(state, request, "stalled", now)
+        return recovery.recover(state, request, "stalled", now)
     if culprit is None:
         request.previous_replies = request.replies_by_stage
         return _probe(request, now)
     fleet.suspect(state, request.chain[culprit].backend_server, now)
-    return requests.recover(state, request, "stalled", now)
+    return recovery.recover(state, request, "stalled", now)
 
 
 def _stands_still(request: Request, now: int) -> bool:
