Give a hole that no zone can close to the slowest server that can

Cause: _pick_free promised the slowest free server and returned the last of the list, which is sorted only for holes within one zone. Change: it takes the server with the largest decode factor. Before: the new test gets the fast accelerator when it stands last; after: the slow one in either order, so that fast ones stay free.

--- a/src/yuccareach/placement/repairs.py
+++ b/src/yuccareach/placement/repairs.py
@@ -165,7 +165,7 @@
     tokens = wanted_tokens(model)
     whole = [item for item in free if layers_within(item, model, tokens) >= hole.size]
     if whole:
-        return whole[-1]
+        return max(whole, key=lambda item: item.decode_factor)
     return max(free, key=lambda item: item.memory_mb, default=None)
 
 
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -104,6 +104,19 @@
 
 
 class RepairTests(PlannerTestCase):
+    def test_hole_no_zone_can_close_is_given_to_the_slowest_that_can(self) -> None:
+        holders = [
+            server("a", "z1", "a100", LayerRange(0, 38)),
+            server("b", "z1", "a100", LayerRange(38, 76)),
+        ]
+        free = [server("slow", "z2", "l4"), server("fast", "z2", "a100")]
+        for fleet in (holders + free, holders + free[::-1]):
+            moves = plan(fleet, MODEL)
+            self.assertEqual(
+                [(move.server.name, move.layers) for move in moves],
+                [("slow", LayerRange(76, 80))],
+            )
+
     def setUp(self) -> None:
         self.servers = fresh_fleet()
         self.repair()
