Keep the decision on a lease's length out of the adapter

Cause: LEASE_PART, how much of the time for a revoked key a confirmed view may use, stood in platform/run_gateway.py, which is to decide nothing. Change: the adapter passes the platform's time; GatewayTerms makes the lease of it. The value stays 0.88. No behaviour changes; tests/platform passes.

--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -27,6 +27,9 @@
 FIRST_VIEW_S = 1.5
 # Backend servers announce themselves anew within about an interval of heartbeats.
 MEMBERS_DUE_S = 2.0
+# Part of the time within which a revoked key must be refused everywhere; the rest is
+# for a request that is admitted in the last moment to reach its backend server.
+LEASE_PART = 0.88
 _log = logger("gateway")
 
 
@@ -35,12 +38,17 @@
 
     instance: str
     zone: str
-    # How long a confirmed view entitles to serve requests with a key.
-    lease_s: float
+    # The time within which a revoked key must be refused everywhere.
+    revocation_s: float
     budget: BudgetTerms
     # How long work in flight may go on after a request to shut down.
     grace_s: float
 
+    @property
+    def lease_s(self) -> float:
+        """How long a confirmed view entitles to serve requests with a key."""
+        return LEASE_PART * self.revocation_s
+
 
 class CachedGraph(NamedTuple):
     """The graph of one service, and the versions of members and table behind it."""
--- a/src/yuccareach/platform/run_gateway.py
+++ b/src/yuccareach/platform/run_gateway.py
@@ -18,17 +18,13 @@
     from yuccareach.platform.settings import ProcessSettings
     from yuccareach.runtime.process import Service
 
-# Part of the time within which a revoked key must be refused everywhere; the rest is
-# for a request that is admitted in the last moment to reach its backend server.
-LEASE_PART = 0.88
-
 
 def build_gateway(settings: ProcessSettings) -> GatewayProcess:
     """Return a gateway set up as the settings say."""
     terms = GatewayTerms(
         instance=settings.instance,
         zone=settings.zone,
-        lease_s=LEASE_PART * settings.revocation_ms / 1000,
+        revocation_s=settings.revocation_ms / 1000,
         budget=settings.budget,
         grace_s=settings.grace_s,
     )
