--- a/src/yuccareach/cli/control.py
+++ b/src/yuccareach/cli/control.py
@@ -15,7 +15,8 @@
     option,
     serve,
 )
-from yuccareach.control.run import ControlOptions, ControlProcess
+from yuccareach.control.options import ControlOptions
+from yuccareach.control.run import ControlProcess
 
 
 @click.command(context_settings=CONTEXT)
--- /dev/null
+++ b/src/yuccareach/control/backups.py
@@ -0,0 +1,30 @@
+"""Reading a backup from which a control plane is restored."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from google.protobuf.message import DecodeError
+
+from yuccareach.control.errors import CorruptLog
+from yuccareach.control.machine import load_machine
+
+if TYPE_CHECKING:
+    from pathlib import Path
+
+
+def read_backup(path: Path | None) -> bytes:
+    """Read a backup and check that it is one, or raise CorruptLog."""
+    if path is None:
+        return b""
+    try:
+        data = path.read_bytes()
+        load_machine(data)
+    except OSError as error:
+        raise CorruptLog(f"{path}: {error.strerror}") from error
+    except DecodeError as error:
+        raise CorruptLog(f"{path}: not a backup") from error
+    return data
+
+
+__all__ = ["read_backup"]
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -5,15 +5,14 @@
 import asyncio
 import itertools
 from random import Random
-from typing import TYPE_CHECKING, Any, NamedTuple
-
-from google.protobuf.message import DecodeError
+from typing import TYPE_CHECKING, Any
 
 from yuccareach.control import raft
+from yuccareach.control.backups import read_backup
 from yuccareach.control.errors import CorruptLog, DiskFailed, NotLeader
 from yuccareach.control.joining import stay_joined
 from yuccareach.control.machine import Machine, load_machine
-from yuccareach.control.members import LEASE_MS, MemberTable
+from yuccareach.control.members import MemberTable
 from yuccareach.control.operators import operator_app
 from yuccareach.control.peers import PeerLinks
 from yuccareach.control.persistence import persist
@@ -43,7 +42,8 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable
-    from pathlib import Path
+
+    from yuccareach.control.options import ControlOptions
 
 TICK_INTERVAL_MS = 50
 REOPEN_DISK_MS = 500
@@ -51,33 +51,6 @@
 _log = logger("control")
 
 
-class ControlOptions(NamedTuple):
-    """Settings of the control process."""
-
-    instance: str
-    availability_zone: str
-    data: Path
-    host: str = "127.0.0.1"
-    port: int = 0
-    http_port: int = 0
-    advertise: str = ""
-    bootstrap: bool = False
-    join: tuple[str, ...] = ()
-    platform_token_sha256: str = ""
-    snapshot_every: int = 10_000
-    restore: Path | None = None
-    # Without a new heartbeat for this long, a backend server is taken out.
-    member_lease_ms: int = LEASE_MS
-    # Within this time of a start every living backend server has announced itself.
-    member_warm_ms: int = LEASE_MS
-    # Voters to keep; 0 lets every instance that joins under a new name vote.
-    voters: int = 0
-    # Whether the data folder does not last, so that this instance must not vote.
-    volatile: bool = False
-    # The operators' address that others are sent to; empty for the one bound.
-    operator_address: str = ""
-
-
 class ControlProcess:
     """One control instance: its log, its members and its watchers."""
 
@@ -89,7 +62,7 @@
         self.options = options
         self.build_app = build_app
         self.join_targets = options.join
-        self.backup = _read_backup(options.restore)
+        self.backup = read_backup(options.restore)
         self.store = DiskStore(options.data, options.instance)
         self.state = self._load()
         self.run_id = new_incarnation()
@@ -411,20 +384,6 @@
         _log.info("stopped")
 
 
-def _read_backup(path: Path | None) -> bytes:
-    """Read a backup and check that it is one, or raise CorruptLog."""
-    if path is None:
-        return b""
-    try:
-        data = path.read_bytes()
-        load_machine(data)
-    except OSError as error:
-        raise CorruptLog(f"{path}: {error.strerror}") from error
-    except DecodeError as error:
-        raise CorruptLog(f"{path}: not a backup") from error
-    return data
-
-
 def _fail_answers(waiting_by_ticket: dict[int, asyncio.Future[Any]]) -> None:
     """Reject everyone who waits, since nothing is acknowledged any more."""
     for waiting in waiting_by_ticket.values():
@@ -435,4 +394,4 @@
     waiting_by_ticket.clear()
 
 
-__all__ = ["ControlOptions", "ControlProcess"]
+__all__ = ["ControlProcess"]
--- a/src/yuccareach/demo.py
+++ b/src/yuccareach/demo.py
@@ -15,7 +15,8 @@
 from yuccareach.agent.run import AgentOptions, AgentProcess
 from yuccareach.cli.apply import put_team
 from yuccareach.cli.operator_client import Operator, checked
-from yuccareach.control.run import ControlOptions, ControlProcess
+from yuccareach.control.options import ControlOptions
+from yuccareach.control.run import ControlProcess
 from yuccareach.entry.run import EntryProcess, EntryProcessOptions
 from yuccareach.load.client import Target, Verdict, complete
 from yuccareach.settings.sets import hash_key
--- a/src/yuccareach/platform/run_control.py
+++ b/src/yuccareach/platform/run_control.py
@@ -7,7 +7,8 @@
 from pathlib import Path
 from typing import TYPE_CHECKING
 
-from yuccareach.control.run import ControlOptions, ControlProcess
+from yuccareach.control.options import ControlOptions
+from yuccareach.control.run import ControlProcess
 from yuccareach.gateway.table import RoutingTable
 from yuccareach.placement.run import Placement
 from yuccareach.platform.control_app import control_app
--- a/tests/control/test_client.py
+++ b/tests/control/test_client.py
@@ -10,7 +10,8 @@
 
 from yuccareach.control.client import ControlClient
 from yuccareach.control.errors import ControlUnavailable
-from yuccareach.control.run import ControlOptions, ControlProcess
+from yuccareach.control.options import ControlOptions
+from yuccareach.control.run import ControlProcess
 from yuccareach.proto import control_pb2 as cpb
 
 
--- a/tests/control/test_operators.py
+++ b/tests/control/test_operators.py
@@ -11,7 +11,8 @@
 
 import aiohttp
 
-from yuccareach.control.run import ControlOptions, ControlProcess
+from yuccareach.control.options import ControlOptions
+from yuccareach.control.run import ControlProcess
 from yuccareach.settings.sets import hash_key
 
 PLATFORM = "platform-token"
--- a/tests/control/test_relays.py
+++ b/tests/control/test_relays.py
@@ -9,7 +9,8 @@
 from typing import Any
 from unittest import mock
 
-from yuccareach.control.run import ControlOptions, ControlProcess
+from yuccareach.control.options import ControlOptions
+from yuccareach.control.run import ControlProcess
 from yuccareach.control.upkeep import RELAYS_PER_FULL
 from yuccareach.proto import control_pb2 as cpb
 
