Pause where control instances name each other as leader

Cause: seen in reading. A gateway that is redirected asks the named instance at once. During an election two instances may each name the other, and the gateway asks them by turns without a pause, on a machine that has a third of a processor.

--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -45,6 +45,8 @@
         self.seeds = list(addresses)
         self.order: deque[str] = deque(self.seeds)
         self.leader = ""
+        # Redirections since an instance last led or could not be asked.
+        self.redirections = 0
         self.source = ""
         self.members_version = 0
         self.resync_s: float | None = None
@@ -75,6 +77,7 @@
             if view.not_leader:
                 await self._redirected(target, view)
                 continue
+            self.redirections = 0
             self._reorder(view.control_addresses)
             if self.leader != target:
                 self.leader = target
@@ -122,6 +125,7 @@
         if self.leader == target:
             self.gateway.log("control_lost", leader=target, reason=_code(error))
         self.leader = ""
+        self.redirections = 0
         channel = self.channel_by_address.pop(target, None)
         if channel is not None:
             await channel.close()
@@ -130,12 +134,20 @@
         await asyncio.sleep(RETRY_S)
 
     async def _redirected(self, target: str, view: cpb.View) -> None:
+        """Ask the leader that is named, or the next one where none is.
+
+        During an election instances may name each other, so that only the first
+        redirection in a row is followed at once.
+        """
         self._reorder(view.control_addresses)
         self.leader = ""
         if view.leader_address and view.leader_address != target:
             self.leader = view.leader_address
-            return
-        self.order.rotate(-1)
+            self.redirections += 1
+            if self.redirections == 1:
+                return
+        else:
+            self.order.rotate(-1)
         await asyncio.sleep(RETRY_S)
 
     def _take(self, view: cpb.View, asked_s: float) -> None:
