Resume streams in another zone rather than carry them across

Change: a detour stays within the zone. Without one, the stream begins anew over another zone's own stages, if route and budget allow; only else it crosses. Before and after: see the tests; test_stream_whose_zone_lacks_a_stage_is_resumed_in_another fails first. test_lost_stage_is_replaced_within_the_answer, _order_that_got_no_answer_ and _turned_slow relied on the detour between zones; they now have a replica in the zone, and the first checks that this very replica is used.

--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -175,7 +175,7 @@
     )
     run.excluded.update(backend.announced.incarnation for backend in slow)
     others = [backend for backend in slow if backend is not first]
-    if others and run.sent is not None and _find_detour(gateway, run) is not None:
+    if others and run.sent is not None and _find_detour(run, across_zones=False):
         await _reroute(gateway, run, others[0])
 
 
@@ -197,7 +197,7 @@
     for _ in range(REROUTES_MOST):
         if run.sent is None or run.chain is None:
             return
-        detour = _find_detour(gateway, run)
+        detour = _choose_detour(run)
         if detour is None:
             break
         answer = await _order_reroute(gateway, run, run.sent.backend, detour)
@@ -218,16 +218,40 @@
     _interrupt(gateway, run, "reroute_failed")
 
 
-def _find_detour(gateway: Gateway, run: StreamRun) -> Chain | None:
+def _choose_detour(run: StreamRun) -> Chain | None:
+    """Return the detour to go on over; None where resuming is better, or nothing is.
+
+    A new stage reads all tokens so far. In another zone, their activations would cross
+    the link that all streams share, and a lost stage stops many streams at once. So a
+    stream rather begins anew over another zone's own stages, if it may.
+    """
+    detour = _find_detour(run, across_zones=False)
+    if detour is not None or _may_resume(run):
+        return detour
+    return _find_detour(run, across_zones=True)
+
+
+def _find_detour(run: StreamRun, *, across_zones: bool) -> Chain | None:
     """Return a chain that keeps the first part and avoids what has failed."""
     service = run.admitted.service
     if service.model is None or run.chain is None:
         return None
     head = run.chain.parts[0]
-    graph = gateway.graph(service)
+    graph = run.gateway.graph(service)
     if head.end_layer not in graph.cuts:
         return None
-    return find_chain(graph, service.model, run.demand(), head)
+    demand = run.demand()._replace(across_zones=across_zones)
+    return find_chain(graph, service.model, demand, head)
+
+
+def _may_resume(run: StreamRun) -> bool:
+    """Return whether a stream may begin anew within some zone; its repeat is taken."""
+    service = run.admitted.service
+    if service.model is None or not run.may_run_again(run.runs + 1):
+        return False
+    demand = run.demand()._replace(across_zones=False)
+    chain = find_chain(run.gateway.graph(service), service.model, demand)
+    return chain is not None and run.take_repeat()
 
 
 def _log_reroute(
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -20,6 +20,8 @@
 
 # Weight of the newest pause in the usual one.
 PAUSE_WEIGHT = 0.2
+# Attempts beyond the route's, where the backend servers of earlier ones were lost.
+LOST_MOST = 2
 
 
 class StreamRun:
@@ -53,6 +55,10 @@
         self.first_lost = False
         self.excluded: set[str] = set()
         self.tries = 0
+        # Attempts that count against the route's limit.
+        self.runs = 0
+        # Whether the budget has already granted the next attempt.
+        self.repeat_taken = False
         self.repairs = 0
         self.head: AnswerHead | None = None
         self.failure_body = b""
@@ -114,6 +120,20 @@
         workspace = self.admitted.workspace
         return workspace.name if workspace else ""
 
+    def may_run_again(self, runs: int) -> bool:
+        """Return whether the route allows another attempt after so many that count."""
+        route = self.admitted.route
+        most = route.max_attempts
+        return route.idempotent and runs < most and self.tries < most + LOST_MOST
+
+    def take_repeat(self) -> bool:
+        """Return whether the budget grants another attempt, and take it once."""
+        if not self.repeat_taken:
+            self.repeat_taken = self.gateway.may_repeat(
+                self.admitted.service.name, urgent=self.reply.started
+            )
+        return self.repeat_taken
+
     def demand(self) -> Demand:
         """Return what a chain for this stream has to meet."""
         return Demand(
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -14,8 +14,8 @@
 from yuccareach.gateway.chains import Chain, find_chain
 from yuccareach.gateway.dialect import SendFacts
 from yuccareach.gateway.exchange import Sent, send
-from yuccareach.gateway.probes import probe
 from yuccareach.gateway.http_client import AnswerHead, Ending
+from yuccareach.gateway.probes import probe
 from yuccareach.gateway.requests import (
     CALLER_LEFT,
     Admitted,
@@ -39,8 +39,6 @@
 # Attempts whose backend server said at once that it did not run the request.
 REFUSALS_MOST = 3
 MISDIRECTED = 421
-# Attempts beyond the route's, where the backend servers of earlier ones were lost.
-LOST_MOST = 2
 # A resumed stream goes before all others: its caller waits in the middle of an answer.
 RESUMED_PRIORITY = -1
 
@@ -77,18 +75,17 @@
 
 async def _run(run: StreamRun) -> Outcome:
     may_have_run = False
-    runs = refusals = 0
+    refusals = 0
     while True:
         if run.admitted.deadline_s - run.gateway.now() < LEAST_S:
             return _give_up(run, may_have_run, 504, "deadline")
-        if run.tries and not run.gateway.may_repeat(
-            run.admitted.service.name, urgent=run.reply.started
-        ):
+        if run.tries and not run.take_repeat():
             return _give_up(run, may_have_run, 502, "over_budget")
         chain = await _wait_for_chain(run)
         if chain is None:
             return _give_up(run, may_have_run, 502, "no_room")
         run.tries += 1
+        run.repeat_taken = False
         step = await _attempt(run, chain)
         if step is Step.DONE:
             return Outcome(200, "answered")
@@ -101,13 +98,8 @@
             continue
         may_have_run = True
         # A backend server that is gone does not count against the route's attempts.
-        runs += not run.first_lost
-        allowed = run.tries < run.admitted.route.max_attempts + LOST_MOST
-        if not (
-            run.admitted.route.idempotent
-            and runs < run.admitted.route.max_attempts
-            and allowed
-        ):
+        run.runs += not run.first_lost
+        if not run.may_run_again(run.runs):
             return _give_up(run, True, 502, "broken")
 
 
--- a/tests/gateway/test_probes.py
+++ b/tests/gateway/test_probes.py
@@ -77,7 +77,9 @@
         self.assertFalse(self.backend.unreachable(time.monotonic()))
         self.assertFalse(self.backend.avoided(time.monotonic()))
 
-    async def test_server_that_connects_stays_avoided_for_what_else_it_did(self) -> None:
+    async def test_server_that_connects_stays_avoided_for_what_else_it_did(
+        self,
+    ) -> None:
         self.backend.failed(time.monotonic())
         with mock.patch.object(self.backend.pool, "keep_fresh"):
             await self.probe(mock.AsyncMock())
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -10,6 +10,7 @@
 
 from tests.platform.deployment import Answer, DeploymentTestCase
 from tests.platform.examples import MODEL, PLAIN, document, route
+from yuccareach.gateway.budget import BudgetTerms
 from yuccareach.platform.standin import Runner, get_document, put_document, tiles_layers
 from yuccareach.runtime.logs import BoundedHandler, LogWriter
 
@@ -69,13 +70,46 @@
 
         return await self.stream(40, _lose)
 
+    async def add_replica(self) -> Runner:
+        """Add a runner that can stand in for the second stage of the near zone."""
+        replica = await self.add_runner("z1-4", "a100", 30, 60, "z1")
+        await self.known(replica.name)
+        return replica
+
     async def test_lost_stage_is_replaced_within_the_answer(self) -> None:
+        replica = await self.add_replica()
+        answer = await self.stream_with_loss(self.near[1])
+        self.assertTrue(answer.whole)
+        self.assertEqual(events_of(answer), list(range(1, 41)))
+        self.assertEqual(self.group.runs, ["r1"])
+        path = self.near[0].path_by_request["r1"]
+        self.assertEqual(path[1][0], replica.address)
+
+    async def test_stream_whose_zone_lacks_a_stage_is_resumed_in_another(self) -> None:
+        # Found in a hunt: 85 streams at once had their new stages in another zone read
+        # all tokens so far. Their activations filled the link between the zones, and
+        # none had another event before its caller left.
+        for runner in (*self.near, *self.far):
+            runner.rejects_placing = True
         answer = await self.stream_with_loss(self.near[1])
         self.assertTrue(answer.whole)
         self.assertEqual(events_of(answer), list(range(1, 41)))
-        self.assertEqual(self.group.runs.count("r1"), 1)
+        path = self.far[0].path_by_request["r1"]
+        self.assertEqual(
+            [address for address, _, _ in path], [item.address for item in self.far]
+        )
+
+    async def test_stream_that_may_not_begin_again_goes_on_across_zones(self) -> None:
+        for runner in (*self.near, *self.far):
+            runner.rejects_placing = True
+        self.gateway.gateway.budget(MODEL).terms = BudgetTerms(0, 0, 10)
+        answer = await self.stream_with_loss(self.near[1])
+        self.assertTrue(answer.whole)
+        self.assertEqual(events_of(answer), list(range(1, 41)))
+        self.assertEqual(self.group.runs, ["r1"])
 
     async def test_order_that_got_no_answer_is_repeated(self) -> None:
+        await self.add_replica()
         self.near[0].reroutes_unheard = 1
         answer = await self.stream_with_loss(self.near[1])
         self.assertTrue(answer.whole)
@@ -88,6 +122,7 @@
         self.assertEqual(events_of(answer), list(range(1, 41)))
 
     async def test_stream_leaves_a_stage_that_has_turned_slow(self) -> None:
+        await self.add_replica()
         self.slow()
         turned = False
 
