Keep members whose heartbeats move to another control instance

Heartbeats that had moved from one control instance to another were passed over in relays while the last one heard here was younger than half a lease, and an unchanged member is told again only every 5 s. With heartbeats of 0.4 s the lease is 2.9 s: living servers departed, and their streams with them. New layers were passed over as well. The other way round, an instance that took a member over did not tell, so that the departure told by the one before won. Change: members whose heartbeats are ordered go by their order alone, and a member that moves here is relayed at once. Before and after: both tests fail first (a member's layers stayed 9 instead of 12, and it expired).

--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -102,7 +102,11 @@
                 member, now_ms, source
             )
             self._mark(known, now_ms)
-        changed = known.recalled or _visible(known.member) != _visible(member)
+        # The instance that it was attached to will say that it has departed.
+        moved_here = bool(known.source) and not source
+        changed = (
+            known.recalled or moved_here or _visible(known.member) != _visible(member)
+        )
         load_due = now_ms - known.forwarded_ms >= self._load_interval_ms()
         loaded = known.forwarded_load != _loaded(member)
         known.member = member
@@ -189,10 +193,14 @@
             self._depart(name)
 
     def hear_relayed(self, frame: cpb.RaftFrame, now_ms: int) -> None:
-        """Take what another control instance has heard, all of it or the changes."""
+        """Take what another control instance has heard, all of it or the changes.
+
+        Of members that cannot be ordered, those attached here stay so.
+        """
         for heartbeat in frame.heard:
             known = self.heard_by_name.get(heartbeat.member.backend_server)
-            if known is not None and known.attached:
+            ordered = heartbeat.member.started_ms
+            if known is not None and known.attached and not ordered:
                 if now_ms - known.heard_ms < self.lease_ms // 2:
                     continue
             self.hear(heartbeat.member, now_ms, frame.source, heartbeat.revision)
--- a/tests/control/test_members.py
+++ b/tests/control/test_members.py
@@ -57,6 +57,35 @@
         self.relay(now=20, departed=["a"])
         self.assertEqual(list(self.table.heard_by_name), ["a"])
 
+    def beat(self, sequence: int, end_layer: int = 9) -> cpb.Member:
+        return cpb.Member(
+            backend_server="a",
+            address="x",
+            started_ms=5,
+            sequence=sequence,
+            end_layer=end_layer,
+        )
+
+    def test_newer_heartbeat_from_elsewhere_goes_before_an_attachment(self) -> None:
+        # Found by the soak: heartbeats that moved to another instance were passed over
+        # for as long as the last one heard here was young, and not told again for 5 s.
+        # Living servers departed, and their streams were cut.
+        self.table.hear(self.beat(1), 0)
+        moved = cpb.Heartbeat(member=self.beat(2, end_layer=12))
+        self.table.hear_relayed(cpb.RaftFrame(source="other", heard=[moved]), 500)
+        self.assertEqual(self.table.heard_by_name["a"].member.end_layer, 12)
+        late = LEASE_MS + 1_000
+        self.assertEqual(self.table.expire(late, {"other": late}), [])
+
+    def test_member_that_moved_here_is_told_to_the_others(self) -> None:
+        # The instance that it moved from tells them that it has departed.
+        relayed = cpb.Heartbeat(member=self.beat(1))
+        self.table.hear_relayed(cpb.RaftFrame(source="other", heard=[relayed]), 0)
+        version = self.table.version
+        self.table.hear(self.beat(2), 500)
+        told = [item.member.sequence for item in self.table.direct_after(version)]
+        self.assertEqual(told, [2])
+
     def test_full_relay_takes_out_what_it_does_not_hold(self) -> None:
         self.relay("a", "b", now=0)
         self.relay("b", now=10, heard_all=True)
