Describe every metric in one place, and serve and document it from there

Change: metrics/catalog.py holds kind, unit and meaning of each; the scrape's HELP lines and docs/reference/events.md are made from it.

--- a/bench/reference.py
+++ b/bench/reference.py
@@ -10,6 +10,8 @@
 import click
 
 from yuccareach.cli import agent, control, entry, load, main as operator, standin
+from yuccareach.metrics.catalog import DESCRIPTION_BY_NAME, exposed_name
+from yuccareach.metrics.registry import OTHER, WORKSPACES_KEPT
 from yuccareach.settings.types import NAME_PATTERN, SECTIONS
 
 if TYPE_CHECKING:
@@ -29,7 +31,6 @@
     r'Log\(\s*"(\w+)"|(?:_log|self\.log)\.\w+\(\s*"(\w+)"'
     r'|(?:gateway|self)\.log\(\s*"(\w+)"|_note\(\s*"(\w+)"'
 )
-_METRIC = re.compile(r'(Observe|Count)\(\s*"(\w+)"')
 _REFUSAL = re.compile(r'Refusal\(\s*(\d{3}),\s*"(\w+)"')
 _ERROR = re.compile(r'class (\w+)\((\w+(?:Error|Settings))\):\n    """(.+?)"""')
 
@@ -87,20 +88,21 @@
     events = {
         next(filter(None, found)) for text in _sources() for found in _LOG.findall(text)
     }
-    metrics = {found for text in _sources() for found in _METRIC.findall(text)}
     yield "## Log events"
     yield ""
     yield from (f"- `{event}`" for event in sorted(events))
     yield ""
-    yield "## Histograms and counters of an entry"
+    yield "## Metrics"
     yield ""
-    for kind, name in sorted(metrics):
-        full = (
-            f"yuccareach_{name}_seconds"
-            if kind == "Observe"
-            else (f"yuccareach_{name}_total")
-        )
-        yield f"- `{full}`"
+    yield "Summaries have the labels `workspace` and `class`, counters `reason`. Each"
+    yield f"process keeps the {WORKSPACES_KEPT} workspaces that it saw last; the others"
+    yield f"are summed up as `{OTHER}`."
+    yield ""
+    yield "| name | kind | unit | meaning |"
+    yield "| --- | --- | --- | --- |"
+    for name in sorted(DESCRIPTION_BY_NAME):
+        kind, unit, meaning = DESCRIPTION_BY_NAME[name]
+        yield f"| `{exposed_name(name)}` | {kind} | {unit} | {meaning} |"
     yield ""
 
 
--- a/src/yuccareach/metrics/exposition.py
+++ b/src/yuccareach/metrics/exposition.py
@@ -8,6 +8,7 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily
 from prometheus_client.metrics_core import SummaryMetricFamily
 
+from yuccareach.metrics.catalog import DESCRIPTION_BY_NAME, exposed_name
 from yuccareach.metrics.registry import QUANTILES
 
 if TYPE_CHECKING:
@@ -31,10 +32,10 @@
         """Return every metric as of now."""
         families: dict[str, Metric] = {}
         for key, histogram in self.registry.series():
-            name = f"yuccareach_{key.metric}_seconds"
+            name = exposed_name(key.metric)
             labels = {"workspace": key.workspace, "class": key.class_name}
             family = families.setdefault(
-                name, SummaryMetricFamily(name, f"Duration of {key.metric}.")
+                name, SummaryMetricFamily(name, _meaning(key.metric))
             )
             for quantile in QUANTILES:
                 value = histogram.get_value_at_percentile(quantile) / 1000
@@ -47,15 +48,19 @@
         for (metric, reason), count in sorted(self.registry.count_by_name.items()):
             name = f"yuccareach_{metric}"
             counter = families.setdefault(
-                name, CounterMetricFamily(name, f"Number of {metric}.")
+                name, CounterMetricFamily(name, _meaning(metric))
             )
             counter.add_sample(f"{name}_total", {"reason": reason}, count)
         for gauge, value in self.gauges().items():
             name = f"yuccareach_{gauge}"
-            families[name] = GaugeMetricFamily(name, f"Current {gauge}.", value)
+            families[name] = GaugeMetricFamily(name, _meaning(gauge), value)
         return families.values()
 
 
+def _meaning(name: str) -> str:
+    return DESCRIPTION_BY_NAME[name].meaning
+
+
 def expose(registry: Registry, gauges: Callable[[], Mapping[str, float]]) -> bytes:
     """Return the text that a Prometheus server scrapes."""
     collectors = CollectorRegistry()
--- a/src/yuccareach/metrics/registry.py
+++ b/src/yuccareach/metrics/registry.py
@@ -7,6 +7,8 @@
 
 from hdrh.histogram import HdrHistogram
 
+from yuccareach.metrics.catalog import DESCRIPTION_BY_NAME
+
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
@@ -49,6 +51,7 @@
         self, metric: str, workspace: str, class_name: str, duration_ms: int
     ) -> None:
         """Record a duration for a workspace and for its class."""
+        assert metric in DESCRIPTION_BY_NAME, metric
         key = SeriesKey(metric, workspace, class_name)
         pending = self.pending_by_key.get(key)
         if pending is None:
@@ -90,6 +93,7 @@
 
     def count(self, metric: str, reason: str, amount: int = 1) -> None:
         """Count an event."""
+        assert metric in DESCRIPTION_BY_NAME, metric
         key = (metric, reason)
         self.count_by_name[key] = self.count_by_name.get(key, 0) + amount
 
