Keep streams on servers that are only silent towards control

When a server's membership expired, its streams were broken off and resumed although their events came as usual, and some found no room. Change: a member that is gone is lost to a stream only while its events do not come. Before and after: test_stage_that_is_only_silent_towards_control_is_kept fails first (the stream ran twice).

--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -94,11 +94,17 @@
 
 
 def _lost_part(gateway: Gateway, run: StreamRun) -> Backend | None:
-    """Return a backend server of the chain that is gone or cannot be reached."""
+    """Return a backend server of the chain that is gone or cannot be reached.
+
+    One that is only silent towards control goes on serving: it is not lost while events
+    of its stream come as usual.
+    """
     now_s = gateway.now()
+    flows = run.attempt_events and not suspected(run, now_s)
     for part in run.chain.parts if run.chain else ():
         backend = part.backend
-        if not gateway.fleet.current(backend) or backend.unreachable(now_s):
+        gone = not gateway.fleet.current(backend) and not flows
+        if gone or backend.unreachable(now_s):
             return backend
     return None
 
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -122,6 +122,19 @@
         self.assertEqual(events_of(answer), list(range(1, 41)))
 
     async def test_stream_leaves_a_stage_that_has_turned_slow(self) -> None:
+    async def test_stage_that_is_only_silent_towards_control_is_kept(self) -> None:
+        # Found by the soak: streams were cut when a server's membership expired, while
+        # their events came as usual.
+        self.slow()
+        fleet = self.gateway.gateway.fleet
+        names = {runner.name for runner in self.near}
+        for runner in self.near:
+            runner.announcing.cancel()  # type: ignore[attr-defined]
+        answer = await self.stream(150)
+        self.assertEqual(names & set(fleet.backend_by_name), set())
+        self.assertTrue(answer.whole)
+        self.assertEqual(self.group.runs, ["r1"])
+
         await self.add_replica()
         self.slow()
         turned = False
