--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -45,25 +45,25 @@
     @property
     def not_run(self) -> bool:
         """Whether it certainly did not run."""
-        if self.ending is Ending.NOT_SENT:
-            return True
-        whole = self.ending is Ending.COMPLETE and self.head is not None
-        return whole and self.head is not None and self.head.facts.not_run
+        whole = self.whole_head
+        return self.ending is Ending.NOT_SENT or bool(whole and whole.facts.not_run)
 
     @property
     def answered(self) -> bool:
         """Whether a whole answer of the backend server's own came."""
-        return (
-            self.ending is Ending.COMPLETE
-            and self.head is not None
-            and self.head.facts.signed
-            and not self.head.facts.not_run
-        )
+        whole = self.whole_head
+        return bool(whole and whole.facts.signed and not whole.facts.not_run)
 
     @property
     def succeeded(self) -> bool:
         """Whether the answer is a success."""
-        return self.answered and self.head is not None and self.head.status < 500
+        whole = self.whole_head
+        return bool(whole and self.answered and whole.status < 500)
+
+    @property
+    def whole_head(self) -> AnswerHead | None:
+        """The head of an answer that came whole."""
+        return self.head if self.ending is Ending.COMPLETE else None
 
 
 _NOT_SENT = Attempt(Ending.NOT_SENT, None, b"")
--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -128,8 +128,7 @@
     layers = _held(backend)
     if card is None or layers <= 0:
         return 0
-    free_mb = card.memory_mb - layers * model.layer_mb
-    return max(0, int(free_mb / (model.token_layer_mb * layers)))
+    return int(model.room_tokens(card.memory_mb, layers))
 
 
 def fullness(backend: Backend, model: ModelProfile, tokens: float) -> float:
--- a/src/yuccareach/placement/moves.py
+++ b/src/yuccareach/placement/moves.py
@@ -48,8 +48,7 @@
 
 def room_tokens(move: Move, model: ModelProfile) -> float:
     """Return the tokens of requests that fit beside the layers of a move."""
-    free_mb = move.server.memory_mb - move.layers.size * model.layer_mb
-    return max(0.0, free_mb / (model.token_layer_mb * max(1, move.layers.size)))
+    return model.room_tokens(move.server.memory_mb, move.layers.size)
 
 
 def wanted_tokens(model: ModelProfile) -> float:
@@ -60,7 +59,7 @@
 
 def layers_within(server: Server, model: ModelProfile, tokens: float) -> int:
     """Return how many layers fit beside requests of so many tokens."""
-    return int(server.memory_mb / (model.layer_mb + tokens * model.token_layer_mb))
+    return model.layers_within(server.memory_mb, tokens)
 
 
 def capacity(servers: list[Server], model: ModelProfile, tokens: float) -> int:
