Add a soak of random faults on real processes, and the gateway's price

Change: bench/soak plays seeds on control and gateways as processes, with stand-in backend servers behind faulty links, and checks the promises from what callers and servers saw.

--- /dev/null
+++ b/bench/gateway.py
@@ -0,0 +1,101 @@
+"""Prints what the gateway's processor time is spent on: a request, and an event."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+from pathlib import Path
+from typing import NamedTuple
+
+import aiohttp
+
+from bench.soak.callers import Callers
+from bench.soak.deployment import Deployment, Program
+from bench.soak.documents import document
+from yuccareach.platform.standin import put_document
+
+# Requests at once on each connection's own task, and in all for each measurement.
+AT_ONCE = 20
+REQUESTS = 600
+# Streams differ in nothing else, so that the difference is the events'.
+SHORT, LONG = 10, 110
+# So long apart, each event arrives by itself.
+EVENT_INTERVAL_S = 0.01
+READY_S = 30.0
+GATEWAY = Program("gateway", 0)
+
+
+class Load(NamedTuple):
+    """One kind of request, all alike."""
+
+    path: str
+    events: int
+
+
+def processor_s(deployment: Deployment) -> float:
+    """Return the processor time of the gateway's threads so far."""
+    pid = deployment.process_by_program[GATEWAY].pid
+    threads = Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(path.read_text().split()[0]) for path in threads) / 1e9
+
+
+async def measure(deployment: Deployment, load: Load) -> float:
+    """Return the gateway's processor time for a request, in milliseconds."""
+    callers = Callers(deployment, 1, AT_ONCE, (load.events, load.events))
+
+    async def _ask_in_turn() -> None:
+        async with aiohttp.ClientSession(
+            connector=aiohttp.TCPConnector(limit=1)
+        ) as http:
+            for _ in range(REQUESTS // AT_ONCE):
+                await callers.ask(http, 0, load.path)
+
+    begun_s = processor_s(deployment)
+    await asyncio.gather(*(_ask_in_turn() for _ in range(AT_ONCE)))
+    spent_s = processor_s(deployment) - begun_s
+    right = sum(item.status == 200 and item.whole for item in callers.asked)
+    if right != REQUESTS:
+        raise SystemExit(f"{REQUESTS - right} of {REQUESTS} requests failed")
+    return 1000 * spent_s / REQUESTS
+
+
+async def start(deployment: Deployment) -> None:
+    """Start the deployment and wait until it serves streams and calls."""
+    await deployment.start()
+    for runner in deployment.runners:
+        runner.event_interval_s = EVENT_INTERVAL_S
+    callers = Callers(deployment, 1, 1)
+
+    async def _serves() -> bool:
+        try:
+            status = await put_document(
+                deployment.control_addresses[0], document(1, passing=False)
+            )
+        except aiohttp.ClientError:
+            return False
+        async with aiohttp.ClientSession() as http:
+            asked = [await callers.ask(http, 0, path) for path in ("/draft/", "/pay/")]
+        return status == 200 and all(item.status == 200 for item in asked)
+
+    await deployment.until(_serves, "service begins", READY_S)
+
+
+async def main() -> None:
+    """Measure plain calls, short streams and long ones."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(Path(folder), controls=1, gateways=1)
+        try:
+            await start(deployment)
+            await measure(deployment, Load("/look/", 0))
+            call_ms = await measure(deployment, Load("/look/", 0))
+            short_ms = await measure(deployment, Load("/draft/", SHORT))
+            long_ms = await measure(deployment, Load("/draft/", LONG))
+        finally:
+            await deployment.stop()
+    event_ms = (long_ms - short_ms) / (LONG - SHORT)
+    print(f"a plain call {call_ms:.2f} ms, an event {event_ms:.3f} ms")
+    print(f"a stream without its events {short_ms - SHORT * event_ms:.2f} ms")
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
--- /dev/null
+++ b/bench/soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real processes, faults from outside, promises checked."""
--- /dev/null
+++ b/bench/soak/run.py
@@ -0,0 +1,228 @@
+"""Plays seeds of the soak: python -m bench.soak.run --first 1 --seeds 50."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import shutil
+import sys
+import tempfile
+import time
+from collections import Counter
+from pathlib import Path
+from random import Random
+from typing import NamedTuple
+
+import aiohttp
+import click
+
+from bench.soak.callers import Callers
+from bench.soak.deployment import METRICS_PORT, Deployment, document_version
+from bench.soak.documents import document
+from bench.soak.faults import Injector, schedule
+from bench.soak.promises import Seen, find_breaches
+from yuccareach.platform.standin import put_document
+
+READY_S = 30.0
+# Accepted configuration is in force everywhere in touch within this time.
+IN_FORCE_S = 2.5
+# Everything is served again so long after the last fault.
+RECOVER_S = 15.0
+CONFIG_INTERVAL_S = (0.5, 2.0)
+POLL_INTERVAL_S = 0.2
+FAULTS_PER_S = 1.5
+
+
+class Plan(NamedTuple):
+    """How large a soak is, and how long."""
+
+    seed: int
+    controls: int = 3
+    gateways: int = 3
+    callers: int = 12
+    duration_s: float = 12.0
+    # Whether bounds in seconds are checked as well; not beside other work.
+    timed: bool = True
+
+
+class Operator:
+    """Sends one version after another, and watches which are in force."""
+
+    def __init__(self, deployment: Deployment, plan: Plan) -> None:
+        self.deployment = deployment
+        self.random = Random(plan.seed + 1)
+        self.revoke_after_s = plan.duration_s / 3
+        self.version = 0
+        self.acknowledged = 0
+        self.revoked_s: float | None = None
+        self.breaches: list[str] = []
+        # By gateway and start of its process, the highest version that it had.
+        self.highest_by_process: dict[tuple[int, int], int] = {}
+
+    async def send(self, *, passing: bool) -> bool:
+        """Send the next version to some control instance; returns if it was taken."""
+        self.version += 1
+        content = document(self.version, passing=passing)
+        for address in self.random.sample(
+            self.deployment.control_addresses, self.deployment.controls
+        ):
+            try:
+                async with asyncio.timeout(READY_S / 10):
+                    status = await put_document(address, content)
+            except (aiohttp.ClientError, OSError, TimeoutError):
+                continue
+            if status == 200:
+                self.acknowledged = self.version
+                return True
+        return False
+
+    async def run(self) -> None:
+        """Send versions at random times; one of them revokes a key."""
+        begun_s = time.monotonic()
+        while True:
+            await asyncio.sleep(self.random.uniform(*CONFIG_INTERVAL_S))
+            passing = time.monotonic() - begun_s < self.revoke_after_s
+            taken = await self.send(passing=passing)
+            if taken and not passing and self.revoked_s is None:
+                self.revoked_s = time.monotonic()
+
+    async def watch(self, http: aiohttp.ClientSession) -> None:
+        """Check that no process goes back to an earlier version."""
+        while True:
+            await asyncio.sleep(POLL_INTERVAL_S)
+            for program in self.deployment.programs("gateway"):
+                process = self.deployment.process_by_program[program]
+                address = self.deployment.address(program.instance, METRICS_PORT)
+                version = await document_version(http, address)
+                if version is None or process.returncode is not None:
+                    continue
+                key = (program.instance, process.pid)
+                if version < self.highest_by_process.get(key, 0):
+                    self.breaches.append(f"{program} went back to version {version}")
+                self.highest_by_process[key] = version
+
+    async def in_force(self, http: aiohttp.ClientSession) -> bool:
+        """Return whether every gateway has what was acknowledged last."""
+        versions = [
+            await document_version(http, self.deployment.address(number, METRICS_PORT))
+            for number in range(self.deployment.gateways)
+        ]
+        return all((version or 0) >= self.acknowledged for version in versions)
+
+
+class Played(NamedTuple):
+    """What became of a seed."""
+
+    breaches: list[str]
+    # Answers by status, and faults by what was done.
+    answers: Counter[int]
+    faults: Counter[str]
+
+
+async def play(plan: Plan, folder: Path) -> Played:
+    """Play one seed and check every promise."""
+    deployment = Deployment(folder, plan.controls, plan.gateways)
+    timeout = aiohttp.ClientTimeout(total=1.0)
+    try:
+        async with aiohttp.ClientSession(timeout=timeout) as http:
+            return await _play(plan, deployment, http)
+    except AssertionError as error:
+        return Played([str(error)], Counter(), Counter())
+    finally:
+        await deployment.stop()
+
+
+async def _play(
+    plan: Plan, deployment: Deployment, http: aiohttp.ClientSession
+) -> Played:
+    operator = Operator(deployment, plan)
+    injector = Injector(deployment)
+    callers = Callers(deployment, plan.seed + 2, plan.callers)
+    await deployment.start()
+
+    async def _configured() -> bool:
+        return await operator.send(passing=True)
+
+    async def _served() -> bool:
+        answers = [
+            await callers.ask(http, number, path)
+            for number in range(plan.gateways)
+            for path in ("/draft/1", "/pay/1", "/look/1")
+        ]
+        return all(item.status == 200 and item.whole for item in answers)
+
+    await deployment.until(_configured, "configuration taken", READY_S)
+    await deployment.until(_served, "service begins", READY_S)
+    watching = asyncio.create_task(operator.watch(http))
+    changing = asyncio.create_task(operator.run())
+    calling = asyncio.create_task(callers.run())
+    faults = schedule(
+        plan.seed, plan.duration_s, FAULTS_PER_S, plan.controls, plan.gateways
+    )
+    await injector.run(faults)
+    changing.cancel()
+    await asyncio.gather(changing, return_exceptions=True)
+
+    async def _in_force() -> bool:
+        return await operator.in_force(http)
+
+    # A process that has just been started gets its share of the time to recover.
+    recover_s = RECOVER_S if plan.timed else READY_S
+    await deployment.until(_served, "service recovers", recover_s)
+    in_force_s = IN_FORCE_S if plan.timed else READY_S
+    await deployment.until(_in_force, "configuration in force", in_force_s)
+    callers.stopping = True
+    await calling
+    watching.cancel()
+    await asyncio.gather(watching, return_exceptions=True)
+    seen = Seen(
+        callers.asked,
+        deployment.runners,
+        deployment.group.runs,
+        injector.disturbances,
+        operator.revoked_s,
+    )
+    return Played(
+        [*operator.breaches, *injector.failures, *find_breaches(seen, plan.timed)],
+        Counter(item.status for item in callers.asked),
+        Counter(fault.kind for fault in faults),
+    )
+
+
+@click.command()
+@click.option("--first", default=1, show_default=True, help="First seed.")
+@click.option("--seeds", default=1, show_default=True, help="How many seeds.")
+@click.option("--seconds", default=12.0, show_default=True, help="Length of each.")
+@click.option("--controls", default=3, show_default=True, help="Control instances.")
+@click.option("--gateways", default=3, show_default=True, help="Gateways.")
+@click.option("--callers", default=12, show_default=True, help="Callers at once.")
+@click.option("--keep", default="", help="Folder for the logs of seeds that fail.")
+def main(
+    first: int,
+    seeds: int,
+    seconds: float,
+    controls: int,
+    gateways: int,
+    callers: int,
+    keep: str,
+) -> None:
+    """Play seeds one after the other; fails if a promise was broken."""
+    # Streams that a fault cuts are not worth a traceback of the stand-in.
+    logging.getLogger("aiohttp").setLevel(logging.CRITICAL)
+    broken = 0
+    for seed in range(first, first + seeds):
+        plan = Plan(seed, controls, gateways, callers, seconds)
+        with tempfile.TemporaryDirectory() as folder:
+            played = asyncio.run(play(plan, Path(folder)))
+            if played.breaches and keep:
+                shutil.copytree(folder, Path(keep) / f"seed-{seed}", dirs_exist_ok=True)
+        broken += bool(played.breaches)
+        verdict = "; ".join(played.breaches[:5]) or "kept"
+        answers = ", ".join(f"{key}: {n}" for key, n in sorted(played.answers.items()))
+        print(f"seed {seed}: {verdict} | {answers} | {dict(played.faults)}", flush=True)
+    print(f"{seeds - broken} of {seeds} seeds kept every promise")
+    sys.exit(broken > 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/soak/runners.py
@@ -0,0 +1,100 @@
+"""Stand-in backend servers that note what reaches them, each behind a faulty link."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING, NamedTuple
+
+import aiohttp
+from aiohttp import web
+
+from yuccareach.platform.standin import Group, Runner
+from yuccareach.standin.proxy import Faults, ProxyProcess
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+HOST = "127.0.0.1"
+HEARTBEAT_INTERVAL_S = 0.4
+CALL_TIMEOUT_S = 1.0
+EVENT_INTERVAL_S = 0.01
+
+
+class Arrival(NamedTuple):
+    """A request that reached a backend server."""
+
+    at_s: float
+    request: str
+    workspace: str
+
+
+class SoakRunner(Runner):
+    """A stand-in that remembers arrivals and when its draining was acknowledged."""
+
+    def __init__(
+        self, group: Group, name: str, service: str, zone: str, kind: str = ""
+    ) -> None:
+        super().__init__(group, name, service, zone, kind)
+        self.event_interval_s = EVENT_INTERVAL_S
+        self.arrivals: list[Arrival] = []
+        self.drained_s: float | None = None
+        self.task: asyncio.Task[None] | None = None
+
+    async def start(self) -> None:
+        """Listen behind a proxy, whose address is announced."""
+        await super().start()
+        self.proxy = ProxyProcess(self.address, HOST, 0, 0, [], 0)
+        await self.proxy.start()
+        del self.group.runner_by_address[self.address]
+        self.address = self.proxy.address
+        self.group.runner_by_address[self.address] = self
+
+    async def stop(self) -> None:
+        """Stop without a word."""
+        if self.task is not None:
+            self.task.cancel()
+        await self.proxy.stop()
+        await super().stop()
+
+    def attach(self, control: Sequence[str]) -> None:
+        """Begin to send heartbeats."""
+        self.task = asyncio.create_task(self._announce(control))
+
+    async def _announce(self, control: Sequence[str]) -> None:
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        async with aiohttp.ClientSession(timeout=timeout) as session:
+            while True:
+                for address in control:
+                    if await self._beat(session, address):
+                        break
+                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+
+    async def _beat(self, session: aiohttp.ClientSession, address: str) -> bool:
+        beat = self.heartbeat()
+        url = f"http://{address}/-/runners/{self.name}/heartbeat"
+        try:
+            async with session.post(url, json=beat) as answer:
+                if answer.status != 200:
+                    return False
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+        if beat["state"] == "draining" and self.drained_s is None:
+            self.drained_s = time.monotonic()
+        return True
+
+    async def _serve(self, request: web.Request) -> web.StreamResponse:
+        arrival = Arrival(
+            time.monotonic(),
+            request.headers.get("Yuccareach-Request-Id", ""),
+            request.headers.get("Yuccareach-Tenant", ""),
+        )
+        self.arrivals.append(arrival)
+        return await super()._serve(request)
+
+    def disturb(self, faults: Faults) -> None:
+        """Change what is wrong with its link."""
+        self.proxy.set_faults(faults)
+
+
+__all__ = ["Arrival", "SoakRunner"]
