Let the soak begin one cluster only, and give control its time to catch up

Its log shows an instance that lost its disk and was started with bootstrap set: it led a cluster of its own, and half of the gateways followed it. The platform sets bootstrap only when the whole system starts for the first time, so that the soak was at fault. It also counted an instance as caught up after 2.5 s, where the platform grants 6.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -60,13 +60,30 @@
         self.asked: list[Asked] = []
         self.numbers = itertools.count(1)
         self.stopping = False
+        self.tasks: list[asyncio.Task[None]] = []
 
-    async def run(self) -> None:
+    def start(self) -> None:
         """Ask one request after another until told to stop."""
         gateways = self.deployment.gateways
-        await asyncio.gather(
-            *(self._call_on(number % gateways) for number in range(self.count))
-        )
+        self.tasks = [
+            asyncio.create_task(self._call_on(number % gateways))
+            for number in range(self.count)
+        ]
+
+    async def stop(self) -> None:
+        """Let every caller have its last answer."""
+        self.stopping = True
+        tasks, self.tasks = self.tasks, []
+        await asyncio.gather(*tasks)
+
+    async def served(self, http: aiohttp.ClientSession) -> bool:
+        """Return whether every gateway serves every kind of request now."""
+        answers = [
+            await self.ask(http, gateway, path)
+            for gateway in range(self.deployment.gateways)
+            for path in PATHS
+        ]
+        return all(item.status == 200 and item.whole for item in answers)
 
     async def _call_on(self, gateway: int) -> None:
         connector = aiohttp.TCPConnector(limit=1)
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -53,6 +53,8 @@
         self.group = Group(LAYERS)
         self.runners: list[SoakRunner] = []
         self.runners_made = 0
+        # Whether the cluster exists, so that no instance may begin another.
+        self.begun = False
 
     def host(self, instance: int) -> str:
         """Return an instance's loopback address, unlike those of other soaks."""
@@ -130,7 +132,8 @@
             "listen": listen,
             "internalPorts": [PEER_PORT, METRICS_PORT],
             "seeds": self.control_addresses,
-            "bootstrap": True,
+            # An instance that lost its disk must not begin a log of its own.
+            "bootstrap": not self.begun,
             "dataDir": str(self.data_folder(instance)),
             "heartbeatMs": HEARTBEAT_MS,
             "faultTolerance": {"machines": (self.controls - 1) // 2},
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -25,9 +25,9 @@
     Faults(delay_ms=30, jitter_ms=60),
     Faults(refuse_share=0.5),
 )
-# Control bears the loss of one instance at a time: faults of control do not overlap,
-# and an instance has this long to catch up.
-CATCH_UP_S = 2.5
+# Control bears the loss of one instance at a time, which counts as lost for this long
+# after it is back: the platform's bound.
+CATCH_UP_S = 6.0
 WORST_DELAY_S = 1.5
 
 
@@ -75,7 +75,7 @@
         kind = random.choice(KINDS_OF_CONTROL)
         for_s = random.uniform(0.2, WORST_DELAY_S)
         faults.append(Fault(at_s, kind, random.randrange(controls), for_s))
-        at_s += for_s + CATCH_UP_S + random.uniform(0, CATCH_UP_S)
+        at_s += for_s + CATCH_UP_S + random.uniform(0, CATCH_UP_S / 2)
     return sorted(faults)
 
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -19,7 +19,7 @@
 from bench.soak.callers import Callers
 from bench.soak.deployment import METRICS_PORT, Deployment, document_version
 from bench.soak.documents import document
-from bench.soak.faults import Injector, schedule
+from bench.soak.faults import Fault, Injector, schedule
 from bench.soak.promises import Seen, find_breaches
 from yuccareach.platform.standin import put_document
 
@@ -40,7 +40,7 @@
     controls: int = 3
     gateways: int = 3
     callers: int = 12
-    duration_s: float = 12.0
+    duration_s: float = 20.0
     # Whether bounds in seconds are checked as well; not beside other work.
     timed: bool = True
 
@@ -122,77 +122,95 @@
 async def play(plan: Plan, folder: Path) -> Played:
     """Play one seed and check every promise."""
     deployment = Deployment(folder, plan.controls, plan.gateways)
+    operator = Operator(deployment, plan)
+    injector = Injector(deployment)
+    callers = Callers(deployment, plan.seed + 2, plan.callers)
+    faults = schedule(
+        plan.seed, plan.duration_s, FAULTS_PER_S, plan.controls, plan.gateways
+    )
+    breaches = []
     timeout = aiohttp.ClientTimeout(total=1.0)
     try:
         async with aiohttp.ClientSession(timeout=timeout) as http:
-            return await _play(plan, deployment, http)
+            await _begin(deployment, operator, callers, http)
+            await _disturb(operator, injector, callers, faults, http)
+            await _recover(plan, operator, callers, http)
+            await callers.stop()
     except AssertionError as error:
-        return Played([str(error)], Counter(), Counter())
+        breaches.append(str(error))
     finally:
+        await callers.stop()
         await deployment.stop()
+    seen = Seen(
+        callers.asked,
+        deployment.runners,
+        deployment.group.runs,
+        injector.disturbances,
+        operator.revoked_s,
+    )
+    breaches += [*operator.breaches, *injector.failures]
+    return Played(
+        breaches + find_breaches(seen, plan.timed),
+        Counter(item.status for item in callers.asked),
+        Counter(fault.kind for fault in faults),
+    )
 
 
-async def _play(
-    plan: Plan, deployment: Deployment, http: aiohttp.ClientSession
-) -> Played:
-    operator = Operator(deployment, plan)
-    injector = Injector(deployment)
-    callers = Callers(deployment, plan.seed + 2, plan.callers)
-    await deployment.start()
+async def _begin(
+    deployment: Deployment,
+    operator: Operator,
+    callers: Callers,
+    http: aiohttp.ClientSession,
+) -> None:
+    """Start everything and wait until it serves."""
 
     async def _configured() -> bool:
         return await operator.send(passing=True)
 
-    async def _served() -> bool:
-        answers = [
-            await callers.ask(http, number, path)
-            for number in range(plan.gateways)
-            for path in ("/draft/1", "/pay/1", "/look/1")
-        ]
-        return all(item.status == 200 and item.whole for item in answers)
-
+    await deployment.start()
     await deployment.until(_configured, "configuration taken", READY_S)
-    await deployment.until(_served, "service begins", READY_S)
-    watching = asyncio.create_task(operator.watch(http))
-    changing = asyncio.create_task(operator.run())
-    calling = asyncio.create_task(callers.run())
-    faults = schedule(
-        plan.seed, plan.duration_s, FAULTS_PER_S, plan.controls, plan.gateways
-    )
-    await injector.run(faults)
-    changing.cancel()
-    await asyncio.gather(changing, return_exceptions=True)
+    await deployment.until(lambda: callers.served(http), "service begins", READY_S)
+    deployment.begun = True
+    callers.start()
+
+
+async def _disturb(
+    operator: Operator,
+    injector: Injector,
+    callers: Callers,
+    faults: list[Fault],
+    http: aiohttp.ClientSession,
+) -> None:
+    """Do all faults while callers ask and the operator changes the configuration."""
+    background = [
+        asyncio.create_task(operator.watch(http)),
+        asyncio.create_task(operator.run()),
+    ]
+    try:
+        await injector.run(faults)
+    finally:
+        for task in background:
+            task.cancel()
+        await asyncio.gather(*background, return_exceptions=True)
 
-    async def _in_force() -> bool:
-        return await operator.in_force(http)
 
-    # A process that has just been started gets its share of the time to recover.
+async def _recover(
+    plan: Plan, operator: Operator, callers: Callers, http: aiohttp.ClientSession
+) -> None:
+    """Wait until everything is served again, and the configuration is in force."""
+    deployment = operator.deployment
     recover_s = RECOVER_S if plan.timed else READY_S
-    await deployment.until(_served, "service recovers", recover_s)
+    await deployment.until(lambda: callers.served(http), "service recovers", recover_s)
     in_force_s = IN_FORCE_S if plan.timed else READY_S
-    await deployment.until(_in_force, "configuration in force", in_force_s)
-    callers.stopping = True
-    await calling
-    watching.cancel()
-    await asyncio.gather(watching, return_exceptions=True)
-    seen = Seen(
-        callers.asked,
-        deployment.runners,
-        deployment.group.runs,
-        injector.disturbances,
-        operator.revoked_s,
-    )
-    return Played(
-        [*operator.breaches, *injector.failures, *find_breaches(seen, plan.timed)],
-        Counter(item.status for item in callers.asked),
-        Counter(fault.kind for fault in faults),
+    await deployment.until(
+        lambda: operator.in_force(http), "configuration in force", in_force_s
     )
 
 
 @click.command()
 @click.option("--first", default=1, show_default=True, help="First seed.")
 @click.option("--seeds", default=1, show_default=True, help="How many seeds.")
-@click.option("--seconds", default=12.0, show_default=True, help="Length of each.")
+@click.option("--seconds", default=20.0, show_default=True, help="Length of each.")
 @click.option("--controls", default=3, show_default=True, help="Control instances.")
 @click.option("--gateways", default=3, show_default=True, help="Gateways.")
 @click.option("--callers", default=12, show_default=True, help="Callers at once.")
