--- /dev/null
+++ b/tests/test_imports.py
@@ -0,0 +1,46 @@
+"""Modules import each other in one direction only."""
+
+from __future__ import annotations
+
+import ast
+import graphlib
+import unittest
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+SOURCE = Path("src")
+
+
+def module_name(path: Path) -> str:
+    """Return the dotted name of a source file."""
+    parts = path.relative_to(SOURCE).with_suffix("").parts
+    return ".".join(parts).removesuffix(".__init__")
+
+
+def imported_names(node: ast.AST) -> Iterator[str]:
+    """Yield what is imported while the program runs, not for annotations alone."""
+    for child in ast.iter_child_nodes(node):
+        test = getattr(child, "test", None)
+        if isinstance(child, ast.If) and getattr(test, "id", "") == "TYPE_CHECKING":
+            continue
+        if isinstance(child, ast.ImportFrom) and child.module:
+            yield child.module
+            yield from (f"{child.module}.{alias.name}" for alias in child.names)
+        yield from imported_names(child)
+
+
+class ImportTests(unittest.TestCase):
+    def test_no_module_imports_itself_through_others(self) -> None:
+        paths = [path for path in SOURCE.rglob("*.py") if "_pb2" not in path.name]
+        names = {module_name(path) for path in paths}
+        graph = {
+            module_name(path): names
+            & set(imported_names(ast.parse(path.read_text()))) - {module_name(path)}
+            for path in paths
+        }
+        self.assertGreater(sum(map(len, graph.values())), len(paths))
+        # Raises CycleError with the circle.
+        list(graphlib.TopologicalSorter(graph).static_order())
