--- a/src/yuccareach/tracing/verdict.py
+++ b/src/yuccareach/tracing/verdict.py
@@ -103,6 +103,10 @@
             parts.append(f"lost {fields.get('lost')}, rerouted: {fields.get('status')}")
         elif line.event == "connect_failed":
             parts.append(f"no connection to {fields.get('backend_server')}")
+        elif (
+            line.event == "refused_for_want_of_room" and fields.get("closed") == "True"
+        ):
+            parts.append("some layers had no holder")
         elif line.event == "refused_for_want_of_room":
             parts.append(f"{fields.get('ahead')} tokens waited ahead of it")
     return f" ({'; '.join(parts)})" if parts else ""
--- a/tests/tracing/test_verdict.py
+++ b/tests/tracing/test_verdict.py
@@ -14,6 +14,10 @@
  1.4 front-1 time="2026-01-01 00:00:01,300" level=WARNING event=request_ended instance=g1 request=r1 status=503 reason=no_room attempts=1
 not a log line
 """  # noqa: E501
+CLOSED = """
+time="2026-01-01 00:00:01,100" level=INFO event=refused_for_want_of_room instance=g1 request=r1 tokens=9 ahead=0 expected_wait_s=0.0 closed=True
+time="2026-01-01 00:00:01,101" level=WARNING event=request_ended instance=g1 request=r1 status=503 reason=no_room attempts=0
+"""  # noqa: E501
 CUT = """
 time="2026-01-01 00:00:01,100" level=INFO event=stream_sent instance=g1 request=r1 attempt=1
 time="2026-01-01 00:00:02,000" level=INFO event=started instance=g2
@@ -44,6 +48,10 @@
         self.assertIn("status 503 at g1: no chain of backend servers", found.sentence)
         self.assertIn("1.1.1.1:1", found.sentence)
 
+    def test_refusal_while_layers_lack_says_so(self) -> None:
+        found = explained("r1", CLOSED)
+        self.assertIn("some layers had no holder", found.sentence)
+
     def test_request_cut_by_the_end_of_its_process(self) -> None:
         found = explained("r1", CUT)
         self.assertTrue(found.caused)
