Build the applications of entry and agent outside their processes

Change: the processes are given what builds their HTTP application, as control is. Left, for types alone: control.run with its parts, entry.state, and the gateway's state; none at run time (tests/test_imports.py).

--- a/src/yuccareach/agent/run.py
+++ b/src/yuccareach/agent/run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import functools
-from typing import NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 from yuccareach.agent.engine_client import EngineClient
 from yuccareach.agent.events import (
@@ -14,7 +14,6 @@
     Leave,
     RunStep,
 )
-from yuccareach.agent.http import agent_app
 from yuccareach.agent.reducer import reduce
 from yuccareach.agent.service_client import ServiceClient
 from yuccareach.agent.state import AgentState
@@ -29,6 +28,9 @@
 from yuccareach.runtime.rpc import listen
 from yuccareach.settings.exchange import apply_push
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 HEARTBEAT_INTERVAL_MS = 1_000
 LEAVE_SETTLE_MS = 300
 STOP_GRACE_S = 0.5
@@ -53,8 +55,11 @@
 class AgentProcess:
     """One agent: its engine or service, its links and its reducer."""
 
-    def __init__(self, options: AgentOptions) -> None:
+    def __init__(
+        self, options: AgentOptions, build_app: Callable[[AgentProcess], Any]
+    ) -> None:
         self.options = options
+        self.build_app = build_app
         self.log = logger("agent")
         self.state = AgentState(
             cpb.Member(
@@ -110,7 +115,7 @@
             }
         )
         await self.server.start()
-        self.http = HttpServer(agent_app(self), options.host, options.http_port)
+        self.http = HttpServer(self.build_app(self), options.host, options.http_port)
         await self.http.start()
         self.control.start()
         if options.engine:
--- a/src/yuccareach/cli/agent.py
+++ b/src/yuccareach/cli/agent.py
@@ -4,6 +4,7 @@
 
 import click
 
+from yuccareach.agent.http import agent_app
 from yuccareach.agent.run import AgentOptions, AgentProcess
 from yuccareach.cli.options import (
     CONTEXT,
@@ -80,7 +81,7 @@
         advertise or "",
         retain_mib,
     )
-    serve(AgentProcess(options), backend_server, log_level)
+    serve(AgentProcess(options, agent_app), backend_server, log_level)
 
 
 __all__ = ["main"]
--- a/src/yuccareach/demo.py
+++ b/src/yuccareach/demo.py
@@ -12,11 +12,13 @@
 import aiohttp
 import click
 
+from yuccareach.agent.http import agent_app
 from yuccareach.agent.run import AgentOptions, AgentProcess
 from yuccareach.cli.apply import put_team
 from yuccareach.cli.operator_client import Operator, checked
 from yuccareach.control.options import ControlOptions
 from yuccareach.control.run import ControlProcess
+from yuccareach.entry.http import entry_app
 from yuccareach.entry.run import EntryProcess, EntryProcessOptions
 from yuccareach.load.client import Target, Verdict, complete
 from yuccareach.settings.sets import hash_key
@@ -151,7 +153,7 @@
                 port=port,
                 resume=resume,
             )
-            fleet.entries.append(await _start(EntryProcess(options)))
+            fleet.entries.append(await _start(EntryProcess(options, entry_app)))
         for team, document in SETTINGS.items():
             checked(await put_team(fleet.operator, team, document, 0))
         await _ready(fleet)
@@ -184,7 +186,8 @@
     zone = ZONES[number % len(ZONES)]
     addresses = (control.address,)
     return AgentProcess(
-        AgentOptions(name, zone, addresses, engine, service, service_url)
+        AgentOptions(name, zone, addresses, engine, service, service_url),
+        agent_app,
     )
 
 
--- a/src/yuccareach/entry/http.py
+++ b/src/yuccareach/entry/http.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import hashlib
-import itertools
 from typing import TYPE_CHECKING, Any
 
 import falcon
@@ -385,10 +384,4 @@
     return _handle
 
 
-def request_ids(incarnation: str) -> Any:
-    """Return a function that makes identifiers unique to this process."""
-    numbers = itertools.count(1)
-    return lambda: f"{incarnation}-{next(numbers)}"
-
-
-__all__ = ["entry_app", "request_ids"]
+__all__ = ["entry_app"]
--- a/src/yuccareach/entry/run.py
+++ b/src/yuccareach/entry/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import functools
+import itertools
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from yuccareach.control.client import ControlClient
@@ -21,7 +22,6 @@
     ReturnReply,
     SettlePermit,
 )
-from yuccareach.entry.http import entry_app, request_ids
 from yuccareach.entry.reducer import reduce
 from yuccareach.entry.state import EntryOptions, EntryState
 from yuccareach.entry.traces import Traces
@@ -35,7 +35,7 @@
 from yuccareach.runtime.reducer import Dispatcher, wall_clock_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
 PERMIT_TIMEOUT_MS = 5_000
 SETTLE_TIMEOUT_MS = 30_000
@@ -57,8 +57,11 @@
 class EntryProcess:
     """One entry: its HTTP server, its links to agents and its reducer."""
 
-    def __init__(self, options: EntryProcessOptions) -> None:
+    def __init__(
+        self, options: EntryProcessOptions, build_app: Callable[[EntryProcess], Any]
+    ) -> None:
         self.options = options
+        self.build_app = build_app
         self.log = logger("entry")
         incarnation = f"{options.instance}-{new_incarnation()}"
         self.state = EntryState(
@@ -69,7 +72,9 @@
                 options.policy,
             )
         )
-        self.new_request_id = request_ids(incarnation)
+        numbers = itertools.count(1)
+        # Unique to this process.
+        self.new_request_id = lambda: f"{incarnation}-{next(numbers)}"
         self.metrics = Registry()
         self.waiters = Waiters()
         self.traces = Traces()
@@ -109,7 +114,8 @@
                 ),
             }
         )
-        self.http = HttpServer(entry_app(self), self.options.host, self.options.port)
+        app = self.build_app(self)
+        self.http = HttpServer(app, self.options.host, self.options.port)
         self.control.start()
         self.dispatcher.start_ticks(self._busy)
         await self.http.start()
