--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -39,13 +39,6 @@
 NO_USE = Use(0, 0)
 
 
-class Pace(NamedTuple):
-    """By how much an entry found an incarnation slower than usual."""
-
-    pace: float
-    noted_ms: int
-
-
 class EntryReport(NamedTuple):
     """What an entry said with its last request for a view."""
 
@@ -61,8 +54,6 @@
         self.total_by_server: dict[str, Use] = {}
         # By incarnation, when which entry last said that it cannot reach it.
         self.unreached_ms_by_incarnation: dict[str, dict[str, int]] = {}
-        # By incarnation, which entries find it slow.
-        self.pace_by_incarnation: dict[str, dict[str, Pace]] = {}
 
     def note(self, request: cpb.ViewRequest, now_ms: int) -> None:
         """Take what a request says, and forget what is too old."""
@@ -81,30 +72,6 @@
         for incarnation in request.unreachable:
             unreached = self.unreached_ms_by_incarnation.setdefault(incarnation, {})
             unreached[request.instance] = now_ms
-        self._note_paces(request, now_ms)
-
-    def _note_paces(self, request: cpb.ViewRequest, now_ms: int) -> None:
-        for incarnation, by_entry in tuple(self.pace_by_incarnation.items()):
-            by_entry.pop(request.instance, None)
-            if not by_entry:
-                del self.pace_by_incarnation[incarnation]
-        for slow in request.slow:
-            by_entry = self.pace_by_incarnation.setdefault(slow.incarnation, {})
-            by_entry[request.instance] = Pace(slow.pace, now_ms)
-
-    def slow_elsewhere(self, entry: str, now_ms: int) -> dict[str, float]:
-        """Return the paces of incarnations that other entries find slow."""
-        return {
-            incarnation: max(paces)
-            for incarnation, by_entry in self.pace_by_incarnation.items()
-            if (
-                paces := [
-                    found.pace
-                    for other, found in by_entry.items()
-                    if other != entry and now_ms - found.noted_ms < ENTRY_LEASE_MS
-                ]
-            )
-        }
 
     def unreachable(self, now_ms: int) -> set[str]:
         """Return the incarnations that several entries could not reach lately.
@@ -246,12 +213,6 @@
             cpb.ServerUse(backend_server=server, tokens=use.tokens, first=use.first)
             for server, use in uses.items()
         ],
-        slow=[
-            cpb.SlowServer(incarnation=incarnation, pace=pace)
-            for incarnation, pace in process.views.slow_elsewhere(
-                request.instance, monotonic_ms()
-            ).items()
-        ],
     )
     if request.document_version < process.machine.document.version:
         view.document.CopyFrom(process.machine.document)
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -57,10 +57,8 @@
         # Whether it took the last connection that was tried.
         self.connectable = True
         self.probed_s = -1.0
-        # Multiple of its usual times, as it said itself and as other entries say, and
-        # when it was last asked for.
+        # Multiple of its usual times, and when it was last asked for.
         self.pace = 1.0
-        self.pace_elsewhere = 1.0
         self.paced_s = -10.0
 
     @property
@@ -115,11 +113,6 @@
         """Return whether it cannot be reached, by this entry or by its neighbours."""
         return not self.connectable or now_s < self.unreachable_until_s
 
-    @property
-    def slowness(self) -> float:
-        """Multiple of its usual times, as far as any entry knows."""
-        return max(self.pace, self.pace_elsewhere)
-
     def avoided(self, now_s: float) -> bool:
         """Return whether others are to be preferred."""
         due_s = max(self.avoid_until_s, self.full_until_s)
@@ -170,12 +163,6 @@
             tokens, first = use_by_server.get(name, (0, 0))
             backend.tokens_elsewhere, backend.first_elsewhere = tokens, first
 
-    def take_paces(self, pace_by_incarnation: dict[str, float]) -> None:
-        """Take what other entries have found slow."""
-        for backend in self.backend_by_name.values():
-            incarnation = backend.announced.incarnation
-            backend.pace_elsewhere = pace_by_incarnation.get(incarnation, 1.0)
-
     def of_service(self, service: str) -> list[Backend]:
         """Return the backend servers of a service that take new work."""
         return [
--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -218,9 +218,9 @@
         if full > MEMORY_PART or holder.full(demand.now_s):
             continue
         enter = AVOIDED_MS if holder.avoided(demand.now_s) else 0.0
-        if holder.slowness >= SLOW_PACE:
-            enter += SLOW_MS * holder.slowness
-        layer = layer_ms(holder, model) * holder.slowness * (1 + FULL_FACTOR * full)
+        if holder.pace >= SLOW_PACE:
+            enter += SLOW_MS * holder.pace
+        layer = layer_ms(holder, model) * holder.pace * (1 + FULL_FACTOR * full)
         costs[holder.name] = _Cost(enter, layer)
     return costs
 
--- a/src/yuccareach/gateway/paces.py
+++ b/src/yuccareach/gateway/paces.py
@@ -23,21 +23,14 @@
 
 
 async def measure(gateway: Gateway, backends: Iterable[Backend]) -> list[Backend]:
-    """Ask servers for their pace, each rarely; return those that are slow.
-
-    What another entry has found slow needs no asking.
-    """
+    """Ask servers for their pace, each rarely; return those that are slow."""
     now_s = gateway.now()
     chosen = list(backends)
-    due = [
-        item
-        for item in chosen
-        if now_s - item.paced_s > MEASURE_INTERVAL_S and item.pace_elsewhere < SLOW_PACE
-    ]
+    due = [item for item in chosen if now_s - item.paced_s > MEASURE_INTERVAL_S]
     for backend in due:
         backend.paced_s = now_s
     await asyncio.gather(*(_measure_one(gateway, backend) for backend in due))
-    return [backend for backend in chosen if backend.slowness >= SLOW_PACE]
+    return [backend for backend in chosen if backend.pace >= SLOW_PACE]
 
 
 async def _measure_one(gateway: Gateway, backend: Backend) -> None:
@@ -51,15 +44,6 @@
     backend.pace = pace
 
 
-def found_slow(gateway: Gateway) -> dict[str, float]:
-    """Return the paces of the incarnations that this entry has found slow."""
-    return {
-        backend.announced.incarnation: backend.pace
-        for backend in gateway.fleet.backend_by_name.values()
-        if backend.pace >= SLOW_PACE
-    }
-
-
 def due_again(gateway: Gateway) -> list[Backend]:
     """Return the slow servers whose pace is to be looked at again."""
     now_s = gateway.now()
@@ -70,4 +54,4 @@
     ]
 
 
-__all__ = ["SLOW_PACE", "due_again", "found_slow", "measure"]
+__all__ = ["SLOW_PACE", "due_again", "measure"]
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -11,7 +11,6 @@
 
 from yuccareach.errors import YuccareachError
 from yuccareach.gateway.backends import Announced
-from yuccareach.gateway.paces import found_slow
 from yuccareach.gateway.state import MEMBERS_DUE_S, boot_time_s
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
@@ -119,10 +118,6 @@
                 for name, backend in gateway.fleet.backend_by_name.items()
                 if backend.tokens
             ],
-            slow=[
-                cpb.SlowServer(incarnation=incarnation, pace=pace)
-                for incarnation, pace in found_slow(gateway).items()
-            ],
         )
 
     async def _move_on(self, target: str, error: grpc.RpcError) -> None:
@@ -182,7 +177,6 @@
         gateway.fleet.take_uses(
             {use.backend_server: (use.tokens, use.first) for use in view.uses}
         )
-        gateway.fleet.take_paces({slow.incarnation: slow.pace for slow in view.slow})
         gateway.entries = max(1, view.entries)
         if not gateway.leased and gateway.table is not None:
             gateway.log("lease_gained", table=gateway.table.version)
