Carry the gateway and its views to the two-year target

Change: bench/gateway.py measures both, and what views cost the leader for each gateway at rest (2 and 12 gateways); make capacity carries them on.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -16,6 +16,7 @@
     from collections.abc import Iterator
 
 DATA = Path("docs/capacity/slopes.json")
+GATEWAY_DATA = Path("docs/capacity/gateway.json")
 PAGE = Path("docs/CAPACITY.md")
 PLOTS = Path("docs/capacity")
 POOR_FIT = 0.2
@@ -48,6 +49,7 @@
 TEAM_DOCUMENT_BYTES = 5_000.0
 ZONES = 12
 DAY_S = 86_400.0
+TOKENS_PER_EVENT = 4
 
 
 class Fit(NamedTuple):
@@ -333,6 +335,7 @@
     yield ""
     yield from _roles(fits)
     yield from _failures(fits)
+    yield from _gateway()
     yield from _slopes(data, fits)
 
 
@@ -402,6 +405,37 @@
     yield ""
 
 
+def _gateway() -> Iterator[str]:
+    """Carry what the gateway and its views cost to the target."""
+    cost = json.loads(GATEWAY_DATA.read_text(encoding="utf-8"))
+    events = TOKENS_PER_S / TOKENS_PER_EVENT / NODES
+    requests = REQUESTS_PER_S / NODES
+    core = (requests * cost["stream_ms"] + events * cost["event_ms"]) / 1000
+    leader = cost["leader_core_share_per_gateway"] * NODES
+    yield "## The gateway on the users' platform"
+    yield ""
+    yield (
+        f"A plain call costs {cost['call_ms']:.2f} ms of processor time, a stream "
+        f"{cost['stream_ms']:.2f} ms and {cost['event_ms']:.3f} ms for each event "
+        f"(`python -m bench.gateway`). At the target each of {NODES} gateways has "
+        f"{requests:.1f} streams/s and, with {TOKENS_PER_EVENT} tokens an event, "
+        f"{events:.0f} events/s: {core:.3f} of a core."
+    )
+    yield ""
+    yield (
+        f"Views cost the leader {cost['leader_core_share_per_gateway']:.4f} of a core "
+        f"for each gateway at rest, a line through two points: {leader:.2f} cores for "
+        f"{NODES}. "
+        + (
+            "That breaks first, since one process has one core. Followers would have "
+            "to give views, confirmed by the leader in one round for all that wait."
+            if leader > 1
+            else "The polls, which bound how old a view may be, take most of it."
+        )
+    )
+    yield ""
+
+
 def _slopes(data: dict[str, Any], fits: dict[str, Fit]) -> Iterator[str]:
     yield "## Measured slopes"
     yield ""
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -1,8 +1,12 @@
-"""Prints what the gateway's processor time is spent on: a request, and an event."""
+"""Measures the gateway's processor time by request and event, and what views cost.
+
+Writes docs/capacity/gateway.json, from which `make capacity` carries it to the target.
+"""
 
 from __future__ import annotations
 
 import asyncio
+import json
 import tempfile
 from pathlib import Path
 from typing import NamedTuple
@@ -22,7 +26,11 @@
 # So long apart, each event arrives by itself.
 EVENT_INTERVAL_S = 0.01
 READY_S = 30.0
-GATEWAY = Program("gateway", 0)
+GATEWAY, CONTROL = Program("gateway", 0), Program("control", 0)
+# Gateways at rest that one leader gives views to, and for how long that is watched.
+FEW, MANY = 2, 12
+REST_S = 10.0
+DATA = Path("docs/capacity/gateway.json")
 
 
 class Load(NamedTuple):
@@ -32,9 +40,9 @@
     events: int
 
 
-def processor_s(deployment: Deployment) -> float:
-    """Return the processor time of the gateway's threads so far."""
-    pid = deployment.process_by_program[GATEWAY].pid
+def processor_s(deployment: Deployment, program: Program) -> float:
+    """Return the processor time of a process's threads so far."""
+    pid = deployment.process_by_program[program].pid
     threads = Path(f"/proc/{pid}/task").glob("*/schedstat")
     return sum(int(path.read_text().split()[0]) for path in threads) / 1e9
 
@@ -50,9 +58,9 @@
             for _ in range(REQUESTS // AT_ONCE):
                 await callers.ask(http, 0, load.path)
 
-    begun_s = processor_s(deployment)
+    begun_s = processor_s(deployment, GATEWAY)
     await asyncio.gather(*(_ask_in_turn() for _ in range(AT_ONCE)))
-    spent_s = processor_s(deployment) - begun_s
+    spent_s = processor_s(deployment, GATEWAY) - begun_s
     right = sum(item.status == 200 and item.whole for item in callers.asked)
     if right != REQUESTS:
         raise SystemExit(f"{REQUESTS - right} of {REQUESTS} requests failed")
@@ -80,12 +88,26 @@
     await deployment.until(_serves, "service begins", READY_S)
 
 
-async def main() -> None:
-    """Measure plain calls, short streams and long ones."""
+async def leader_share(gateways: int) -> float:
+    """Return the part of a core that control takes while so many gateways rest."""
+    with tempfile.TemporaryDirectory() as folder:
+        deployment = Deployment(Path(folder), controls=1, gateways=gateways)
+        try:
+            await start(deployment)
+            begun_s = processor_s(deployment, CONTROL)
+            await asyncio.sleep(REST_S)
+            return (processor_s(deployment, CONTROL) - begun_s) / REST_S
+        finally:
+            await deployment.stop()
+
+
+async def request_costs() -> dict[str, float]:
+    """Return the milliseconds of a plain call, of a stream, and of each event."""
     with tempfile.TemporaryDirectory() as folder:
         deployment = Deployment(Path(folder), controls=1, gateways=1)
         try:
             await start(deployment)
+            # The first load opens the connections.
             await measure(deployment, Load("/look/", 0))
             call_ms = await measure(deployment, Load("/look/", 0))
             short_ms = await measure(deployment, Load("/draft/", SHORT))
@@ -93,8 +115,17 @@
         finally:
             await deployment.stop()
     event_ms = (long_ms - short_ms) / (LONG - SHORT)
-    print(f"a plain call {call_ms:.2f} ms, an event {event_ms:.3f} ms")
-    print(f"a stream without its events {short_ms - SHORT * event_ms:.2f} ms")
+    stream_ms = short_ms - SHORT * event_ms
+    return {"call_ms": call_ms, "stream_ms": stream_ms, "event_ms": event_ms}
+
+
+async def main() -> None:
+    """Measure everything and write it down."""
+    few, many = await leader_share(FEW), await leader_share(MANY)
+    data = await request_costs()
+    data["leader_core_share_per_gateway"] = (many - few) / (MANY - FEW)
+    DATA.write_text(json.dumps(data, indent=1) + "\n", encoding="utf-8")
+    print(DATA.read_text(encoding="utf-8"))
 
 
 if __name__ == "__main__":
