Begin a stream anew only where it may go

Cause: seen in reading the diff. Whether a stream that lost a stage may be resumed was decided with chains that begin at its own first stage, to which it is not sent again: it would have been cut for want of room, though a detour into another zone was there. Change: that first stage is left out of the search. Before and after: test_stream_is_not_begun_anew_where_it_began fails first; the other ways have tests too.

--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -252,9 +252,14 @@
 def _may_resume(run: StreamRun) -> bool:
     """Return whether a stream may begin anew within some zone; its repeat is taken."""
     service = run.admitted.service
-    if service.model is None or not run.may_run_again(run.runs + 1):
+    if service.model is None or run.chain is None:
+        return False
+    if not run.may_run_again(run.runs + 1):
         return False
-    demand = run.demand()._replace(across_zones=False)
+    # It is not sent to the same first stage again, see _interrupt.
+    first = run.chain.parts[0].backend.announced.incarnation
+    demand = run.demand()
+    demand = demand._replace(across_zones=False, excluded=demand.excluded | {first})
     chain = find_chain(run.gateway.graph(service), service.model, demand)
     return chain is not None and run.take_repeat()
 
