--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -28,7 +28,14 @@
 # Control bears the loss of one instance at a time, which counts as lost for this long
 # after it is back: the platform's bound.
 CATCH_UP_S = 6.0
+# Longest fault.
 WORST_DELAY_S = 1.5
+# A role and what is done to it.
+KINDS_OF_GATEWAY = ("gateway_kill", "gateway_term", "gateway_pause")
+KINDS_OF_CONTROL = ("control_kill", "control_term", "control_pause", "control_wipe")
+KINDS_OF_RUNNER = ("runner_link", "runner_crash", "runner_drain")
+# More than there are targets of any kind.
+TARGETS = 300
 
 
 class Disturbance(NamedTuple):
@@ -48,18 +55,12 @@
 
     at_s: float
     kind: str
+    # Which of those that there are then, modulo their number.
     target: int
     for_s: float
 
 
-KINDS_OF_GATEWAY = ("gateway_kill", "gateway_term", "gateway_pause")
-KINDS_OF_CONTROL = ("control_kill", "control_term", "control_pause", "control_wipe")
-KINDS_OF_RUNNER = ("runner_link", "runner_crash", "runner_drain")
-
-
-def schedule(
-    seed: int, duration_s: float, per_s: float, controls: int, gateways: int
-) -> list[Fault]:
+def schedule(seed: int, duration_s: float, per_s: float, controls: int) -> list[Fault]:
     """Return the faults of a seed; they come in series and overlap."""
     random = Random(seed)
     kinds = (*KINDS_OF_GATEWAY, *KINDS_OF_RUNNER * 2)
@@ -68,7 +69,7 @@
     while at_s < duration_s:
         kind = random.choice(kinds)
         for_s = random.uniform(0.2, WORST_DELAY_S)
-        faults.append(Fault(at_s, kind, random.randrange(gateways * 100), for_s))
+        faults.append(Fault(at_s, kind, random.randrange(TARGETS), for_s))
         at_s += random.expovariate(per_s)
     at_s = random.uniform(0, CATCH_UP_S)
     while at_s < duration_s and controls > 2:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -127,9 +127,7 @@
     operator = Operator(deployment, plan)
     injector = Injector(deployment)
     callers = Callers(deployment, plan.seed + 2, plan.callers)
-    faults = schedule(
-        plan.seed, plan.duration_s, FAULTS_PER_S, plan.controls, plan.gateways
-    )
+    faults = schedule(plan.seed, plan.duration_s, FAULTS_PER_S, plan.controls)
     breaches = []
     timeout = aiohttp.ClientTimeout(total=SCRAPE_TIMEOUT_S)
     try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -102,14 +102,12 @@
 
 class ScheduleTests(unittest.TestCase):
     def test_seed_decides_the_faults(self) -> None:
-        self.assertEqual(schedule(3, 30, 1, 3, 3), schedule(3, 30, 1, 3, 3))
-        self.assertNotEqual(schedule(3, 30, 1, 3, 3), schedule(4, 30, 1, 3, 3))
+        self.assertEqual(schedule(3, 30, 1, 3), schedule(3, 30, 1, 3))
+        self.assertNotEqual(schedule(3, 30, 1, 3), schedule(4, 30, 1, 3))
 
     def test_control_loses_one_instance_at_a_time(self) -> None:
         faults = [
-            item
-            for item in schedule(5, 300, 1, 3, 3)
-            if item.kind.startswith("control")
+            item for item in schedule(5, 300, 1, 3) if item.kind.startswith("control")
         ]
         self.assertGreater(len(faults), 20)
         for one, other in zip(faults, faults[1:], strict=False):
