Use one heartbeat, one engine and one start in the soak and the gateway's bench

Cause: reading the whole change. The soak's backend server had the stand-in's heartbeats once more, its configuration the demo's engine, and bench/gateway.py the soak's start and the fleet's reading of processor time. Change: Runner.announce tells subclasses what was acknowledged; demo_engine serves both; bench/gateway.py uses begin of the soak and processor_seconds of bench/fleet.py. 25 lines fewer.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -55,8 +55,7 @@
 
     def cpu_seconds(self) -> float:
         """Processor time of all threads so far."""
-        threads = Path(f"/proc/{self.pid}/task").glob("*/schedstat")
-        return sum(int(path.read_text().split()[0]) for path in threads) / 1e9
+        return processor_seconds(self.pid)
 
     def resident_bytes(self) -> int:
         """Memory held now."""
@@ -74,6 +73,12 @@
     speed: float = 1.0
 
 
+def processor_seconds(pid: int) -> float:
+    """Processor time of all threads of a process so far."""
+    threads = Path(f"/proc/{pid}/task").glob("*/schedstat")
+    return sum(int(path.read_text().split()[0]) for path in threads) / 1e9
+
+
 def loopback_bytes() -> int:
     """Bytes that all processes have received over loopback so far."""
     rows = Path("/proc/net/dev").read_text().splitlines()
--- a/bench/gateway.py
+++ b/bench/gateway.py
@@ -13,19 +13,16 @@
 
 import aiohttp
 
+from bench.fleet import processor_seconds
 from bench.soak.callers import Callers
 from bench.soak.deployment import Deployment, Program
-from bench.soak.documents import document
-from yuccareach.platform.standin import put_document
+from bench.soak.run import Operator, Plan, begin
 
 # Requests at once on each connection's own task, and in all for each measurement.
 AT_ONCE = 20
 REQUESTS = 600
 # Streams differ in nothing else, so that the difference is the events'.
 SHORT, LONG = 10, 110
-# So long apart, each event arrives by itself.
-EVENT_INTERVAL_S = 0.01
-READY_S = 30.0
 GATEWAY, CONTROL = Program("gateway", 0), Program("control", 0)
 # Gateways at rest that one leader gives views to, and for how long that is watched.
 FEW, MANY = 2, 12
@@ -42,9 +39,7 @@
 
 def processor_s(deployment: Deployment, program: Program) -> float:
     """Return the processor time of a process's threads so far."""
-    pid = deployment.process_by_program[program].pid
-    threads = Path(f"/proc/{pid}/task").glob("*/schedstat")
-    return sum(int(path.read_text().split()[0]) for path in threads) / 1e9
+    return processor_seconds(deployment.process_by_program[program].pid)
 
 
 async def measure(deployment: Deployment, load: Load) -> float:
@@ -69,23 +64,8 @@
 
 async def start(deployment: Deployment) -> None:
     """Start the deployment and wait until it serves streams and calls."""
-    await deployment.start()
-    for runner in deployment.runners:
-        runner.event_interval_s = EVENT_INTERVAL_S
-    callers = Callers(deployment, 1, 1)
-
-    async def _serves() -> bool:
-        try:
-            status = await put_document(
-                deployment.control_addresses[0], document(1, passing=False)
-            )
-        except aiohttp.ClientError:
-            return False
-        async with aiohttp.ClientSession() as http:
-            asked = [await callers.ask(http, 0, path) for path in ("/draft/", "/pay/")]
-        return status == 200 and all(item.status == 200 for item in asked)
-
-    await deployment.until(_serves, "service begins", READY_S)
+    plan = Plan(seed=1)
+    await begin(deployment, Operator(deployment, plan), Callers(deployment, 1, 1))
 
 
 async def leader_share(gateways: int) -> float:
--- a/bench/soak/documents.py
+++ b/bench/soak/documents.py
@@ -4,6 +4,8 @@
 
 from typing import Any
 
+from yuccareach.platform.demo import demo_engine
+
 MODEL = "drafts"
 PLAIN = "claims"
 HOST = "soak.example"
@@ -30,24 +32,13 @@
 
 
 def _engine() -> dict[str, Any]:
-    kinds = (("a100", 72_000.0, 2.4, 3.2), ("l4", 21_600.0, 16.0, 8.2))
+    """Return the demo's engine, but with loads that take time and links that bind."""
     return {
-        "slots": 96,
-        "kvTokenBytes": 1_836_000,
+        **demo_engine(),
         "models": [{"name": "m", "loadS": 1.0}],
-        "step_ms": 1.02,
-        "per_seq_ms": 0.014,
-        "context_per_k": 0.019,
-        "read_per_s": 105_000.0,
         "usual": {"prompt": 100, "answer": 30},
-        "layers": 80,
-        "layerMb": 1_750.0,
         "activationBytes": 91_800,
         "pipeMbps": 26_000.0,
-        "kinds": [
-            {"name": name, "sizeMb": size, "pace": pace, "readFactor": read}
-            for name, size, pace, read in kinds
-        ],
     }
 
 
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -132,7 +132,8 @@
     timeout = aiohttp.ClientTimeout(total=SCRAPE_TIMEOUT_S)
     try:
         async with aiohttp.ClientSession(timeout=timeout) as http:
-            await _begin(deployment, operator, callers)
+            await begin(deployment, operator, callers)
+            callers.start()
             await _disturb(operator, injector, faults, http)
             await _recover(plan, operator, callers, http)
             await callers.stop()
@@ -156,7 +157,7 @@
     )
 
 
-async def _begin(deployment: Deployment, operator: Operator, callers: Callers) -> None:
+async def begin(deployment: Deployment, operator: Operator, callers: Callers) -> None:
     """Start everything and wait until it serves."""
 
     async def _configured() -> bool:
@@ -166,7 +167,6 @@
     await deployment.until(_configured, "configuration taken", READY_S)
     await deployment.until(callers.served, "service begins", READY_S)
     deployment.begun = True
-    callers.start()
 
 
 async def _disturb(
--- a/bench/soak/runners.py
+++ b/bench/soak/runners.py
@@ -4,9 +4,8 @@
 
 import asyncio
 import time
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
-import aiohttp
 from aiohttp import web
 
 from yuccareach.platform.standin import Group, Runner
@@ -17,7 +16,7 @@
 
 HOST = "127.0.0.1"
 HEARTBEAT_INTERVAL_S = 0.4
-CALL_TIMEOUT_S = 1.0
+# So long apart, each event arrives by itself.
 EVENT_INTERVAL_S = 0.01
 
 
@@ -37,6 +36,7 @@
     ) -> None:
         super().__init__(group, name, service, zone, kind)
         self.event_interval_s = EVENT_INTERVAL_S
+        self.heartbeat_interval_s = HEARTBEAT_INTERVAL_S
         self.arrivals: list[Arrival] = []
         self.drained_s: float | None = None
         self.task: asyncio.Task[None] | None = None
@@ -59,29 +59,12 @@
 
     def attach(self, control: Sequence[str]) -> None:
         """Begin to send heartbeats."""
-        self.task = asyncio.create_task(self._announce(control))
-
-    async def _announce(self, control: Sequence[str]) -> None:
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        async with aiohttp.ClientSession(timeout=timeout) as session:
-            while True:
-                for address in control:
-                    if await self._beat(session, address):
-                        break
-                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
-
-    async def _beat(self, session: aiohttp.ClientSession, address: str) -> bool:
-        beat = self.heartbeat()
-        url = f"http://{address}/-/runners/{self.name}/heartbeat"
-        try:
-            async with session.post(url, json=beat) as answer:
-                if answer.status != 200:
-                    return False
-        except (aiohttp.ClientError, OSError, TimeoutError):
-            return False
+        self.task = asyncio.create_task(self.announce(control))
+
+    def acknowledged(self, beat: dict[str, Any]) -> None:
+        """Note since when control knows that no new work is taken."""
         if beat["state"] == "draining" and self.drained_s is None:
             self.drained_s = time.monotonic()
-        return True
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         arrival = Arrival(
--- a/src/yuccareach/platform/demo.py
+++ b/src/yuccareach/platform/demo.py
@@ -36,7 +36,22 @@
 def demo_document() -> dict[str, Any]:
     """Return a configuration with one model and one plain service."""
     route = {"host": "demo.example", "timeoutMs": 20_000, "targetLatencyMs": 500}
-    engine = {
+    draft = {"name": "draft", "pathPrefix": "/draft/", "kind": "stream"}
+    claim = {"name": "claim", "pathPrefix": "/claim/", "kind": "unsafe"}
+    return {
+        "version": 1,
+        "routes": [
+            {**route, **draft, "service": "model", "streamResume": True},
+            {**route, **claim, "service": "claims"},
+        ],
+        "services": [{"name": "model", "engine": demo_engine()}, {"name": "claims"}],
+        "tenants": [{"name": "demo", "apiKeys": [KEY]}],
+    }
+
+
+def demo_engine() -> dict[str, Any]:
+    """Return what the configuration says of a model's runners."""
+    return {
         "slots": 96,
         "kvTokenBytes": 1_836_000,
         "models": [{"name": "demo", "loadS": 0.0}],
@@ -54,17 +69,6 @@
             {"name": "l4", "sizeMb": 21_600.0, "pace": 16.0, "readFactor": 8.2},
         ],
     }
-    draft = {"name": "draft", "pathPrefix": "/draft/", "kind": "stream"}
-    claim = {"name": "claim", "pathPrefix": "/claim/", "kind": "unsafe"}
-    return {
-        "version": 1,
-        "routes": [
-            {**route, **draft, "service": "model", "streamResume": True},
-            {**route, **claim, "service": "claims"},
-        ],
-        "services": [{"name": "model", "engine": engine}, {"name": "claims"}],
-        "tenants": [{"name": "demo", "apiKeys": [KEY]}],
-    }
 
 
 def _write_settings(folder: Path, name: str, **ports: int) -> Path:
@@ -145,4 +149,4 @@
         asyncio.run(_serve(port, Path(folder)))
 
 
-__all__ = ["demo"]
+__all__ = ["demo", "demo_engine"]
--- a/src/yuccareach/platform/standin.py
+++ b/src/yuccareach/platform/standin.py
@@ -61,6 +61,7 @@
         self.reroutes_unheard = 0
         self.status = 200
         self.event_interval_s = 0.002
+        self.heartbeat_interval_s = HEARTBEAT_INTERVAL_S
         self.pace = 1.0
         self.stalled: dict[str, str] = {}
         self.path_by_request: dict[str, list[tuple[str, int, int]]] = {}
@@ -108,14 +109,25 @@
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 for address in control:
-                    url = f"http://{address}/-/runners/{self.name}/heartbeat"
-                    try:
-                        async with session.post(url, json=self.heartbeat()) as answer:
-                            if answer.status == 200:
-                                break
-                    except (aiohttp.ClientError, TimeoutError):
-                        continue
-                await asyncio.sleep(HEARTBEAT_INTERVAL_S)
+                    if await self._beat(session, address):
+                        break
+                await asyncio.sleep(self.heartbeat_interval_s)
+
+    async def _beat(self, session: aiohttp.ClientSession, address: str) -> bool:
+        """Send a heartbeat; returns whether it was acknowledged."""
+        beat = self.heartbeat()
+        url = f"http://{address}/-/runners/{self.name}/heartbeat"
+        try:
+            async with session.post(url, json=beat) as answer:
+                if answer.status != 200:
+                    return False
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            return False
+        self.acknowledged(beat)
+        return True
+
+    def acknowledged(self, beat: dict[str, Any]) -> None:
+        """Note that control has taken a heartbeat."""
 
     # Calls.
 
