--- a/src/yuccareach/entry/quarantine.py
+++ b/src/yuccareach/entry/quarantine.py
@@ -15,12 +15,12 @@
 
 from __future__ import annotations
 
-import hashlib
 import math
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from yuccareach.entry.events import Refusal, ReportLoss
 from yuccareach.proto import control_pb2 as cpb
+from yuccareach.quarantine import compute_fingerprint, format_fingerprint
 from yuccareach.runtime.logs import Log
 
 if TYPE_CHECKING:
@@ -34,7 +34,6 @@
 # How long the losses of a fingerprint are kept after the last one.
 QUARANTINE_RETENTION_MS = 600_000
 MAX_FINGERPRINTS = 20_000
-FINGERPRINT_BYTES = 16
 # A pending loss is dropped after this time if its backend server is still present.
 PENDING_LOSS_RETENTION_MS = 15_000
 
@@ -65,17 +64,11 @@
     accepted: bool
 
 
-def compute_fingerprint(workspace: Workspace, pipeline: str, prompt: str) -> bytes:
-    """Return a hash that is the same when a request is sent again.
-
-    It is keyed with the hash of the workspace's API key, so that the prompt cannot be
-    guessed from the fingerprint alone.
-    """
+def identify_request(workspace: Workspace, pipeline: str, prompt: str) -> bytes:
+    """Return a request's fingerprint, keyed with the hash of the workspace's key."""
     key = workspace.key_sha256[0] if workspace.key_sha256 else ""
-    content = "\0".join((workspace.name, pipeline, prompt)).encode()
-    return hashlib.blake2b(
-        content, key=key.encode()[:64], digest_size=FINGERPRINT_BYTES
-    ).digest()
+    parts = (workspace.name, pipeline, prompt)
+    return compute_fingerprint(key, *(part.encode() for part in parts))
 
 
 def get_loss_count(state: EntryState, fingerprint: bytes, now: int) -> int:
@@ -139,7 +132,7 @@
     fields = {
         "workspace": workspace,
         "losses": count,
-        "fingerprint": fingerprint.hex()[:8],
+        "fingerprint": format_fingerprint(fingerprint),
     }
     return [ReportLoss(report), Log("loss_noted", fields)]
 
@@ -170,8 +163,8 @@
     "LossCount",
     "PendingLoss",
     "check",
-    "compute_fingerprint",
     "get_loss_count",
+    "identify_request",
     "merge_records",
     "record_loss",
     "resolve_pending_losses",
--- a/src/yuccareach/entry/requests.py
+++ b/src/yuccareach/entry/requests.py
@@ -59,7 +59,7 @@
     if max_tokens > pipeline.max_tokens:
         text = f"max_tokens is {max_tokens}; the maximum is {pipeline.max_tokens}"
         return _refuse_unadmitted(event, Refusal(400, "max_tokens_too_large", text))
-    fingerprint = quarantine.compute_fingerprint(
+    fingerprint = quarantine.identify_request(
         event.workspace, pipeline.name, event.prompt
     )
     quarantine_refusal = quarantine.check(state, fingerprint, now)
--- a/src/yuccareach/gateway/admitted_requests.py
+++ b/src/yuccareach/gateway/admitted_requests.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.dialect import Headers, RequestMetadata
+from yuccareach.quarantine import format_fingerprint
 
 if TYPE_CHECKING:
     from yuccareach.gateway.http_client import ResponseHead
@@ -36,6 +37,8 @@
     workspace: Workspace | None
     # Event-loop time at which the caller's deadline or the route's timeout ends.
     deadline_s: float
+    # The same when the caller sends the request again, under another id.
+    fingerprint: bytes
 
     @property
     def request_id(self) -> str:
@@ -112,6 +115,7 @@
         table=gateway.table.version if gateway.table else 0,
         status=outcome.status,
         reason=outcome.reason,
+        fingerprint=format_fingerprint(admitted.fingerprint) if is_failure else None,
         attempts=attempts,
         duration_ms=duration_ms,
         events=events,
--- a/src/yuccareach/gateway/handler.py
+++ b/src/yuccareach/gateway/handler.py
@@ -10,6 +10,7 @@
 from yuccareach.gateway.calls import serve_call
 from yuccareach.gateway.streams import serve_stream
 from yuccareach.gateway.table import RouteKind
+from yuccareach.quarantine import compute_fingerprint
 
 if TYPE_CHECKING:
     from yuccareach.gateway.dialect import RequestMetadata
@@ -79,6 +80,17 @@
         _choose_service(table, route, metadata.request_id),
         workspace,
         request.received_s + deadline_ms / 1000,
+        _identify_request(request, host, workspace),
+    )
+
+
+def _identify_request(
+    request: CallerRequest, host: str, workspace: Workspace | None
+) -> bytes:
+    """Return a request's fingerprint, which another gateway computes alike."""
+    caller = workspace.name if workspace else ""
+    return compute_fingerprint(
+        "", caller.encode(), host.encode(), request.method, request.target, request.body
     )
 
 
