--- a/src/yuccareach/platform/standin.py
+++ b/src/yuccareach/platform/standin.py
@@ -25,6 +25,8 @@
 CALL_TIMEOUT_S = 1.0
 # Delay of an answer that is to be missing: longer than the timeout of any caller.
 SILENCE_DELAY_S = 60.0
+# A runner that crashed is back after this time.
+RESTART_DELAY_S = 0.5
 
 
 class Group:
@@ -37,6 +39,12 @@
         # In the order in which a runner started to execute the requests. An id occurs
         # once for each execution.
         self.executed_request_ids: list[str] = []
+        # A request with this body crashes the runner at this index of each chain that
+        # runs it, or the one runner that runs it as a plain call.
+        self.crashing_body: bytes | None = None
+        self.crashing_stage = 0
+        # Loop times at which that body crashed runners.
+        self.crash_times_s: list[float] = []
 
 
 class Runner:
@@ -73,6 +81,8 @@
         self.heartbeat_interval_s = HEARTBEAT_INTERVAL_S
         # Multiplies event_interval_s.
         self.slowdown = 1.0
+        self.restart_delay_s = RESTART_DELAY_S
+        self.crash_task: asyncio.Task[None] | None = None
         # State of the requests, and what the runner has received.
 
         # Address of the runner that a stalled request waits for, by request id.
@@ -82,15 +92,15 @@
         self.received_orders: list[dict[str, Any]] = []
         self.received_headers: list[Mapping[str, str]] = []
 
-    async def start(self) -> None:
-        """Listen on a free port of the loopback address."""
+    async def start(self, port: int = 0) -> None:
+        """Listen on a port of the loopback address, by default on a free one."""
         app = web.Application()
         app.router.add_get("/-/report", self._handle_report)
         app.router.add_post("/-/order", self._handle_order)
         app.router.add_route("*", "/{path:.*}", self._serve)
         self.app_runner = web.AppRunner(app, shutdown_timeout=0.1)
         await self.app_runner.setup()
-        site = web.TCPSite(self.app_runner, "127.0.0.1", 0)
+        site = web.TCPSite(self.app_runner, "127.0.0.1", port)
         await site.start()
         port = self.app_runner.addresses[0][1]
         self.address = f"127.0.0.1:{port}"
@@ -98,9 +108,37 @@
 
     async def stop(self) -> None:
         """Stop without a departure or a drain, as a crash would."""
+        if self.crash_task is not None:
+            self.crash_task.cancel()
+        await self._close()
+
+    async def _close(self) -> None:
         self.group.runner_by_address.pop(self.address, None)
         await self.app_runner.cleanup()
 
+    def crash(self) -> None:
+        """Reset all connections, and restart with no layers after restart_delay_s."""
+        if self.crash_task is None or self.crash_task.done():
+            self.crash_task = asyncio.create_task(self._crash_and_restart())
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the runner has crashed and not restarted yet."""
+        return self.crash_task is not None and not self.crash_task.done()
+
+    async def _crash_and_restart(self) -> None:
+        port = int(self.address.rpartition(":")[2])
+        assert self.app_runner.server is not None
+        for connection in self.app_runner.server.connections:
+            if connection.transport is not None:
+                connection.transport.abort()
+        await self._close()
+        await asyncio.sleep(self.restart_delay_s)
+        self.layers = NO_LAYERS
+        self.started_ms = int(time.time() * 1000)
+        self.sequence_counter = itertools.count(1)
+        await Runner.start(self, port)
+
     def build_heartbeat(self) -> dict[str, Any]:
         """Return the body of the next heartbeat."""
         return {
@@ -126,7 +164,7 @@
         async with aiohttp.ClientSession(timeout=timeout) as session:
             while True:
                 for address in control_addresses:
-                    if await self._send_heartbeat(session, address):
+                    if self.is_down or await self._send_heartbeat(session, address):
                         break
                 await asyncio.sleep(self.heartbeat_interval_s)
 
@@ -206,9 +244,11 @@
         if self.is_silent:
             await asyncio.sleep(SILENCE_DELAY_S)
         signed = {**echo, "Yuccareach-Runner-Signature": f"{self.name}.{request_id}"}
+        body = await request.read()
         if not self.kind:
             self.group.executed_request_ids.append(request_id)
-            body = await request.read()
+            if body == self.group.crashing_body:
+                await self._crash_under_request(self)
             return web.Response(
                 status=self.answer_status, body=body or b"ok", headers=signed
             )
@@ -233,6 +273,7 @@
         # The header contains the tokens of the prompt and the maximum to generate.
         last = int(request.headers["Yuccareach-Token-Usage"].split(",")[1])
         for number in range(first, last + 1):
+            await self._crash_stage(request, request_id)
             if self.abort_after_events is not None:
                 if number > self.abort_after_events:
                     assert request.transport is not None
@@ -251,6 +292,22 @@
             )
         return response
 
+    async def _crash_stage(self, request: web.Request, request_id: str) -> None:
+        """Crash the runner of the crashing stage if the request has that body."""
+        if await request.read() != self.group.crashing_body:
+            return
+        address, _, _ = self.path_by_request[request_id][self.group.crashing_stage]
+        runner = self.group.runner_by_address.get(address)
+        if runner is not None:
+            await self._crash_under_request(runner)
+
+    async def _crash_under_request(self, runner: Runner) -> None:
+        """Crash a runner; does not return if it is this one."""
+        self.group.crash_times_s.append(asyncio.get_running_loop().time())
+        runner.crash()
+        if runner is self:
+            await asyncio.sleep(SILENCE_DELAY_S)
+
     def _find_max_slowdown(self, request_id: str) -> float:
         """Return the slowdown of the slowest stage of a request's path."""
         runners = self.group.runner_by_address
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -80,9 +80,7 @@
         self.control = PlatformControl(self.write_and_load_settings("control"))
         await self.control.start()
         self.addAsyncCleanup(self.stop_control)
-        self.gateway = build_gateway(self.write_and_load_settings("gateway"))
-        await self.gateway.start()
-        self.addAsyncCleanup(self.gateway.stop)
+        self.gateway = await self.add_gateway("gateway")
         self.http_session = aiohttp.ClientSession(
             connector=aiohttp.TCPConnector(force_close=True)
         )
@@ -92,6 +90,13 @@
             await put_document(self.control_address, build_document()), 200
         )
 
+    async def add_gateway(self, name: str) -> GatewayProcess:
+        """Start a gateway that is stopped at the end of the test."""
+        gateway = build_gateway(self.write_and_load_settings(name))
+        await gateway.start()
+        self.addAsyncCleanup(gateway.stop)
+        return gateway
+
     def is_leader(self) -> bool:
         return str(self.control.process.state.role) == "leader"
 
@@ -150,9 +155,11 @@
             await self.add_runner(f"{zone}-3", "a100", 60, 80, zone),
         ]
 
-    async def wait_until_known(self, *names: str) -> None:
-        """Wait until the gateway knows the named runners and their layers."""
-        fleet = self.gateway.gateway.fleet
+    async def wait_until_known(
+        self, *names: str, gateway: GatewayProcess | None = None
+    ) -> None:
+        """Wait until a gateway knows the named runners and their layers."""
+        fleet = (gateway or self.gateway).gateway.fleet
         await self.wait_until(lambda: set(names) <= set(fleet.backend_by_name))
 
     @property
@@ -168,14 +175,17 @@
         key: str | None = KEY,
         events: int = 0,
         on_event: Any = None,
+        body: bytes = b"x",
+        gateway: GatewayProcess | None = None,
         **headers: str,
     ) -> Answer:
-        """Send a request to the gateway and return its answer.
+        """Send a request to a gateway and return its answer.
 
         `events` is the number of events to generate, and `on_event` is called with the
         body so far whenever more of it arrives.
         """
-        port = self.gateway.caller_server.listeners[0].sockets[0].getsockname()[1]
+        listener = (gateway or self.gateway).caller_server.listeners[0]
+        port = listener.sockets[0].getsockname()[1]
         request_headers = {
             "Host": HOST,
             "Yuccareach-Request-Id": request_id,
@@ -187,18 +197,18 @@
         if events:
             request_headers["Yuccareach-Token-Usage"] = f"100,{events}"
         url = f"http://127.0.0.1:{port}{path}"
-        body = b""
+        received = b""
         async with self.http_session.request(
-            method, url, headers=request_headers, data=b"x"
+            method, url, headers=request_headers, data=body
         ) as answer:
             try:
                 async for chunk in answer.content.iter_any():
-                    body += chunk
+                    received += chunk
                     if on_event is not None:
-                        await on_event(body)
+                        await on_event(received)
             except aiohttp.ClientError:
-                return Answer(answer.status, answer.headers, body, False)
-            return Answer(answer.status, answer.headers, body, True)
+                return Answer(answer.status, answer.headers, received, False)
+            return Answer(answer.status, answer.headers, received, True)
 
 
 __all__ = ["Answer", "DeploymentTestCase", "read_event_ids"]
--- /dev/null
+++ b/tests/platform/test_crashing_requests.py
@@ -0,0 +1,192 @@
+"""Tests of requests that crash the runners that run them, and of those that do not."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from tests.platform.deployment import Answer, DeploymentTestCase, read_event_ids
+from yuccareach.platform.run_control import PlatformControl
+
+if TYPE_CHECKING:
+    from yuccareach.gateway.run import GatewayProcess
+    from yuccareach.platform.standin import Runner
+
+CRASHING_BODY = b"crash"
+# The platform's bounds: from CONTACT_S after a request has crashed MAX_CRASHES runners,
+# at most MAX_LATE_RETRIES more of its retries may reach runners.
+MAX_CRASHES = 3
+CONTACT_S = 3.0
+MAX_LATE_RETRIES = 3
+RESEND_INTERVAL_S = 0.15
+# A refusal for want of a runner asks for a retry within a few seconds.
+MIN_QUARANTINE_RETRY_AFTER_S = 10.0
+
+
+class CrashingRequestTestCase(DeploymentTestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.group.crashing_body = CRASHING_BODY
+        self.request_numbers = itertools.count(1)
+        self.gateways = [self.gateway, await self.add_gateway("second")]
+
+    async def resend(
+        self, path: str, gateway: GatewayProcess, body: bytes = CRASHING_BODY
+    ) -> Answer | None:
+        """Send a request under a new id; None if its connection was closed."""
+        request_id = f"c{next(self.request_numbers)}"
+        events = 5 if path.startswith("/draft/") else 0
+        try:
+            return await self.send_request(
+                path, request_id, events=events, body=body, gateway=gateway
+            )
+        except aiohttp.ClientError:
+            return None
+
+    async def resend_until_bound(self, path: str) -> int:
+        """Resend a crashing request until the bound has passed.
+
+        Return how many retries reached runners after that, of ten.
+        """
+        loop = asyncio.get_running_loop()
+        third_crash_s = float("inf")
+        gateways = itertools.cycle(self.gateways)
+        async with asyncio.timeout(20):
+            while loop.time() < third_crash_s + CONTACT_S:
+                await self.resend(path, next(gateways))
+                await asyncio.sleep(RESEND_INTERVAL_S)
+                if len(self.group.crash_times_s) >= MAX_CRASHES:
+                    third_crash_s = self.group.crash_times_s[MAX_CRASHES - 1]
+        executed = len(self.group.executed_request_ids)
+        for _ in range(10):
+            await self.resend(path, next(gateways))
+            await asyncio.sleep(RESEND_INTERVAL_S)
+        return len(self.group.executed_request_ids) - executed
+
+    async def assert_refused(self, path: str, gateway: GatewayProcess) -> None:
+        """Assert that a crashing request is refused at once, with a late retry."""
+        executed = len(self.group.executed_request_ids)
+        answer = await self.resend(path, gateway)
+        assert answer is not None
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(
+            float(answer.headers["Retry-After"]), MIN_QUARANTINE_RETRY_AFTER_S
+        )
+        self.assertEqual(len(self.group.executed_request_ids), executed)
+
+
+class PlainCallTests(CrashingRequestTestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        names = [f"p{number}" for number in range(8)]
+        self.runners: list[Runner] = [await self.add_runner(name) for name in names]
+        for gateway in self.gateways:
+            await self.wait_until_known(*names, gateway=gateway)
+
+    async def crash_until_quarantined(self, path: str) -> None:
+        self.assertLessEqual(await self.resend_until_bound(path), MAX_LATE_RETRIES)
+        await self.assert_refused(path, self.gateway)
+
+    async def test_idempotent_call_that_crashed_three_servers_is_not_sent_on(
+        self,
+    ) -> None:
+        await self.crash_until_quarantined("/look/1")
+        other = await self.resend("/look/1", self.gateway, b"sound")
+        assert other is not None
+        self.assertEqual(other.status, 200)
+
+    async def test_non_idempotent_call_that_crashed_three_servers_is_not_sent_on(
+        self,
+    ) -> None:
+        await self.crash_until_quarantined("/claim/1")
+
+    async def test_quarantine_outlives_restarts_of_gateway_and_control(self) -> None:
+        await self.crash_until_quarantined("/look/1")
+        await self.stop_control()
+        self.control = PlatformControl(self.write_and_load_settings("control"))
+        await self.control.start()
+        await self.wait_until(lambda: self.is_leader())
+        fresh = await self.add_gateway("fresh")
+        await self.wait_until_known(*(item.name for item in self.runners))
+        await self.wait_until_known(
+            *(item.name for item in self.runners), gateway=fresh
+        )
+        for gateway in (*self.gateways, fresh):
+            await self.assert_refused("/look/1", gateway)
+
+    async def test_frequent_call_is_not_refused_while_its_servers_crash(self) -> None:
+        # Guards against a quarantine that counts every loss under a fingerprint: the
+        # same call ran on every server that crashed for another reason.
+        answers: list[Answer | None] = []
+        finished = asyncio.Event()
+
+        async def _call_repeatedly(gateway: GatewayProcess) -> None:
+            while not finished.is_set():
+                answers.append(await self.resend("/look/1", gateway, b"sound"))
+                await asyncio.sleep(0.01)
+
+        callers = [
+            asyncio.create_task(_call_repeatedly(gateway))
+            for gateway in self.gateways * 3
+        ]
+        for runner in self.runners:
+            runner.crash()
+            await asyncio.sleep(0.4)
+        finished.set()
+        await asyncio.gather(*callers)
+        late_refusals = [
+            answer
+            for answer in answers
+            if answer is not None
+            and answer.status == 503
+            and float(answer.headers["Retry-After"]) > MIN_QUARANTINE_RETRY_AFTER_S
+        ]
+        self.assertEqual(late_refusals, [])
+        self.assertGreater(
+            len([item for item in answers if item is not None and item.status == 200]),
+            100,
+        )
+
+
+class StreamTests(CrashingRequestTestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.runners: list[Runner] = []
+        for number in range(5):
+            for stage, first in enumerate((0, 40)):
+                runner = await self.add_runner(
+                    f"z1-{number}{stage}", "a100", first, first + 40, "z1"
+                )
+                self.runners.append(runner)
+        names = [runner.name for runner in self.runners]
+        for gateway in self.gateways:
+            await self.wait_until_known(*names, gateway=gateway)
+
+    async def check_other_stream(self) -> None:
+        for _ in range(20):
+            answer = await self.resend("/draft/1", self.gateway, b"sound")
+            if answer is not None and answer.status == 200:
+                self.assertEqual(read_event_ids(answer), list(range(1, 6)))
+                return
+            await asyncio.sleep(0.5)
+        self.fail("no other stream was served")
+
+    async def test_stream_that_crashed_three_first_stages_is_not_sent_on(self) -> None:
+        self.assertLessEqual(
+            await self.resend_until_bound("/draft/1"), MAX_LATE_RETRIES
+        )
+        await self.assert_refused("/draft/1", self.gateways[1])
+        await self.check_other_stream()
+
+    async def test_stream_that_crashed_three_later_stages_is_not_sent_on(self) -> None:
+        self.group.crashing_stage = 1
+        self.assertLessEqual(
+            await self.resend_until_bound("/draft/1"), MAX_LATE_RETRIES
+        )
+        await self.assert_refused("/draft/1", self.gateways[1])
+        self.assertLessEqual(
+            len(self.group.crash_times_s), MAX_CRASHES + MAX_LATE_RETRIES
+        )
