--- a/src/yuccareach/control/raft.py
+++ b/src/yuccareach/control/raft.py
@@ -154,10 +154,15 @@
     return effects
 
 
+_TIMED_COMMANDS = frozenset(
+    ("settings", "permit_acquire", "permit_finish", "lease", "quarantine", "losses")
+)
+
+
 def _set_command_time(command: cpb.Command, wall_ms: int) -> None:
     """Set the command's time, which is the state machine's only clock."""
     kind = command.WhichOneof("body")
-    if kind in ("settings", "permit_acquire", "permit_finish", "lease", "quarantine"):
+    if kind in _TIMED_COMMANDS:
         getattr(command, kind).at_ms = wall_ms
 
 
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -315,7 +315,9 @@
             watcher.request.members
             and watcher.sent_loss_changes < self.machine.loss_changes
         ):
-            update.losses.extend(self.machine.losses_after(watcher.sent_loss_changes))
+            update.losses.extend(
+                self.machine.losses_after(watcher.sent_loss_changes, wall_clock_ms())
+            )
             watcher.sent_loss_changes = self.machine.loss_changes
         entry_count = len(self.find_watching_entries())
         if watcher.request.members and watcher.sent_entry_count != entry_count:
--- a/src/yuccareach/control/state_machine.py
+++ b/src/yuccareach/control/state_machine.py
@@ -7,12 +7,19 @@
 from __future__ import annotations
 
 import hashlib
+import itertools
 from collections import OrderedDict
 from typing import NamedTuple
 
 import xxhash
 
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
+from yuccareach.quarantine.table import (
+    MAX_FINGERPRINTS,
+    NO_LOSSES,
+    LossCount,
+    select_eviction,
+)
 
 MAX_HISTORY_RECORDS = 500
 MAX_CHANGE_IDS = 10_000
@@ -35,8 +42,8 @@
     history holds the newest accepted settings changes. change_by_id holds the answers
     to recent change ids, so that a retry gets the first answer. tombstone_by_digest
     maps the digest of a removed permit's key to the time of its removal. loss_changes
-    counts the changes of quarantine records, so that a watcher is sent only those after
-    the count it has seen.
+    counts the changes of quarantine records, which are ordered by their last change, so
+    that a watcher is sent only those after the count it has seen.
     """
 
     def __init__(self) -> None:
@@ -66,7 +73,9 @@
             case "lease":
                 return self._grant_lease(command.lease)
             case "quarantine":
-                return self._record_loss(command.quarantine)
+                return self._record_single_loss(command.quarantine)
+            case "losses":
+                return self._record_losses(command.losses)
             case "document":
                 return self._replace_document(command.document)
         return cpb.CommandAnswer()
@@ -258,30 +267,82 @@
             )
         )
 
-    def _record_loss(self, request: cpb.Quarantine) -> cpb.CommandAnswer:
-        """Record against a request's fingerprint that its backend server was lost."""
+    # Losses of backend servers under a request's fingerprint.
+
+    def _record_single_loss(self, request: cpb.Quarantine) -> cpb.CommandAnswer:
+        """Apply a command that an earlier version wrote: one more loss."""
+        self._advance_clock(request.at_ms)
+        self._remove_expired_loss_counts()
+        previous = self._get_loss_count(request.fingerprint)
+        count = LossCount(previous.generation, previous.losses + 1)
+        self._store_loss_count(request.fingerprint, count, request.duration_ms)
+        return cpb.CommandAnswer()
+
+    def _record_losses(self, request: cpb.LossReports) -> cpb.CommandAnswer:
+        """Store the counts that are newer than the stored ones."""
         self._advance_clock(request.at_ms)
+        self._remove_expired_loss_counts()
+        for report in request.reports:
+            count = LossCount(report.generation, report.losses)
+            if count > self._get_loss_count(report.fingerprint):
+                self._store_loss_count(report.fingerprint, count, report.retention_ms)
+        return cpb.CommandAnswer()
+
+    def _remove_expired_loss_counts(self) -> None:
         self.quarantine_by_fingerprint = {
             fingerprint: record
             for fingerprint, record in self.quarantine_by_fingerprint.items()
             if record.expires_ms > self.now_ms
         }
-        previous_record = self.quarantine_by_fingerprint.get(request.fingerprint)
+
+    def _get_loss_count(self, fingerprint: bytes) -> LossCount:
+        record = self.quarantine_by_fingerprint.get(fingerprint)
+        if record is None:
+            return NO_LOSSES
+        return LossCount(record.generation, record.losses)
+
+    def _store_loss_count(
+        self, fingerprint: bytes, count: LossCount, retention_ms: int
+    ) -> None:
+        records = self.quarantine_by_fingerprint
+        records.pop(fingerprint, None)
         self.loss_changes += 1
-        self.quarantine_by_fingerprint[request.fingerprint] = cpb.QuarantineRecord(
-            fingerprint=request.fingerprint,
-            expires_ms=self.now_ms + request.duration_ms,
-            losses=1 + (previous_record.losses if previous_record else 0),
+        records[fingerprint] = cpb.QuarantineRecord(
+            fingerprint=fingerprint,
+            expires_ms=self.now_ms + retention_ms,
+            losses=count.losses,
             change=self.loss_changes,
+            generation=count.generation,
         )
-        return cpb.CommandAnswer()
+        while len(records) > MAX_FINGERPRINTS:
+            evicted = select_eviction(
+                (key, record.losses) for key, record in records.items()
+            )
+            del records[evicted]
+
+    def losses_after(
+        self, change: int, wall_ms: int, limit: int = MAX_FINGERPRINTS
+    ) -> list[cpb.QuarantineRecord]:
+        """Return the oldest quarantine records newer than a count of changes.
 
-    def losses_after(self, change: int) -> list[cpb.QuarantineRecord]:
-        """Return the quarantine records newer than a count of changes."""
+        At most `limit` records are returned, each with its remaining time at the wall
+        clock's wall_ms. Expired records are left out.
+        """
+        newer = itertools.takewhile(
+            lambda record: record.change > change,
+            reversed(self.quarantine_by_fingerprint.values()),
+        )
+        current = [record for record in newer if record.expires_ms > wall_ms]
         return [
-            record
-            for record in self.quarantine_by_fingerprint.values()
-            if record.change > change
+            cpb.QuarantineRecord(
+                fingerprint=record.fingerprint,
+                expires_ms=record.expires_ms,
+                losses=record.losses,
+                change=record.change,
+                generation=record.generation,
+                remaining_ms=record.expires_ms - wall_ms,
+            )
+            for record in reversed(current[-limit:])
         ]
 
     # Snapshots.
@@ -299,7 +360,9 @@
             permits=self.permit_by_id.values(),
             leases=[lease for _, lease in sorted(self.lease_by_resource.items())],
             quarantines=[
-                record for _, record in sorted(self.quarantine_by_fingerprint.items())
+                record
+                for record in self.quarantine_by_fingerprint.values()
+                if record.expires_ms > self.now_ms
             ],
             loss_changes=self.loss_changes,
             document=self.document,
@@ -329,7 +392,8 @@
     )
     machine.lease_by_resource = {lease.resource: lease for lease in state.leases}
     machine.quarantine_by_fingerprint = {
-        record.fingerprint: record for record in state.quarantines
+        record.fingerprint: record
+        for record in sorted(state.quarantines, key=lambda record: record.change)
     }
     machine.loss_changes = state.loss_changes
     machine.document.CopyFrom(state.document)
--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -13,12 +13,13 @@
 from yuccareach.control.errors import RequestRefusedError
 from yuccareach.control.raft_types import Role
 from yuccareach.proto import control_pb2 as cpb
-from yuccareach.runtime.reducer import monotonic_ms
+from yuccareach.runtime.reducer import monotonic_ms, wall_clock_ms
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from yuccareach.control.run import ControlProcess
+    from yuccareach.control.state_machine import StateMachine
 
 # A poll is answered after this long even if nothing has changed.
 LONG_POLL_TIMEOUT_MS = 400
@@ -30,6 +31,8 @@
 # Entries that must report an incarnation as unreachable before control loads its
 # layers on other backend servers.
 MIN_UNREACHABLE_REPORTS = 2
+# A view carries at most this many loss counts; the entry's next poll gets more.
+MAX_LOSSES_PER_VIEW = 1_000
 
 
 class ServerUsage(NamedTuple):
@@ -196,6 +199,7 @@
         request.document_version < process.machine.document.version
         or request.source != process.run_id
         or request.members_version < process.members.version
+        or request.loss_changes < process.machine.loss_changes
     )
 
 
@@ -244,7 +248,21 @@
     )
     if request.document_version < process.machine.document.version:
         view.document.CopyFrom(process.machine.document)
+    _add_losses(view, process.machine, request.loss_changes)
     return view
 
 
+def _add_losses(view: cpb.View, machine: StateMachine, known_change: int) -> None:
+    """Add the loss counts that changed after the last change that an entry knows.
+
+    Its number is greater than this instance's after the restore of an old backup; all
+    counts are added then.
+    """
+    after = known_change if known_change <= machine.loss_changes else 0
+    losses = machine.losses_after(after, wall_clock_ms(), MAX_LOSSES_PER_VIEW)
+    is_last = len(losses) < MAX_LOSSES_PER_VIEW
+    view.losses.extend(losses)
+    view.loss_changes = machine.loss_changes if is_last else losses[-1].change
+
+
 __all__ = ["EntryReports", "ReadBatcher", "ServerUsage", "answer_view"]
--- a/src/yuccareach/entry/events.py
+++ b/src/yuccareach/entry/events.py
@@ -11,6 +11,7 @@
 
 if TYPE_CHECKING:
     from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
+    from yuccareach.quarantine.table import CountChange
     from yuccareach.settings.store import PlainService, Workspace
 
 
@@ -114,10 +115,10 @@
     command: cpb.Command
 
 
-class ReportLoss(NamedTuple):
-    """An effect: report to control that a request has lost a backend server."""
+class ReportLosses(NamedTuple):
+    """An effect: report changed counts of lost backend servers to control."""
 
-    report: cpb.Quarantine
+    changes: list[CountChange]
 
 
 class ObserveDuration(NamedTuple):
@@ -150,6 +151,6 @@
     "PermitAnswered",
     "Refusal",
     "Refuse",
-    "ReportLoss",
+    "ReportLosses",
     "ReturnReply",
 ]
--- a/src/yuccareach/entry/requests.py
+++ b/src/yuccareach/entry/requests.py
@@ -62,7 +62,7 @@
     fingerprint = quarantine.identify_request(
         event.workspace, pipeline.name, event.prompt
     )
-    quarantine_refusal = quarantine.check(state, fingerprint, now)
+    quarantine_refusal = quarantine.admit(state, fingerprint, now)
     if quarantine_refusal is not None:
         return _refuse_unadmitted(event, quarantine_refusal)
     charge = admission.estimate_charge(event.prompt, max_tokens)
@@ -79,7 +79,7 @@
         now,
     )
     request.fingerprint = fingerprint
-    request.loss_count = quarantine.get_loss_count(state, fingerprint, now)
+    request.loss_count = quarantine.get_count(state, fingerprint, now).losses
     request.pipeline = pipeline.name
     request.layers = pipeline.layers
     refusal = queueing.enqueue(state, request)
@@ -149,6 +149,7 @@
     request.previous_probe_reply_by_stage = {}
     request.was_sent = True
     request.accepted_by_first_stage = False
+    request.loss_attempt = quarantine.start_request_attempt(state, request, now)
     request.counted_as_suspect = request.loss_count > 0
     fleet.adjust_running_counts(state, chain, 1, is_suspect=request.counted_as_suspect)
     message = _build_open_message(state, request)
@@ -250,6 +251,7 @@
     workspace, name = request.workspace.name, request.request_class.name
     duration_ms = now - request.started_ms
     return [
+        *quarantine.record_answer(state, request.loss_attempt, now),
         FinishAnswer(
             request.identifier,
             reason,
--- a/src/yuccareach/entry/run.py
+++ b/src/yuccareach/entry/run.py
@@ -19,7 +19,7 @@
     ObserveDuration,
     PermitAnswered,
     Refuse,
-    ReportLoss,
+    ReportLosses,
     ReturnReply,
 )
 from yuccareach.entry.reducer import reduce
@@ -28,6 +28,7 @@
 from yuccareach.entry.traces import Traces
 from yuccareach.metrics.registry import Registry
 from yuccareach.proto import control_pb2 as cpb
+from yuccareach.quarantine.reporting import LossReporter
 from yuccareach.runtime.http import HttpServer
 from yuccareach.runtime.links import Links, Send
 from yuccareach.runtime.logs import Log, logger, write_log
@@ -74,6 +75,7 @@
         # The incarnation makes the identifiers unique across processes.
         self.new_request_id = lambda: f"{incarnation}-{next(request_numbers)}"
         self.metrics = Registry()
+        self.loss_reporter = LossReporter()
         self.response_queues = ResponseQueues()
         self.traces = Traces()
         self.dispatcher = Dispatcher(functools.partial(reduce, self.state))
@@ -111,14 +113,15 @@
                 FinishPermit: lambda effect: self._start_background_task(
                     self._report_to_control(effect.command)
                 ),
-                ReportLoss: lambda effect: self._start_background_task(
-                    self._report_to_control(cpb.Command(quarantine=effect.report))
-                ),
+                ReportLosses: lambda effect: self.loss_reporter.add(effect.changes),
             }
         )
         app = self.build_app(self)
         self.http = HttpServer(app, self.options.host, self.options.port)
         self.control.start()
+        self.loss_report_task = asyncio.create_task(
+            self.loss_reporter.run(self._submit_losses, self._write_log)
+        )
         self.dispatcher.start_ticks(self._is_busy)
         await self.http.start()
         self.log.info("started", extra={"http": self.http.address})
@@ -152,8 +155,11 @@
             )
         self.dispatch(PermitAnswered(effect.request, answer))
 
+    async def _submit_losses(self, command: cpb.Command) -> None:
+        await self.control.submit(command, CONTROL_REPORT_TIMEOUT_MS)
+
     async def _report_to_control(self, command: cpb.Command) -> None:
-        """Submit a command whose answer is not needed: a call's reply, or a loss."""
+        """Submit a command whose answer is not needed: a call's reply."""
         try:
             await self.control.submit(command, CONTROL_REPORT_TIMEOUT_MS)
         except ControlUnavailable as error:
@@ -185,6 +191,7 @@
     async def stop(self) -> None:
         """Stop the HTTP server and close all connections."""
         await self.http.stop()
+        self.loss_report_task.cancel()
         for task in self.background_tasks:
             task.cancel()
         await self.dispatcher.stop_ticks()
--- a/src/yuccareach/entry/state.py
+++ b/src/yuccareach/entry/state.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from yuccareach.quarantine.table import NO_LOSSES, Attempt, QuarantineTable
 from yuccareach.settings.store import RequestClass, SettingsStore, Workspace
 
 if TYPE_CHECKING:
     from yuccareach.entry.events import CallRequested, Refusal
-    from yuccareach.entry.quarantine import LossCount, PendingLoss
     from yuccareach.entry.queueing import PipelineQueue
     from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
 
@@ -79,6 +79,8 @@
         # Incarnations that refused this request and so hold none of its state.
         self.refused_by_incarnations: set[str] = set()
         self.fingerprint = b""
+        # What the loss of a backend server of the current chain is counted by.
+        self.loss_attempt = Attempt(b"", NO_LOSSES, identifier, workspace.name)
         # Backend servers lost while they ran requests with the same fingerprint.
         self.loss_count = 0
         # Whether the chain's backend servers count this request as a suspect.
@@ -130,6 +132,9 @@
         # set while control is queried for such a permit.
         self.pending_refusal: Refusal | None = None
         self.resend_at_ms = 0
+        self.fingerprint = b""
+        # What the loss of the current backend server is counted by.
+        self.loss_attempt = Attempt(b"", NO_LOSSES, event.request, event.workspace.name)
         self.tried_incarnations: set[str] = set()
 
 
@@ -164,9 +169,8 @@
         self.choice_count = 0
         self.draining = False
         self.queue_by_pipeline: dict[str, PipelineQueue] = {}
-        self.loss_count_by_fingerprint: dict[bytes, LossCount] = {}
-        # Losses that count only if their incarnation turns out to be gone.
-        self.pending_losses_by_incarnation: dict[str, list[PendingLoss]] = {}
+        # Backend servers lost under each request, as all entries have counted them.
+        self.quarantine = QuarantineTable()
 
 
 __all__ = [
--- a/src/yuccareach/gateway/admitted_requests.py
+++ b/src/yuccareach/gateway/admitted_requests.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.dialect import Headers, RequestMetadata
-from yuccareach.quarantine import format_fingerprint
+from yuccareach.quarantine.fingerprints import format_fingerprint
 
 if TYPE_CHECKING:
     from yuccareach.gateway.http_client import ResponseHead
--- a/src/yuccareach/gateway/handler.py
+++ b/src/yuccareach/gateway/handler.py
@@ -10,7 +10,7 @@
 from yuccareach.gateway.calls import serve_call
 from yuccareach.gateway.streams import serve_stream
 from yuccareach.gateway.table import RouteKind
-from yuccareach.quarantine import compute_fingerprint
+from yuccareach.quarantine.fingerprints import compute_fingerprint
 
 if TYPE_CHECKING:
     from yuccareach.gateway.dialect import RequestMetadata
--- /dev/null
+++ b/src/yuccareach/quarantine/reporting.py
@@ -0,0 +1,108 @@
+"""Reporting loss counts to control, which shares them among all entries."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+from yuccareach.control.errors import ControlUnavailable
+from yuccareach.proto import control_pb2 as cpb
+from yuccareach.quarantine.fingerprints import format_fingerprint
+from yuccareach.quarantine.table import (
+    MAX_FINGERPRINTS,
+    LossCount,
+    compute_retention_ms,
+)
+from yuccareach.runtime.logs import Log
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable, Iterable
+
+    from yuccareach.quarantine.table import CountChange
+
+RETRY_DELAY_S = 0.2
+MAX_REPORTS_PER_COMMAND = 500
+
+
+class LossReporter:
+    """Sends the newest counts to control, again until control has stored them."""
+
+    def __init__(self) -> None:
+        self.unreported_by_fingerprint: dict[bytes, LossCount] = {}
+        self.has_unreported = asyncio.Event()
+
+    def add(self, changes: Iterable[CountChange]) -> None:
+        """Report changes of counts; only the newest of each fingerprint is sent.
+
+        Without control, the oldest above MAX_FINGERPRINTS are dropped.
+        """
+        for change in changes:
+            self.unreported_by_fingerprint[change.fingerprint] = change.loss_count
+        while len(self.unreported_by_fingerprint) > MAX_FINGERPRINTS:
+            del self.unreported_by_fingerprint[
+                next(iter(self.unreported_by_fingerprint))
+            ]
+        if self.unreported_by_fingerprint:
+            self.has_unreported.set()
+
+    async def run(
+        self,
+        submit: Callable[[cpb.Command], Awaitable[object]],
+        log: Callable[[Log], None],
+    ) -> None:
+        """Send reports until the task is cancelled.
+
+        submit sends a command to the leader, and raises ControlUnavailable on failure.
+        """
+        while True:
+            await self.has_unreported.wait()
+            counts = dict(
+                list(self.unreported_by_fingerprint.items())[:MAX_REPORTS_PER_COMMAND]
+            )
+            try:
+                await submit(build_command(counts))
+            except ControlUnavailable as error:
+                fields = {"losses": len(counts), "reason": str(error)}
+                log(Log("losses_unreported", fields, logging.WARNING))
+                await asyncio.sleep(RETRY_DELAY_S)
+                continue
+            for fingerprint, count in counts.items():
+                if self.unreported_by_fingerprint.get(fingerprint) == count:
+                    del self.unreported_by_fingerprint[fingerprint]
+            if not self.unreported_by_fingerprint:
+                self.has_unreported.clear()
+
+
+def build_command(count_by_fingerprint: dict[bytes, LossCount]) -> cpb.Command:
+    """Return the command by which control stores counts."""
+    return cpb.Command(
+        losses=cpb.LossReports(
+            reports=[
+                cpb.LossReport(
+                    fingerprint=fingerprint,
+                    generation=count.generation,
+                    losses=count.losses,
+                    retention_ms=compute_retention_ms(count),
+                )
+                for fingerprint, count in count_by_fingerprint.items()
+            ]
+        )
+    )
+
+
+def build_log(change: CountChange) -> Log:
+    """Return the log line of a changed count."""
+    fields = {
+        "request": change.request,
+        "workspace": change.workspace,
+        "fingerprint": format_fingerprint(change.fingerprint),
+        "losses": change.loss_count.losses,
+        "generation": change.loss_count.generation,
+    }
+    if not change.incarnation:
+        return Log("losses_reset", fields)
+    return Log("loss_noted", fields | {"incarnation": change.incarnation})
+
+
+__all__ = ["LossReporter", "build_command", "build_log"]
--- a/tests/system.py
+++ b/tests/system.py
@@ -19,6 +19,7 @@
 from yuccareach.entry.state import EntryOptions, EntryState
 from yuccareach.outcome import Outcome
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb, engine_pb2 as epb
+from yuccareach.quarantine.reporting import build_command
 from yuccareach.runtime.links import LinkLost, Received, Send
 from yuccareach.runtime.reducer import Tick
 from yuccareach.settings.store import PlainService, Route, Workspace
@@ -178,8 +179,9 @@
                 node.permit_requests.append(effect)
             case entry_events.FinishPermit(command=command):
                 self.control_state_machine.apply(command)
-            case entry_events.ReportLoss(report=report):
-                self.control_state_machine.apply(cpb.Command(quarantine=report))
+            case entry_events.ReportLosses(changes=changes):
+                counts = {item.fingerprint: item.loss_count for item in changes}
+                self.control_state_machine.apply(build_command(counts))
             case entry_events.DeliverToken(request=request, text=text):
                 record = self.record_by_request[request]
                 assert record.result is None, "token delivered after the end"
@@ -324,7 +326,7 @@
         update = cpb.WatchUpdate(
             members_snapshot=True,
             members=members,
-            losses=self.control_state_machine.losses_after(0),
+            losses=self.control_state_machine.losses_after(0, 0),
         )
         for entry in self.entries.values():
             if name in ("", entry.name):
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -8,7 +8,7 @@
 
 from tests.system import System, run_seeded_history
 from yuccareach.entry import events as entry_events
-from yuccareach.entry.quarantine import QUARANTINE_LOSS_THRESHOLD
+from yuccareach.quarantine.table import QUARANTINE_LOSS_THRESHOLD
 
 
 class SeededHistoryTests(unittest.TestCase):
@@ -242,3 +242,20 @@
         )
         self.assertGreaterEqual(refusal.retry_after_s, 1)
         self.assertEqual(self.crashes, crashes)
+
+    def test_request_that_runs_on_engines_lost_at_once_is_not_quarantined(self) -> None:
+        # Guards against a count of every loss under a fingerprint: the same prompt ran
+        # many times on the engines of one rack.
+        requests = [
+            self.system.request_completion("e1", "a frequent letter")
+            for _ in range(2 * QUARANTINE_LOSS_THRESHOLD)
+        ]
+        for _ in range(200):
+            self.system.deliver_random(self.random)
+        for node in self.system.agents:
+            if not node.is_service:
+                self.system.lose_engine(node)
+        self.run_until_all_end()
+        for request in requests:
+            result = self.system.record_by_request[request].result
+            self.assertIsInstance(result, entry_events.FinishAnswer)
