--- a/src/yuccareach/gateway/admitted_requests.py
+++ b/src/yuccareach/gateway/admitted_requests.py
@@ -53,6 +53,8 @@
     reason: str
 
 
+# Reason of a refusal because earlier runs of the request crashed backend servers.
+QUARANTINED = "quarantined"
 # A caller closed its connection, whereupon CallerServer cancels the request's task.
 CALLER_LEFT = Outcome(0, "caller_left")
 
@@ -125,6 +127,7 @@
 
 __all__ = [
     "CALLER_LEFT",
+    "QUARANTINED",
     "AdmittedRequest",
     "Outcome",
     "record_outcome",
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -6,11 +6,13 @@
 
 from __future__ import annotations
 
+from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.http_client import ConnectionPool
 
 if TYPE_CHECKING:
+    import asyncio
     from collections.abc import Iterable
 
 # A backend server is avoided for this long after a failure. The time doubles with each
@@ -24,6 +26,18 @@
 FAILURE_WEIGHT = 0.2
 
 
+class ProbeResult(StrEnum):
+    """What a connection attempt shows of a backend server."""
+
+    REACHABLE = "reachable"
+    # The machine answers, but nothing listens at the address.
+    REFUSED = "refused"
+    # Nothing answers: the machine may be cut off.
+    SILENT = "silent"
+    # This process was itself delayed and may have missed the answer.
+    UNKNOWN = "unknown"
+
+
 class Announcement(NamedTuple):
     """One incarnation of a backend server, as control announces it."""
 
@@ -65,6 +79,10 @@
         self.unreachable_until_s = 0.0
         # Whether the last connection attempt succeeded.
         self.is_connectable = True
+        # Whether the last probe was refused, as by a machine whose server has crashed.
+        self.is_refusing = False
+        # The last probe, which may still be in progress.
+        self.probe: asyncio.Future[ProbeResult] | None = None
         self.last_probe_s = -1.0
         # Multiple of the server's expected times, and when it was last queried.
         self.slowdown = 1.0
@@ -244,4 +262,4 @@
     return min(usable, key=_rank, default=None)
 
 
-__all__ = ["Announcement", "Backend", "Fleet", "choose_backend"]
+__all__ = ["Announcement", "Backend", "Fleet", "ProbeResult", "choose_backend"]
--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -7,6 +7,7 @@
 
 from yuccareach.gateway.admitted_requests import (
     CALLER_LEFT,
+    QUARANTINED,
     AdmittedRequest,
     Outcome,
     record_outcome,
@@ -16,8 +17,15 @@
 )
 from yuccareach.gateway.backend_requests import send_request
 from yuccareach.gateway.backends import Backend, choose_backend
+from yuccareach.gateway.crashes import record_broken_attempt
 from yuccareach.gateway.dialect import ForwardMetadata
 from yuccareach.gateway.http_client import Ending, ResponseHead
+from yuccareach.gateway.losses import (
+    add_pending_losses,
+    compute_refusal_s,
+    record_answer,
+    start_attempt,
+)
 
 if TYPE_CHECKING:
     from yuccareach.gateway.http_server import Reply
@@ -94,7 +102,11 @@
         record_outcome(gateway, admitted, CALLER_LEFT, run.attempts)
         raise
     outcome = _deliver_answer(
-        admitted, reply, run.last_attempt, may_have_run=run.possible_runs > 0
+        gateway,
+        admitted,
+        reply,
+        run.last_attempt,
+        may_have_run=run.possible_runs > 0,
     )
     record_outcome(gateway, admitted, outcome, run.attempts)
 
@@ -105,7 +117,8 @@
     """Send a call until it succeeds or no further attempt is possible.
 
     That is the case if its time is up, if the route or the retry budget allows no more
-    attempts, or if all backend servers of the service have been tried.
+    attempts, if all backend servers of the service have been tried, or if the call is
+    quarantined.
     """
     excluded_incarnations: set[str] = set()
     while True:
@@ -122,15 +135,24 @@
             continue
         if backend is None:
             return
+        if run.attempts and compute_refusal_s(gateway, admitted.fingerprint):
+            return
         if run.attempts and not gateway.take_retry(admitted.service.name):
             return
         run.attempts += 1
+        loss_attempt = start_attempt(gateway, admitted)
         last_attempt = await _send_attempt(
             gateway, admitted, backend, can_retry=run.possible_runs == 0
         )
         run.last_attempt = last_attempt
         excluded_incarnations.add(backend.announcement.incarnation)
         _log_attempt(gateway, admitted, backend, last_attempt)
+        if last_attempt.is_answered:
+            record_answer(gateway, loss_attempt)
+        elif last_attempt.ending is Ending.TIMED_OUT:
+            add_pending_losses(gateway, loss_attempt, [backend])
+        elif last_attempt.ending is Ending.BROKEN:
+            await record_broken_attempt(gateway, loss_attempt, [backend])
         if last_attempt.is_success:
             return
         if not last_attempt.has_not_run:
@@ -215,7 +237,12 @@
 
 
 def _deliver_answer(
-    admitted: AdmittedRequest, reply: Reply, last_attempt: Attempt, may_have_run: bool
+    gateway: Gateway,
+    admitted: AdmittedRequest,
+    reply: Reply,
+    last_attempt: Attempt,
+    *,
+    may_have_run: bool,
 ) -> Outcome:
     """Deliver the last answer, or report whether the call may have run."""
     if last_attempt.is_answered and last_attempt.head is not None:
@@ -225,11 +252,13 @@
             last_attempt.body,
         )
         return Outcome(last_attempt.head.status, "answered")
+    refusal_s = compute_refusal_s(gateway, admitted.fingerprint)
     if not may_have_run:
-        return send_refusal(reply, FULL_RETRY_DELAY_S, "not_run")
+        reason = QUARANTINED if refusal_s else "not_run"
+        return send_refusal(reply, refusal_s or FULL_RETRY_DELAY_S, reason)
     if last_attempt.ending is Ending.TIMED_OUT:
         return send_failure(reply, 504, "timed_out")
-    return send_failure(reply, 502, "outcome_unknown")
+    return send_failure(reply, 502, QUARANTINED if refusal_s else "outcome_unknown")
 
 
 __all__ = ["Attempt", "serve_call"]
--- a/src/yuccareach/gateway/handler.py
+++ b/src/yuccareach/gateway/handler.py
@@ -6,11 +6,16 @@
 
 import xxhash
 
-from yuccareach.gateway.admitted_requests import AdmittedRequest, send_refusal
+from yuccareach.gateway import losses
+from yuccareach.gateway.admitted_requests import (
+    QUARANTINED,
+    AdmittedRequest,
+    send_refusal,
+)
 from yuccareach.gateway.calls import serve_call
 from yuccareach.gateway.streams import serve_stream
 from yuccareach.gateway.table import RouteKind
-from yuccareach.quarantine.fingerprints import compute_fingerprint
+from yuccareach.quarantine.fingerprints import compute_fingerprint, format_fingerprint
 
 if TYPE_CHECKING:
     from yuccareach.gateway.dialect import RequestMetadata
@@ -28,10 +33,14 @@
 class _RequestRejected(Exception):
     """The request is not allowed, or the gateway lacks a view to decide that."""
 
-    def __init__(self, status: int, reason: str) -> None:
+    def __init__(
+        self, status: int, reason: str, retry_after_s: float = VIEW_RETRY_DELAY_S
+    ) -> None:
         super().__init__(reason)
         self.status = status
         self.reason = reason
+        # For status 503 only.
+        self.retry_after_s = retry_after_s
 
 
 async def handle(gateway: Gateway, request: CallerRequest, reply: Reply) -> None:
@@ -72,6 +81,16 @@
     workspace = None
     if table.requires_key and not route.is_public:
         workspace = _authorize(gateway, table, metadata)
+    fingerprint = _identify_request(request, host, workspace)
+    refusal_s = losses.admit(gateway, fingerprint)
+    if refusal_s:
+        gateway.log(
+            "request_quarantined",
+            request=metadata.request_id.decode("latin-1"),
+            fingerprint=format_fingerprint(fingerprint),
+            retry_after_s=refusal_s,
+        )
+        raise _RequestRejected(503, QUARANTINED, refusal_s)
     deadline_ms = min(metadata.deadline_ms or DEFAULT_DEADLINE_MS, route.timeout_ms)
     return AdmittedRequest(
         request,
@@ -80,7 +99,7 @@
         _choose_service(table, route, metadata.request_id),
         workspace,
         request.received_s + deadline_ms / 1000,
-        _identify_request(request, host, workspace),
+        fingerprint,
     )
 
 
@@ -129,7 +148,7 @@
     rejected: _RequestRejected,
 ) -> None:
     if rejected.status == 503:
-        send_refusal(reply, VIEW_RETRY_DELAY_S, rejected.reason)
+        send_refusal(reply, rejected.retry_after_s, rejected.reason)
     else:
         reply.send(rejected.status, [])
     gateway.registry.count("answers", rejected.reason)
--- /dev/null
+++ b/src/yuccareach/gateway/losses.py
@@ -0,0 +1,110 @@
+"""Counting the losses of backend servers against the requests that they ran."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccareach.quarantine import reporting, table
+from yuccareach.quarantine.table import Attempt, LossCount
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from yuccareach.gateway.admitted_requests import AdmittedRequest
+    from yuccareach.gateway.backends import Backend
+    from yuccareach.gateway.state import Gateway
+    from yuccareach.proto import control_pb2 as cpb
+    from yuccareach.quarantine.table import CountChange
+
+
+def start_attempt(gateway: Gateway, admitted: AdmittedRequest) -> Attempt:
+    """Return what a loss during an attempt that starts now is counted by."""
+    return Attempt(
+        admitted.fingerprint,
+        table.get_count(gateway.quarantine, admitted.fingerprint, gateway.now_ms()),
+        admitted.request_id,
+        admitted.workspace.name if admitted.workspace else "",
+    )
+
+
+def compute_refusal_s(gateway: Gateway, fingerprint: bytes) -> float:
+    """Return how long requests with a fingerprint are to be refused; 0 if not."""
+    refusal_ms = table.compute_refusal_ms(
+        gateway.quarantine, fingerprint, gateway.now_ms()
+    )
+    return refusal_ms / 1000
+
+
+def admit(gateway: Gateway, fingerprint: bytes) -> float:
+    """Return how long a new request is to be refused, in seconds; 0 if it may run."""
+    return table.admit(gateway.quarantine, fingerprint, gateway.now_ms()) / 1000
+
+
+def record_answer(gateway: Gateway, attempt: Attempt) -> None:
+    """Record that a backend server has answered a request completely."""
+    change = table.record_answer(gateway.quarantine, attempt, gateway.now_ms())
+    if change is not None:
+        _report(gateway, [change])
+
+
+def add_pending_losses(
+    gateway: Gateway, attempt: Attempt, backends: Iterable[Backend]
+) -> None:
+    """Remember a failed attempt, which counts if one of its servers has crashed."""
+    now_ms = gateway.now_ms()
+    for backend in backends:
+        incarnation = backend.announcement.incarnation
+        table.add_pending_loss(gateway.quarantine, attempt, incarnation, now_ms)
+
+
+def confirm_crash(gateway: Gateway, backend: Backend) -> None:
+    """Count the pending losses of a backend server that has crashed."""
+    _report(
+        gateway,
+        table.confirm_losses(
+            gateway.quarantine, backend.announcement.incarnation, gateway.now_ms()
+        ),
+    )
+
+
+def resolve_pending_losses(gateway: Gateway) -> None:
+    """Count the pending losses of backend servers that have departed unannounced."""
+    announcements = [
+        backend.announcement for backend in gateway.fleet.backend_by_name.values()
+    ]
+    changes = table.resolve_pending_losses(
+        gateway.quarantine,
+        {item.incarnation for item in announcements},
+        {item.incarnation for item in announcements if item.draining},
+        gateway.now_ms(),
+    )
+    _report(gateway, changes)
+
+
+def merge_view(gateway: Gateway, view: cpb.View) -> None:
+    """Merge the counts of all gateways, as a view contains them."""
+    now_ms = gateway.now_ms()
+    for record in view.losses:
+        count = LossCount(record.generation, record.losses)
+        table.merge_count(
+            gateway.quarantine, record.fingerprint, count, record.remaining_ms, now_ms
+        )
+    gateway.loss_changes = view.loss_changes
+
+
+def _report(gateway: Gateway, changes: list[CountChange]) -> None:
+    for change in changes:
+        gateway.write_log(reporting.build_log(change))
+    gateway.loss_reporter.add(changes)
+
+
+__all__ = [
+    "add_pending_losses",
+    "admit",
+    "compute_refusal_s",
+    "confirm_crash",
+    "merge_view",
+    "record_answer",
+    "resolve_pending_losses",
+    "start_attempt",
+]
--- a/src/yuccareach/gateway/probes.py
+++ b/src/yuccareach/gateway/probes.py
@@ -10,6 +10,9 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from yuccareach.gateway.backends import ProbeResult
+from yuccareach.gateway.losses import confirm_crash
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -67,15 +70,33 @@
     ]
     for backend in due_backends:
         backend.last_probe_s = now_s
-    results = await asyncio.gather(*(_can_connect(backend) for backend in due_backends))
-    lost_backends = []
-    for backend, can_connect in zip(due_backends, results, strict=True):
-        if can_connect:
-            _record_reachable(gateway, backend)
-        elif can_connect is not None:
-            _record_unreachable(gateway, backend)
-            lost_backends.append(backend)
-    return lost_backends
+    results = await asyncio.gather(
+        *(probe_backend(gateway, backend) for backend in due_backends)
+    )
+    return [
+        backend
+        for backend, result in zip(due_backends, results, strict=True)
+        if result in (ProbeResult.REFUSED, ProbeResult.SILENT)
+    ]
+
+
+async def probe_backend(gateway: Gateway, backend: Backend) -> ProbeResult:
+    """Probe a server, or wait for the probe that is in progress."""
+    if backend.probe is None or backend.probe.done():
+        backend.probe = asyncio.ensure_future(_probe(gateway, backend))
+    return await asyncio.shield(backend.probe)
+
+
+async def _probe(gateway: Gateway, backend: Backend) -> ProbeResult:
+    result = await _try_to_connect(backend)
+    if result is ProbeResult.REACHABLE:
+        _record_reachable(gateway, backend)
+    elif result is not ProbeResult.UNKNOWN:
+        _record_unreachable(gateway, backend)
+    backend.is_refusing = result is ProbeResult.REFUSED
+    if backend.is_refusing:
+        confirm_crash(gateway, backend)
+    return result
 
 
 def _record_unreachable(gateway: Gateway, backend: Backend) -> None:
@@ -103,11 +124,11 @@
             await probe_backends(gateway, unconnectable)
 
 
-async def _can_connect(backend: Backend) -> bool | None:
-    """Return whether a server accepts connections; None if that is unknown.
+async def _try_to_connect(backend: Backend) -> ProbeResult:
+    """Try to connect to a server; a connection that is made is kept for requests.
 
-    It is unknown if the timeout fired far too late, since then this process itself was
-    delayed and may have missed the answer.
+    The result is unknown if the timeout fired far too late, since then this process
+    itself was delayed.
     """
     loop = asyncio.get_running_loop()
     for _ in range(MAX_CONNECT_ATTEMPTS):
@@ -117,19 +138,22 @@
                 connection = await backend.pool.connect()
         except TimeoutError:
             if loop.time() - started_s > CONNECT_TIMEOUT_S + TIMER_DELAY_THRESHOLD_S:
-                return None
+                return ProbeResult.UNKNOWN
             continue
+        except ConnectionRefusedError:
+            return ProbeResult.REFUSED
         except OSError:
-            return False
+            return ProbeResult.SILENT
         backend.pool.add_unused(connection)
-        return True
-    return False
+        return ProbeResult.REACHABLE
+    return ProbeResult.SILENT
 
 
 __all__ = [
     "TIMER_DELAY_THRESHOLD_S",
     "find_lost_backends",
     "is_suspiciously_idle",
+    "probe_backend",
     "probe_backends",
     "retry_unconnectable_backends",
 ]
--- a/src/yuccareach/gateway/run.py
+++ b/src/yuccareach/gateway/run.py
@@ -70,6 +70,11 @@
             await _listen(self.monitoring_server, self.addresses.metrics)
         self.tasks = [
             asyncio.create_task(self.view_poller.run()),
+            asyncio.create_task(
+                self.gateway.loss_reporter.run(
+                    self.view_poller.submit, self.gateway.write_log
+                )
+            ),
             asyncio.create_task(watch_streams(self.gateway)),
             asyncio.create_task(retry_unconnectable_backends(self.gateway)),
         ]
@@ -97,6 +102,7 @@
             "leased": int(gateway.has_lease),
             "requests_active": gateway.active_requests,
             "streams_active": len(gateway.streams),
+            "loss_counts": len(gateway.quarantine.record_by_fingerprint),
             "backend_servers": len(gateway.fleet.backend_by_name),
         }
 
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -10,8 +10,11 @@
 import asyncio
 from typing import TYPE_CHECKING, NamedTuple
 
+from yuccareach.gateway.admitted_requests import QUARANTINED
 from yuccareach.gateway.chains import Chain, find_chain
+from yuccareach.gateway.crashes import record_broken_attempt
 from yuccareach.gateway.http_client import call_backend
+from yuccareach.gateway.losses import compute_refusal_s
 from yuccareach.gateway.probes import (
     TIMER_DELAY_THRESHOLD_S,
     find_lost_backends,
@@ -214,6 +217,11 @@
         run.first_stage_lost = True
         _interrupt(gateway, run, "first_stage_lost")
         return
+    run.later_stage_lost = True
+    await record_broken_attempt(gateway, run.loss_attempt, [lost_backend])
+    if compute_refusal_s(gateway, run.admitted.fingerprint):
+        _interrupt(gateway, run, QUARANTINED)
+        return
     await _reroute(gateway, run, lost_backend)
 
 
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -14,6 +14,8 @@
 from yuccareach.gateway.chains import Chain, LayerGraph, build_graph
 from yuccareach.gateway.table import Limits
 from yuccareach.metrics.registry import Registry
+from yuccareach.quarantine.reporting import LossReporter
+from yuccareach.quarantine.table import QuarantineTable
 from yuccareach.runtime.logs import Log, logger, write_log
 
 if TYPE_CHECKING:
@@ -86,6 +88,11 @@
         self.budget_by_service: dict[str, RetryBudget] = {}
         self.queue_by_service: dict[str, AdmissionQueue[Chain]] = {}
         self.graph_by_service: dict[str, CachedGraph] = {}
+        # Backend servers lost under each request, as all gateways have counted them.
+        self.quarantine = QuarantineTable()
+        self.loss_reporter = LossReporter()
+        # The newest change of those counts that control has sent.
+        self.loss_changes = 0
         self.registry = Registry()
         self.tasks: set[asyncio.Task[Any]] = set()
         self.started_s = self.now()
@@ -124,6 +131,10 @@
         """Return the loop's time in seconds."""
         return asyncio.get_running_loop().time()
 
+    def now_ms(self) -> int:
+        """Return the loop's time in milliseconds."""
+        return int(self.now() * 1000)
+
     @property
     def has_lease(self) -> bool:
         """Whether the view is recent enough to admit requests by their key."""
@@ -192,7 +203,11 @@
 
     def log(self, event: str, level: int = logging.INFO, **fields: Any) -> None:
         """Write one log line with structured fields."""
-        write_log(_log, Log(event, fields, level))
+        self.write_log(Log(event, fields, level))
+
+    def write_log(self, line: Log) -> None:
+        """Write one log line."""
+        write_log(_log, line)
 
 
 __all__ = ["Gateway", "GatewaySettings", "get_boot_time_s"]
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -11,6 +11,7 @@
 )
 from yuccareach.gateway.chains import Chain, ChainRequirements
 from yuccareach.gateway.dialect import Stage
+from yuccareach.gateway.losses import start_attempt
 from yuccareach.gateway.sse import EventSplitter, parse_event_id
 
 if TYPE_CHECKING:
@@ -61,6 +62,10 @@
         # Whether the current attempt has lost its first stage.
         self.first_stage_lost = False
         self.excluded_incarnations: set[str] = set()
+        # What the loss of a stage of the current chain is counted by.
+        self.loss_attempt = start_attempt(gateway, admitted)
+        # Whether the current attempt has lost a later stage.
+        self.later_stage_lost = False
         self.attempts = 0
         # Attempts that count against the route's limit.
         self.counted_attempts = 0
@@ -170,6 +175,7 @@
     def move_to_chain(self, chain: Chain) -> None:
         """Move the reservation to the chain over which the request continues."""
         self.release_chain()
+        self.loss_attempt = start_attempt(self.gateway, self.admitted)
         self.queue.record_move(self.workspace, self.tokens)
         self._reserve_at(chain)
 
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -13,6 +13,7 @@
 from yuccareach.gateway.admission import Ticket, WaitingRequest
 from yuccareach.gateway.admitted_requests import (
     CALLER_LEFT,
+    QUARANTINED,
     AdmittedRequest,
     Outcome,
     record_outcome,
@@ -22,8 +23,15 @@
 )
 from yuccareach.gateway.backend_requests import BackendRequest, send_request
 from yuccareach.gateway.chains import Chain, find_chain
+from yuccareach.gateway.crashes import record_broken_attempt
 from yuccareach.gateway.dialect import ForwardMetadata
 from yuccareach.gateway.http_client import Ending, ResponseHead
+from yuccareach.gateway.losses import (
+    add_pending_losses,
+    compute_refusal_s,
+    record_answer,
+    start_attempt,
+)
 from yuccareach.gateway.probes import probe_backends
 from yuccareach.gateway.sse import EventSplitter
 from yuccareach.gateway.stream_run import StreamRun, format_chain, to_dialect_stages
@@ -90,6 +98,8 @@
     while True:
         if run.admitted.deadline_s - run.gateway.now() < MIN_REMAINING_S:
             return _end_unserved(run, may_have_run, 504, "deadline")
+        if run.attempts and compute_refusal_s(run.gateway, run.admitted.fingerprint):
+            return _end_unserved(run, may_have_run, 502, QUARANTINED)
         if run.attempts and not run.reserve_retry():
             return _end_unserved(run, may_have_run, 502, "over_budget")
         chain = await _wait_for_chain(run)
@@ -98,6 +108,7 @@
         run.attempts += 1
         run.retry_reserved = False
         result = await _run_attempt(run, chain)
+        await _count_losses(run, result, chain)
         if result is AttemptResult.DONE:
             return Outcome(200, "answered")
         if result is AttemptResult.TIMED_OUT:
@@ -115,6 +126,23 @@
             return _end_unserved(run, True, 502, "broken")
 
 
+async def _count_losses(run: StreamRun, result: AttemptResult, chain: Chain) -> None:
+    """Record a complete answer or possible losses of an attempt over a chain.
+
+    An answer during which a later stage was lost does not show that the request is
+    harmless. Such a loss is counted when it is detected as a stall, but the attempt may
+    also end by it.
+    """
+    if result in (AttemptResult.DONE, AttemptResult.FAILED):
+        if not run.later_stage_lost:
+            record_answer(run.gateway, run.loss_attempt)
+    elif result in (AttemptResult.BROKEN, AttemptResult.TIMED_OUT):
+        backends = [stage.backend for stage in chain.stages]
+        add_pending_losses(run.gateway, run.loss_attempt, backends)
+        if result is AttemptResult.BROKEN:
+            await record_broken_attempt(run.gateway, run.loss_attempt, backends[:1])
+
+
 def _choose_chain(run: StreamRun) -> Chain | None:
     """Return a chain within one zone, or across zones if no zone covers all layers.
 
@@ -204,6 +232,9 @@
     reply = run.reply
     if reply.has_started:
         return send_failure(reply, status, reason)
+    refusal_s = compute_refusal_s(run.gateway, run.admitted.fingerprint)
+    if not may_have_run and refusal_s:
+        return send_refusal(reply, refusal_s, QUARANTINED)
     if not may_have_run:
         coverage_gap_s = run.gateway.estimate_coverage_gap_s(run.admitted.service)
         retry_s = run.queue.estimate_retry_after_s(
@@ -235,7 +266,8 @@
     )
     run.splitter = EventSplitter()
     run.interrupted.clear()
-    run.first_stage_lost = False
+    run.first_stage_lost = run.later_stage_lost = False
+    run.loss_attempt = start_attempt(gateway, admitted)
     run.last_progress_s = gateway.now()
     _log_attempt(run, chain)
     try:
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -9,8 +9,10 @@
 
 import grpc
 
+from yuccareach.control.errors import ControlUnavailable
 from yuccareach.errors import YuccareachError
 from yuccareach.gateway.backends import Announcement
+from yuccareach.gateway.losses import merge_view, resolve_pending_losses
 from yuccareach.gateway.state import MEMBERS_TIMEOUT_S, get_boot_time_s
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
@@ -110,6 +112,28 @@
             )
         return ControlStub(channel)
 
+    async def submit(self, command: cpb.Command) -> None:
+        """Let the leader commit a command.
+
+        Raises ControlUnavailable if the leader is unknown or does not confirm it.
+        """
+        if not self.leader:
+            raise ControlUnavailable("the leader is unknown", False)
+        try:
+            reply = await self._get_stub(self.leader).Submit(
+                cpb.SubmitRequest(command=command), timeout=POLL_TIMEOUT_S
+            )
+        except grpc.RpcError as error:
+            raise ControlUnavailable(_get_error_code(error), True) from error
+        except asyncio.CancelledError as error:
+            # gRPC raises it also where the poller has closed the channel.
+            task = asyncio.current_task()
+            if task is not None and task.cancelling():
+                raise
+            raise ControlUnavailable("the channel was closed", True) from error
+        if reply.not_leader:
+            raise ControlUnavailable("the instance does not lead", False)
+
     def _build_request(self) -> cpb.ViewRequest:
         gateway = self.gateway
         now_s = gateway.now()
@@ -122,6 +146,7 @@
             document_version=gateway.table.version if gateway.table else 0,
             source=self.source,
             members_version=self.members_version,
+            loss_changes=gateway.loss_changes,
             unreachable=gateway.fleet.list_unreachable_incarnations(now_s),
             uses=[
                 cpb.ServerUse(
@@ -186,6 +211,8 @@
         gateway.fleet.update(announced, view.departed)
         if view.members_snapshot:
             gateway.fleet.remove_all_except({item.name for item in announced})
+        merge_view(gateway, view)
+        resolve_pending_losses(gateway)
         for item in announced:
             gateway.log(
                 "member",
--- a/src/yuccareach/metrics/catalog.py
+++ b/src/yuccareach/metrics/catalog.py
@@ -64,6 +64,9 @@
     "streams_active": _describe_gauge(
         "requests", "Streams among the requests in flight."
     ),
+    "loss_counts": _describe_gauge(
+        "requests", "Requests under which backend servers were lost recently."
+    ),
     # Entry.
     "between_tokens": _describe_summary(
         "Time between two successive tokens of a stream."
--- a/src/yuccareach/platform/standin.py
+++ b/src/yuccareach/platform/standin.py
@@ -39,13 +39,19 @@
         # In the order in which a runner started to execute the requests. An id occurs
         # once for each execution.
         self.executed_request_ids: list[str] = []
-        # A request with this body crashes the runner at this index of each chain that
-        # runs it, or the one runner that runs it as a plain call.
-        self.crashing_body: bytes | None = None
+        # A request whose body starts with this prefix crashes the runner at this index
+        # of each chain that runs it, or the one runner that runs it as a plain call.
+        self.crashing_prefix: bytes | None = None
         self.crashing_stage = 0
-        # Loop times at which that body crashed runners.
+        # Loop times at which such requests crashed runners.
         self.crash_times_s: list[float] = []
 
+    def is_crashing(self, body: bytes) -> bool:
+        """Return whether a request with this body crashes the runners that run it."""
+        return self.crashing_prefix is not None and body.startswith(
+            self.crashing_prefix
+        )
+
 
 class Runner:
     """A runner of a model, or of a plain service if the accelerator kind is empty."""
@@ -110,15 +116,17 @@
         """Stop without a departure or a drain, as a crash would."""
         if self.crash_task is not None:
             self.crash_task.cancel()
-        await self._close()
+        await self.close()
 
-    async def _close(self) -> None:
+    async def close(self) -> None:
+        """Close all connections and stop listening."""
         self.group.runner_by_address.pop(self.address, None)
         await self.app_runner.cleanup()
 
     def crash(self) -> None:
         """Reset all connections, and restart with no layers after restart_delay_s."""
-        if self.crash_task is None or self.crash_task.done():
+        if not self.is_down:
+            self.group.runner_by_address.pop(self.address, None)
             self.crash_task = asyncio.create_task(self._crash_and_restart())
 
     @property
@@ -132,7 +140,7 @@
         for connection in self.app_runner.server.connections:
             if connection.transport is not None:
                 connection.transport.abort()
-        await self._close()
+        await self.close()
         await asyncio.sleep(self.restart_delay_s)
         self.layers = NO_LAYERS
         self.started_ms = int(time.time() * 1000)
@@ -247,7 +255,7 @@
         body = await request.read()
         if not self.kind:
             self.group.executed_request_ids.append(request_id)
-            if body == self.group.crashing_body:
+            if self.group.is_crashing(body):
                 await self._crash_under_request(self)
             return web.Response(
                 status=self.answer_status, body=body or b"ok", headers=signed
@@ -294,7 +302,7 @@
 
     async def _crash_stage(self, request: web.Request, request_id: str) -> None:
         """Crash the runner of the crashing stage if the request has that body."""
-        if await request.read() != self.group.crashing_body:
+        if not self.group.is_crashing(await request.read()):
             return
         address, _, _ = self.path_by_request[request_id][self.group.crashing_stage]
         runner = self.group.runner_by_address.get(address)
--- a/src/yuccareach/tracing/explanation.py
+++ b/src/yuccareach/tracing/explanation.py
@@ -24,6 +24,7 @@
     "caller_left": "its caller closed the connection",
     "no_route": "no route of the table in force matches its host and path",
     "unknown_key": "its key belongs to no workspace of the table in force",
+    "quarantined": "earlier runs of the same request had crashed backend servers",
     "view_expired": "the gateway had no contact with control for longer than its lease",
     "no_routing_table": "the gateway had not received a routing table yet",
 }
@@ -62,7 +63,7 @@
     meaning = _MEANING_BY_REASON.get(reason, reason)
     sentence = (
         f"Request {request} ended with status {end_line.fields.get('status', '?')} at "
-        f"{end_line.instance}: {meaning}{_describe_causes(request_lines)}."
+        f"{end_line.instance}: {meaning}{_describe_causes(request_lines, all_lines)}."
     )
     return Explanation(request_lines, sentence, reason in _MEANING_BY_REASON)
 
@@ -92,9 +93,12 @@
     return Explanation(request_lines, sentence, True)
 
 
-def _describe_causes(request_lines: list[LogLine]) -> str:
+def _describe_causes(request_lines: list[LogLine], all_lines: list[LogLine]) -> str:
     """Describe the failures before the end of a request, in parentheses."""
     causes = []
+    is_quarantined = request_lines[-1].fields.get("reason") == "quarantined"
+    if is_quarantined:
+        causes += _describe_losses(request_lines, all_lines)
     for line in request_lines:
         fields = line.fields
         if line.event == "attempt_failed":
@@ -104,6 +108,8 @@
                 f"attempt at {fields.get('backend_server')} {fields.get('ending')}"
                 f" with status {fields.get('status')}{location}"
             )
+        elif line.event == "request_quarantined":
+            causes.append(f"may run again in {fields.get('retry_after_s')} s")
         elif line.event == "stream_interrupted":
             causes.append(f"interrupted: {fields.get('reason')}")
         elif line.event == "stream_rerouted":
@@ -121,4 +127,22 @@
     return f" ({'; '.join(causes)})" if causes else ""
 
 
+def _describe_losses(
+    request_lines: list[LogLine], all_lines: list[LogLine]
+) -> list[str]:
+    """Describe the backend servers lost under a request's fingerprint so far."""
+    fingerprints = {line.fields.get("fingerprint") for line in request_lines}
+    losses = (
+        line
+        for line in all_lines
+        if line.event == "loss_noted"
+        and line.fields.get("fingerprint") in fingerprints
+        and line.time <= request_lines[-1].time
+    )
+    return [
+        f"lost {line.fields.get('incarnation')} under {line.fields.get('request')}"
+        for line in sorted(losses, key=lambda line: line.time)
+    ]
+
+
 __all__ = ["Explanation", "explain"]
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -29,7 +29,7 @@
 class CrashingRequestTestCase(DeploymentTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
-        self.group.crashing_body = CRASHING_BODY
+        self.group.crashing_prefix = CRASHING_BODY
         self.request_numbers = itertools.count(1)
         self.gateways = [self.gateway, await self.add_gateway("second")]
 
--- a/tests/tracing/test_explanation.py
+++ b/tests/tracing/test_explanation.py
@@ -24,6 +24,15 @@
 time="2026-01-01 00:00:03,000" level=INFO event=started instance=g1
 """  # noqa: E501
 
+QUARANTINED = """
+time="2026-01-01 00:00:01,000" level=INFO event=loss_noted instance=g2 request=r1 fingerprint=ab12 losses=1 incarnation=a@1
+time="2026-01-01 00:00:02,000" level=INFO event=loss_noted instance=g1 request=r2 fingerprint=ab12 losses=2 incarnation=b@1
+time="2026-01-01 00:00:02,500" level=INFO event=loss_noted instance=g1 request=r7 fingerprint=cd34 losses=1 incarnation=b@1
+time="2026-01-01 00:00:03,000" level=INFO event=loss_noted instance=g1 request=r3 fingerprint=ab12 losses=3 incarnation=c@1
+time="2026-01-01 00:00:04,000" level=INFO event=request_quarantined instance=g1 request=r4 fingerprint=ab12 retry_after_s=599.0
+time="2026-01-01 00:00:04,001" level=INFO event=request_rejected instance=g1 request=r4 status=503 reason=quarantined
+"""  # noqa: E501
+
 
 def explain_text(request: str, text: str) -> Explanation:
     return explain(request, parse_lines(text.splitlines()))
@@ -61,6 +70,15 @@
         self.assertTrue(explanation.has_known_cause)
         self.assertIn("the process on g1 ended", explanation.sentence)
 
+    def test_quarantined_request_is_explained_by_the_servers_lost_before(self) -> None:
+        explanation = explain_text("r4", QUARANTINED)
+        self.assertTrue(explanation.has_known_cause)
+        self.assertIn(
+            "(lost a@1 under r1; lost b@1 under r2; lost c@1 under r3; "
+            "may run again in 599.0 s)",
+            explanation.sentence,
+        )
+
     def test_request_without_an_end_event_has_no_known_cause(self) -> None:
         self.assertFalse(explain_text("r9", REFUSED).has_known_cause)
         self.assertFalse(explain_text("r2", REFUSED).has_known_cause)
