--- a/src/yuccareach/agent/service_client.py
+++ b/src/yuccareach/agent/service_client.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from typing import TYPE_CHECKING, Any
+from urllib.parse import urlsplit
 
 import aiohttp
 
@@ -83,9 +84,24 @@
         except TimeoutError:
             return pb.Reply(outcome=pb.UNKNOWN, reason="service_timeout")
         except aiohttp.ClientError as error:
+            if not await self._is_listening():
+                return pb.Reply(outcome=pb.UNKNOWN, reason="service_lost")
             name = type(error).__name__
             return pb.Reply(outcome=pb.UNKNOWN, reason=f"service_failed_{name}")
 
+    async def _is_listening(self) -> bool:
+        """Return False if the service refuses connections, as after a crash."""
+        url = urlsplit(self.url)
+        try:
+            async with asyncio.timeout(CONNECT_TIMEOUT_S):
+                _, writer = await asyncio.open_connection(url.hostname, url.port)
+        except ConnectionRefusedError:
+            return False
+        except (OSError, TimeoutError):
+            return True
+        writer.close()
+        return True
+
     async def close(self) -> None:
         """Cancel running calls and close the session."""
         for task in self.tasks:
--- a/src/yuccareach/entry/calls.py
+++ b/src/yuccareach/entry/calls.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from yuccareach.entry import fleet
+from yuccareach.entry import fleet, quarantine
 from yuccareach.entry.events import (
     AcquirePermit,
     CallRequested,
@@ -21,6 +21,7 @@
     Refuse,
     ReturnReply,
 )
+from yuccareach.entry.quarantine import Loss
 from yuccareach.entry.state import PlainCall
 from yuccareach.outcome import Outcome, decode_outcome
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
@@ -41,12 +42,16 @@
 def start(state: EntryState, event: CallRequested, now: int) -> Effects:
     """Start a call, or refuse it if the entry is draining."""
     call = PlainCall(event, state.settings.find_class(event.workspace), now)
+    call.fingerprint = quarantine.identify_call(event)
     state.call_by_id[event.request] = call
     if state.draining:
         text = "this entry is shutting down"
         return _refuse_or_query_permit(
             state, call, Refusal(503, "draining", text, retry_after_s=1)
         )
+    quarantine_refusal = quarantine.admit(state, call.fingerprint, now)
+    if quarantine_refusal is not None:
+        return _refuse_or_query_permit(state, call, quarantine_refusal)
     return _start_attempt(state, call, now)
 
 
@@ -103,12 +108,15 @@
 
 
 def _send(state: EntryState, call: PlainCall, server: cpb.Member, now: int) -> Effects:
+    is_resend = call.server is server
     fleet.adjust_running_counts(state, [call.server] if call.server else [], -1)
     fleet.adjust_running_counts(state, [server], 1)
     call.server = server
     call.tried_incarnations.add(server.incarnation)
     call.resend_at_ms = now + RESEND_INTERVAL_MS
     call.may_have_run = True
+    if not is_resend:
+        call.loss_attempt = quarantine.start_call_attempt(state, call, now)
     message = pb.Call()
     message.CopyFrom(call.event.message)
     message.permit = call.permit
@@ -184,20 +192,32 @@
     if call is None or call.server is None or call.server.address != peer:
         return [IncrementCounter("late_replies", "unknown_call")]
     if message.outcome == pb.RAN:
-        return _return_reply(state, call, message, now)
+        effects = quarantine.record_answer(state, call.loss_attempt, now)
+        return effects + _return_reply(state, call, message, now)
     if message.outcome == pb.NOT_RUN:
         call.may_have_run = False
         call.revoked_permit = call.permit
         return _retry(state, call, message.reason, now)
+    effects = _record_loss(state, call, message.reason, now)
     if call.event.idempotent:
-        return _retry(state, call, message.reason, now)
+        return effects + _retry(state, call, message.reason, now)
     text = f"the call may have run: {message.reason}"
     refusal = Refusal(502, message.reason, text, decode_outcome(message.outcome))
-    return _fail(state, call, refusal)
+    return effects + _fail(state, call, refusal)
+
+
+def _record_loss(state: EntryState, call: PlainCall, reason: str, now: int) -> Effects:
+    """Count the loss of a call's backend server, now or once it is gone."""
+    assert call.server is not None
+    loss = Loss(reason, call.server.incarnation, accepted=True)
+    return quarantine.record_loss(state, call.loss_attempt, loss, now)
 
 
 def _retry(state: EntryState, call: PlainCall, reason: str, now: int) -> Effects:
     call.permit = 0
+    quarantine_refusal = quarantine.check(state, call.fingerprint, now)
+    if quarantine_refusal is not None:
+        return _refuse_or_query_permit(state, call, quarantine_refusal)
     if call.attempt_count < MAX_ATTEMPTS:
         return [
             IncrementCounter("call_retries", reason),
@@ -256,6 +276,7 @@
     for call in list(state.call_by_id.values()):
         if call.server is None or call.server.address != address:
             continue
+        effects += _record_loss(state, call, "link_lost", now)
         if call.event.idempotent:
             fleet.mark_suspected(state, call.server.backend_server, now)
             effects += _retry(state, call, "link_lost", now)
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -5,9 +5,12 @@
 import os
 import unittest
 from random import Random
+from typing import Any
 
 from tests.system import System, run_seeded_history
+from yuccareach.agent import events as agent_events
 from yuccareach.entry import events as entry_events
+from yuccareach.proto import data_pb2 as pb
 from yuccareach.quarantine.table import QUARANTINE_LOSS_THRESHOLD
 
 
@@ -259,3 +262,53 @@
         for request in requests:
             result = self.system.record_by_request[request].result
             self.assertIsInstance(result, entry_events.FinishAnswer)
+
+
+class CrashingCallTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.random = Random(1)
+        self.system = System()
+        self.runs = 0
+
+    def run_payout(self, entry: str, key: str, reply: pb.Reply) -> Any:
+        """Request a payout, let any service reply to it, and return the result."""
+        request = self.system.request_payout(entry, key)
+        for _ in range(500):
+            record = self.system.record_by_request[request]
+            if record.result is not None:
+                break
+            self.system.answer_permit(self.system.entries[entry])
+            self.system.deliver_random(self.random)
+            for node in self.system.agents:
+                if node.is_service and node.calls:
+                    self.runs += 1
+                    call, message = node.calls.popleft()
+                    self.system.run_count_by_key[message.key] += 1
+                    event = agent_events.ServiceReplied(call, reply)
+                    self.system.handle_agent_event(node, event)
+                    self.system.run_postponed()
+        self.system.publish_members()
+        return record.result
+
+    def crash_service(self, entry: str, key: str) -> Any:
+        reply = pb.Reply(outcome=pb.UNKNOWN, reason="service_lost")
+        return self.run_payout(entry, key, reply)
+
+    def test_call_that_crashed_three_services_is_refused_by_every_entry(self) -> None:
+        for number in range(QUARANTINE_LOSS_THRESHOLD):
+            result = self.crash_service(f"e{1 + number % 2}", f"key-{number}")
+            self.assertEqual(result.refusal.reason, "service_lost")
+        for entry in ("e1", "e2"):
+            result = self.crash_service(entry, f"late-{entry}")
+            self.assertEqual(
+                (result.refusal.reason, str(result.refusal.outcome)),
+                ("quarantined", "not_run"),
+            )
+        self.assertEqual(self.runs, QUARANTINE_LOSS_THRESHOLD)
+
+    def test_answered_call_is_not_refused_whatever_crashes_between(self) -> None:
+        for number in range(2 * QUARANTINE_LOSS_THRESHOLD):
+            self.crash_service("e1", f"lost-{number}")
+            answer = pb.Reply(outcome=pb.RAN, status=201, body=f"key-{number}".encode())
+            result = self.run_payout("e1", f"key-{number}", answer)
+            self.assertIsInstance(result, entry_events.ReturnReply)
