--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -61,6 +61,8 @@
 
     def __init__(self) -> None:
         self.report_by_entry: dict[str, EntryReport] = {}
+        # When reports began to arrive, after a time without any.
+        self.collecting_since_ms = 0
         self.total_usage_by_server: dict[str, ServerUsage] = {}
         # For each incarnation, when each entry last reported it as unreachable.
         self.unreachable_ms_by_incarnation: dict[str, dict[str, int]] = {}
@@ -79,6 +81,11 @@
             for entry, report in self.report_by_entry.items()
             if now_ms - report.received_ms >= ENTRY_REPORT_RETENTION_MS
         ]
+        if all(
+            now_ms - report.received_ms >= ENTRY_REPORT_RETENTION_MS
+            for report in self.report_by_entry.values()
+        ):
+            self.collecting_since_ms = now_ms
         for entry in outdated_entries:
             removed = self.report_by_entry.pop(entry, None)
             if removed is not None:
@@ -89,6 +96,16 @@
             reports = self.unreachable_ms_by_incarnation.setdefault(incarnation, {})
             reports[request.instance] = now_ms
 
+    def count_entries(self, now_ms: int) -> int:
+        """Return the number of entries, or 0 until all of them have sent a report.
+
+        Entries divide the retry budget by this number, so it must not be too low when
+        they start to poll a new leader.
+        """
+        if now_ms - self.collecting_since_ms < ENTRY_REPORT_RETENTION_MS:
+            return 0
+        return len(self.report_by_entry)
+
     def find_unreachable(self, now_ms: int) -> set[str]:
         """Return the incarnations that enough entries recently reported unreachable.
 
@@ -240,7 +257,7 @@
         members_snapshot=delta.snapshot,
         members=delta.members,
         departed=delta.departed,
-        entries=len(process.entry_reports.report_by_entry),
+        entries=process.entry_reports.count_entries(monotonic_ms()),
         uses=[
             cpb.ServerUse(backend_server=server, tokens=use.tokens, first=use.first)
             for server, use in uses.items()
--- a/src/yuccareach/gateway/budget.py
+++ b/src/yuccareach/gateway/budget.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from collections import deque
 from typing import NamedTuple
 
@@ -19,8 +20,8 @@
 class RetryBudget:
     """One entry's share of the retry budget of one service.
 
-    Entries do not coordinate: each one uses an equal share of the slack and counts only
-    its own requests.
+    Each entry uses an equal share of the slack and counts only its own requests. The
+    number of entries, from control, is all that they know of each other.
     """
 
     # Fraction of the share that is used. The rest is a reserve, because windows slide
@@ -28,9 +29,14 @@
     NORMAL_FRACTION = 0.7
     # Fraction for urgent retries, without which an answer would be cut off.
     URGENT_FRACTION = 0.9
+    # Fraction in the first window after the process has started, since an earlier
+    # process of the same entry may have used URGENT_FRACTION within that window.
+    STARTING_FRACTION = 1 - URGENT_FRACTION
 
-    def __init__(self, limits: RetryBudgetLimits) -> None:
+    def __init__(self, limits: RetryBudgetLimits, started_s: float = -math.inf) -> None:
         self.limits = limits
+        # When the process started.
+        self.started_s = started_s
         self.request_times_s: deque[float] = deque()
         self.retry_times_s: deque[float] = deque()
 
@@ -42,12 +48,17 @@
     def take_retry(self, now_s: float, entries: int, *, urgent: bool = False) -> bool:
         """Return whether one more retry may be sent, and count it if so.
 
-        `entries` is the number of entries that share the slack.
+        `entries` is the number of entries that share the slack. While it is unknown, 0,
+        none of the slack is used.
         """
         self._expire(now_s)
-        max_retries = (self.URGENT_FRACTION if urgent else self.NORMAL_FRACTION) * (
-            self.limits.ratio * len(self.request_times_s)
-            + self.limits.slack / max(1, entries)
+        fraction = self.URGENT_FRACTION if urgent else self.NORMAL_FRACTION
+        is_starting = now_s - self.started_s < self.limits.window_s
+        slack_fraction = self.STARTING_FRACTION if is_starting else fraction
+        slack_share = self.limits.slack / entries if entries else 0.0
+        max_retries = (
+            fraction * self.limits.ratio * len(self.request_times_s)
+            + slack_fraction * slack_share
         )
         if len(self.retry_times_s) + 1 > max_retries:
             return False
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -6,6 +6,7 @@
 import contextlib
 import logging
 import time
+from collections import deque
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from yuccareach.gateway.admission import AdmissionQueue
@@ -78,8 +79,10 @@
         self.dialect = dialect
         self.table: RoutingTable | None = None
         self.fleet = Fleet()
-        # Gateways that poll the leader, this one included.
-        self.entry_count = 1
+        # Gateways that share the retry budget, this one included; 0 while unknown.
+        self.entry_count = 0
+        # Loop time and number of gateways of recent views, oldest first.
+        self.recent_entry_counts: deque[tuple[float, int]] = deque()
         # In terms of get_boot_time_s().
         self.lease_until_s = 0.0
         self.is_draining = False
@@ -150,10 +153,28 @@
         budget = self.budget_by_service.get(service)
         if budget is None:
             budget = self.budget_by_service[service] = RetryBudget(
-                self.settings.retry_budget
+                self.settings.retry_budget, self.started_s
             )
         return budget
 
+    def update_entry_count(self, reported_count: int) -> None:
+        """Set how many gateways share the retry budget.
+
+        A gateway that control no longer counts may have used its share a moment ago, so
+        the highest count of the last window applies. A leader that is new reports 0.
+        """
+        now_s = self.now()
+        window_s = self.settings.retry_budget.window_s
+        counts = self.recent_entry_counts
+        if reported_count:
+            counts.append((now_s, reported_count))
+        while len(counts) > 1 and now_s - counts[0][0] > window_s:
+            counts.popleft()
+        count = max((item[1] for item in counts), default=0)
+        if count != self.entry_count:
+            self.log("entry_count", entries=count, previous=self.entry_count)
+        self.entry_count = count
+
     def get_queue(self, service: str) -> AdmissionQueue[Chain]:
         """Return the queue of a service's requests that wait for free capacity."""
         queue = self.queue_by_service.get(service)
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -227,7 +227,7 @@
         gateway.fleet.update_remote_usage(
             {use.backend_server: (use.tokens, use.first) for use in view.uses}
         )
-        self._set_entry_count(view.entries)
+        gateway.update_entry_count(view.entries)
         if not gateway.has_lease and gateway.table is not None:
             gateway.log("lease_gained", table=gateway.table.version)
         if not gateway.first_view_received.is_set() and gateway.table is not None:
@@ -235,14 +235,6 @@
             gateway.first_view_received.set()
         gateway.lease_until_s = poll_started_s + gateway.settings.lease_s
 
-    def _set_entry_count(self, entries: int) -> None:
-        """Set the number of gateways that share the retry budget."""
-        gateway = self.gateway
-        count = max(1, entries)
-        if count != gateway.entry_count:
-            gateway.log("entry_count", entries=count, previous=gateway.entry_count)
-        gateway.entry_count = count
-
     def _apply_document(self, document: cpb.RoutingDocument) -> None:
         """Put a routing document in force, or log why it cannot be decoded."""
         try:
--- a/tests/control/test_views.py
+++ b/tests/control/test_views.py
@@ -64,6 +64,17 @@
         self.reports.record(report("e1", ("a@1",)), 0)
         self.assertEqual(self.reports.find_unreachable(0), {"a@1"})
 
+    def test_entries_are_not_counted_before_all_had_time_to_report(self) -> None:
+        # Guards against shares of the retry budget that exceed it together: a new
+        # leader told the first entry that polled it that there were no others.
+        for number in range(5):
+            self.reports.record(report(f"e{number}"), 10)
+            self.assertEqual(self.reports.count_entries(10), 0)
+        later_ms = 10 + ENTRY_REPORT_RETENTION_MS
+        for number in range(5):
+            self.reports.record(report(f"e{number}"), later_ms - 1)
+        self.assertEqual(self.reports.count_entries(later_ms), 5)
+
     def test_unreachable_reports_expire_unless_sent_again(self) -> None:
         for entry in ("e1", "e2"):
             self.reports.record(report(entry, ("a@1",)), 0)
--- a/tests/gateway/test_budget.py
+++ b/tests/gateway/test_budget.py
@@ -28,3 +28,15 @@
             pass
         self.assertFalse(budget.take_retry(9.9, 1))
         self.assertTrue(budget.take_retry(10.1, 1))
+
+    def test_restarted_entry_stays_within_its_share_with_the_earlier_process(
+        self,
+    ) -> None:
+        sent = 0
+        for budget in (RetryBudget(LIMITS), RetryBudget(LIMITS, started_s=1.0)):
+            while budget.take_retry(1.0, 4, urgent=True):
+                sent += 1
+        self.assertLessEqual(sent, LIMITS.slack / 4)
+
+    def test_slack_is_not_used_while_the_number_of_entries_is_unknown(self) -> None:
+        self.assertFalse(RetryBudget(LIMITS).take_retry(1.0, 0, urgent=True))
