--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -11,7 +11,7 @@
 import aiohttp
 
 from bench.soak.deployment import FRONT_PORT
-from bench.soak.documents import HOST, KEY, TEMPORARY_KEY, TIMEOUT_MS
+from bench.soak.documents import CRASHING_PREFIX, HOST, KEY, TEMPORARY_KEY, TIMEOUT_MS
 
 if TYPE_CHECKING:
     from bench.soak.deployment import Deployment
@@ -19,6 +19,13 @@
 PATHS = ("/draft/1", "/pay/1", "/look/1")
 EVENT_COUNT_RANGE = (5, 60)
 MAX_PAUSE_S = 0.05
+# Body of a call that many callers send.
+COMMON_BODY = b"common"
+COMMON_SHARE = 0.3
+RESEND_INTERVAL_S = 0.2
+# A crashing request is sent again until this long after it crashed three servers.
+RESEND_DURATION_S = 8.0
+MAX_RESENDS = 75
 # A caller waits 1 s longer than the deadline that it sends.
 CALLER_TIMEOUT_S = TIMEOUT_MS / 1000 + 1
 _CLIENT_TIMEOUT = aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S)
@@ -42,6 +49,8 @@
     is_complete: bool
     # Number of events that the request asked for; plain calls ignore it.
     events: int
+    # The body that was sent, where it is not the request's id.
+    sent_body: bytes = b""
 
 
 class Callers:
@@ -60,6 +69,8 @@
         self.random = Random(seed)
         self.count = count
         self.records: list[RequestRecord] = []
+        # Requests with a crashing body, by that body, in the order of sending.
+        self.crash_resends: dict[bytes, list[str]] = {}
         self.request_numbers = itertools.count(1)
         self.stopping = False
         self.tasks: list[asyncio.Task[None]] = []
@@ -98,11 +109,32 @@
             while not self.stopping:
                 path = self.random.choice(PATHS)
                 key = self.random.choice((KEY, KEY, KEY, TEMPORARY_KEY))
-                answer = await self.send_request(http, gateway, path, key)
+                is_common = path == PATHS[2] and self.random.random() < COMMON_SHARE
+                body = COMMON_BODY if is_common else b""
+                answer = await self.send_request(http, gateway, path, key, body=body)
                 # After a refusal, the caller pauses up to four times as long.
                 pause_s = MAX_PAUSE_S if answer.status == 200 else 4 * MAX_PAUSE_S
                 await asyncio.sleep(pause_s * self.random.random())
 
+    async def send_crashing_request(self, number: int) -> None:
+        """Send a request that crashes backend servers, again through every gateway."""
+        body = CRASHING_PREFIX + str(number).encode()
+        path = PATHS[number % len(PATHS)]
+        resends = self.crash_resends[body] = []
+        crash_times_s = self.deployment.group.crash_times_s
+        loop = asyncio.get_running_loop()
+        async with aiohttp.ClientSession(timeout=_CLIENT_TIMEOUT) as http:
+            for count in range(MAX_RESENDS):
+                gateway = (number + count) % self.deployment.gateway_count
+                answer = await self.send_request(http, gateway, path, body=body)
+                resends.append(answer.request)
+                await asyncio.sleep(RESEND_INTERVAL_S)
+                if (
+                    len(crash_times_s) >= 3
+                    and loop.time() > crash_times_s[2] + RESEND_DURATION_S
+                ):
+                    return
+
     async def send_request(
         self,
         http: aiohttp.ClientSession,
@@ -110,11 +142,14 @@
         path: str,
         key: str = KEY,
         events: int = 0,
+        body: bytes = b"",
     ) -> RequestRecord:
         """Send one request without retries, and record its answer.
 
-        With no events given, their number is drawn at random.
+        With no events given, their number is drawn at random. Without a body, the
+        request's id is sent.
         """
+        sent_body = body
         request = f"{next(self.request_numbers):016x}"
         events = events or self.random.randint(*self.event_count_range)
         headers = {
@@ -130,7 +165,8 @@
         body = b""
         try:
             # aiohttp does not retry a POST by itself.
-            async with http.post(url, headers=headers, data=request) as answer:
+            data = sent_body or request.encode()
+            async with http.post(url, headers=headers, data=data) as answer:
                 status = answer.status
                 echoed_request = answer.headers.get("Yuccareach-Request-Id", "")
                 retry_after = answer.headers.get("Retry-After", "")
@@ -152,6 +188,7 @@
             body,
             is_complete,
             events,
+            sent_body,
         )
         self.records.append(record)
         return record
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -12,7 +12,7 @@
 import aiohttp
 import yaml
 
-from bench.soak.documents import MODEL_SERVICE, PLAIN_SERVICE
+from bench.soak.documents import CRASHING_PREFIX, MODEL_SERVICE, PLAIN_SERVICE
 from bench.soak.runners import SoakRunner
 from yuccareach.platform.settings import SETTINGS_VARIABLE
 from yuccareach.platform.standin import Group
@@ -52,6 +52,7 @@
         # Number of `started` events in a program's log from before its present process.
         self.earlier_starts_by_program: dict[Program, int] = {}
         self.group = Group(LAYERS)
+        self.group.crashing_prefix = CRASHING_PREFIX
         self.runners: list[SoakRunner] = []
         self.runners_started = 0
         # Whether the control cluster exists, so that no instance may bootstrap another.
@@ -97,11 +98,25 @@
         self.runners_started += 1
         name = f"i-{self.runners_started:04}"
         runner = SoakRunner(self.group, name, service, zone, kind)
+        runner.replace = self.replace_crashed
         await runner.start()
         runner.start_heartbeats(self.control_addresses)
         self.runners.append(runner)
         return runner
 
+    async def replace_crashed(self, runner: SoakRunner) -> None:
+        """Crash a backend server, and start a replacement unless it has one."""
+        has_replacement, runner.draining = runner.draining, True
+        await runner.close()
+        if not has_replacement:
+            await self.replace(runner)
+
+    async def replace(self, runner: SoakRunner) -> None:
+        """Start a replacement of a backend server that is draining or has crashed."""
+        runner.draining = True
+        replacement = await self.add_runner(runner.service, runner.zone, runner.kind)
+        replacement.layers = runner.layers
+
     async def launch(self, program: Program) -> None:
         """Start a process that appends to its log in the folder."""
         settings = self._write_settings(program.instance)
--- a/bench/soak/documents.py
+++ b/bench/soak/documents.py
@@ -14,6 +14,8 @@
 TEMPORARY_KEY = "key-that-goes"
 TEMPORARY_WORKSPACE = "passing"
 TIMEOUT_MS = 6_000
+# Bodies with this prefix crash the backend servers that run them.
+CRASHING_PREFIX = b"crashing-"
 
 
 def _make_route(prefix: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
@@ -72,6 +74,7 @@
 
 
 __all__ = [
+    "CRASHING_PREFIX",
     "HOST",
     "KEY",
     "MODEL_SERVICE",
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from bench.soak.callers import Callers
     from bench.soak.deployment import Deployment
-    from bench.soak.runners import SoakRunner
 
 LINK_FAULTS = (
     Faults(cut=True),
@@ -33,6 +33,8 @@
 GATEWAY_FAULT_KINDS = ("gateway_kill", "gateway_term", "gateway_pause")
 CONTROL_FAULT_KINDS = ("control_kill", "control_term", "control_pause", "control_wipe")
 RUNNER_FAULT_KINDS = ("runner_link", "runner_crash", "runner_drain")
+# Requests that crash the backend servers that run them, sent again and again.
+CRASHING_REQUESTS = 1
 # Targets are drawn below this number. It exceeds the number of processes of any role.
 MAX_TARGETS = 300
 
@@ -89,14 +91,20 @@
         start_s += (
             length_s + CONTROL_CATCH_UP_S + rng.uniform(0, CONTROL_CATCH_UP_S / 2)
         )
+    # Drawn last, so that the other faults of earlier seeds stay as they were.
+    for _ in range(CRASHING_REQUESTS):
+        start_s = rng.uniform(0, duration_s / 2)
+        target = rng.randrange(MAX_TARGETS)
+        faults.append(ScheduledFault(start_s, "caller_crash", target, 0.0))
     return sorted(faults)
 
 
 class Injector:
     """Injects the faults of a schedule and records them."""
 
-    def __init__(self, deployment: Deployment) -> None:
+    def __init__(self, deployment: Deployment, callers: Callers) -> None:
         self.deployment = deployment
+        self.callers = callers
         self.injected_faults: list[InjectedFault] = []
         # Programs with a fault at present. Another fault of the same program is
         # skipped.
@@ -115,6 +123,13 @@
 
     async def _inject(self, fault: ScheduledFault) -> None:
         role, _, action = fault.kind.partition("_")
+        if role == "caller":
+            started_s = time.monotonic()
+            await self.callers.send_crashing_request(fault.target)
+            self.injected_faults.append(
+                InjectedFault(action, Program("runner", 0), started_s, time.monotonic())
+            )
+            return
         if role == "runner":
             started_s = time.monotonic()
             await self._inject_runner_fault(action, fault)
@@ -181,20 +196,9 @@
             await asyncio.sleep(fault.duration_s)
             runner.set_link_faults(Faults())
         elif action == "crash":
-            await self._replace_runner(runner, crash=True)
+            await self.deployment.replace_crashed(runner)
         else:
-            await self._replace_runner(runner, crash=False)
-
-    async def _replace_runner(self, runner: SoakRunner, *, crash: bool) -> None:
-        """Crash or drain a backend server and start a replacement."""
-        deployment = self.deployment
-        runner.draining = True
-        if crash:
-            await runner.stop()
-        replacement = await deployment.add_runner(
-            runner.service, runner.zone, runner.kind
-        )
-        replacement.layers = runner.layers
+            await self.deployment.replace(runner)
 
 
 __all__ = ["InjectedFault", "Injector", "ScheduledFault", "make_schedule"]
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -6,14 +6,14 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from bench.soak.deployment import Program
-from bench.soak.documents import TEMPORARY_WORKSPACE
+from bench.soak.documents import CRASHING_PREFIX, TEMPORARY_WORKSPACE
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from bench.soak.callers import RequestRecord
     from bench.soak.faults import InjectedFault
-    from bench.soak.runners import SoakRunner
+    from bench.soak.runners import Arrival, SoakRunner
 
 # HTTP statuses which state that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -21,6 +21,13 @@
 # after its drain was acknowledged, and a workspace after the removal of its key was.
 MAX_DRAIN_DELAY_S = 2.5
 MAX_REVOCATION_DELAY_S = 5.0
+# The platform's bounds on a request that has crashed MAX_CRASHES backend servers: after
+# this time, this many of its retries may still reach one.
+MAX_CRASHES = 3
+MAX_QUARANTINE_DELAY_S = 3.0
+MAX_LATE_RETRIES = 3
+# Refusals for want of capacity or of a view ask for a retry within this time.
+MAX_RETRY_AFTER_S = 10.0
 # A request may still fail because of a fault that ended this long before.
 MAX_FAULT_EFFECT_DELAY_S = 1.0
 
@@ -35,6 +42,8 @@
     injected_faults: list[InjectedFault]
     # When the removal of the temporary key was acknowledged, or None.
     revoked_s: float | None
+    # Ids of the requests that carried each crashing body, in the order of sending.
+    crash_resends: dict[bytes, list[str]] = {}
 
 
 def find_violations(
@@ -44,7 +53,14 @@
 
     Without check_time_bounds, bounds in seconds are not checked.
     """
-    checks = [_check_answers, _check_refusals, _check_run_once, _check_shutdowns]
+    checks = [
+        _check_answers,
+        _check_refusals,
+        _check_run_once,
+        _check_shutdowns,
+        _check_crashing_requests,
+        _check_quarantined_requests,
+    ]
     if check_time_bounds:
         checks += [_check_drains, _check_revocation]
     return [violation for check in checks for violation in check(observations)]
@@ -65,7 +81,9 @@
             yield f"{record.request} got the answer to {record.echoed_request}"
         if record.path.startswith("/draft/"):
             yield from _check_stream(record)
-        elif record.is_complete and record.body != record.request.encode():
+        elif record.is_complete and record.body != (
+            record.sent_body or record.request.encode()
+        ):
             yield f"{record.request} got the wrong body {record.body[:40]!r}"
 
 
@@ -180,6 +198,56 @@
             yield f"{record.request} was interrupted by a gateway's shutdown"
 
 
+def _check_crashing_requests(observations: Observations) -> Iterator[str]:
+    """Check that a request that crashed backend servers is not sent to more of them.
+
+    Not counted are retries during a fault of control or of the gateway that sent them,
+    and shortly after: it may not have received the others' counts.
+    """
+    arrival_by_request: dict[str, Arrival] = {}
+    for runner in observations.runners:
+        for arrival in runner.arrivals:
+            arrival_by_request.setdefault(arrival.request, arrival)
+    record_by_request = {record.request: record for record in observations.records}
+    ran = set(observations.runs)
+    for body, resends in observations.crash_resends.items():
+        arrivals = [arrival_by_request[item] for item in resends if item in ran]
+        if len(arrivals) < MAX_CRASHES:
+            continue
+        third_s = arrivals[MAX_CRASHES - 1].received_s
+        late = [
+            arrival.request
+            for arrival in arrivals
+            if arrival.received_s > third_s + MAX_QUARANTINE_DELAY_S
+            and not _was_out_of_touch(
+                observations, record_by_request[arrival.request], arrival.received_s
+            )
+        ]
+        if len(late) > MAX_LATE_RETRIES:
+            yield f"{body!r} reached backend servers in {len(late)} late retries"
+
+
+def _was_out_of_touch(
+    observations: Observations, record: RequestRecord, received_s: float
+) -> bool:
+    """Return whether control or a request's gateway had a fault then or just before."""
+    return any(
+        fault.program.role == "control"
+        or fault.program == Program("gateway", record.gateway)
+        for fault in observations.injected_faults
+        if fault.started_s < received_s < fault.ended_s + MAX_QUARANTINE_DELAY_S
+    )
+
+
+def _check_quarantined_requests(observations: Observations) -> Iterator[str]:
+    """Check that only requests which crash backend servers are refused for long."""
+    for record in observations.records:
+        if record.sent_body.startswith(CRASHING_PREFIX) or not record.retry_after:
+            continue
+        if float(record.retry_after) > MAX_RETRY_AFTER_S:
+            yield f"{record.request} is told to retry after {record.retry_after} s"
+
+
 def _find_fault_kinds_during(
     observations: Observations, record: RequestRecord, program: Program
 ) -> set[str]:
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -134,8 +134,8 @@
     """Run one seed and check every guarantee."""
     deployment = Deployment(folder, plan.control_count, plan.gateway_count)
     operator = Operator(deployment, plan)
-    injector = Injector(deployment)
     callers = Callers(deployment, plan.seed + 2, plan.caller_count)
+    injector = Injector(deployment, callers)
     faults = make_schedule(plan.seed, plan.duration_s, FAULTS_PER_S, plan.control_count)
     violations = []
     timeout = aiohttp.ClientTimeout(total=SCRAPE_TIMEOUT_S)
@@ -157,6 +157,7 @@
         deployment.group.executed_request_ids,
         injector.injected_faults,
         operator.revoked_s,
+        callers.crash_resends,
     )
     violations += [*operator.violations, *injector.shutdown_failures]
     return SeedResult(
--- a/bench/soak/runners.py
+++ b/bench/soak/runners.py
@@ -12,7 +12,7 @@
 from yuccareach.standin.proxy import Faults, ProxyProcess
 
 if TYPE_CHECKING:
-    from collections.abc import Sequence
+    from collections.abc import Awaitable, Callable, Sequence
 
 HOST = "127.0.0.1"
 HEARTBEAT_INTERVAL_S = 0.4
@@ -38,6 +38,9 @@
         self.event_interval_s = EVENT_INTERVAL_S
         self.heartbeat_interval_s = HEARTBEAT_INTERVAL_S
         self.arrivals: list[Arrival] = []
+        self.is_closed = False
+        # Replaces this server after its crash; set by the deployment.
+        self.replace: Callable[[SoakRunner], Awaitable[None]] | None = None
         self.drain_acknowledged_s: float | None = None
         self.heartbeat_task: asyncio.Task[None] | None = None
 
@@ -50,12 +53,20 @@
         self.address = self.proxy.address
         self.group.runner_by_address[self.address] = self
 
-    async def stop(self) -> None:
-        """Stop without reporting the departure, as a crash would."""
+    async def close(self) -> None:
+        """Close the proxy as well, and stop to send heartbeats."""
+        if self.is_closed:
+            return
+        self.is_closed = True
         if self.heartbeat_task is not None:
             self.heartbeat_task.cancel()
         await self.proxy.stop()
-        await super().stop()
+        await super().close()
+
+    async def _crash_and_restart(self) -> None:
+        """Crash, and let the deployment start a replacement."""
+        assert self.replace is not None
+        await self.replace(self)
 
     def start_heartbeats(self, control: Sequence[str]) -> None:
         """Start to send heartbeats in the background."""
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,10 +12,12 @@
 
 from bench.soak.callers import RequestRecord
 from bench.soak.deployment import Program
-from bench.soak.documents import KEY, TEMPORARY_WORKSPACE
+from bench.soak.documents import CRASHING_PREFIX, KEY, TEMPORARY_WORKSPACE
 from bench.soak.faults import InjectedFault, make_schedule
 from bench.soak.promises import (
     MAX_DRAIN_DELAY_S,
+    MAX_LATE_RETRIES,
+    MAX_QUARANTINE_DELAY_S,
     MAX_REVOCATION_DELAY_S,
     Observations,
     find_violations,
@@ -106,6 +108,44 @@
         observations = {"runners": [runner], "revoked_s": 10.0}
         self.assertEqual(len(self.check_records(make_record(), **observations)), 1)
 
+    def check_crashing_request(self, late_retries: int, **fields: Any) -> list[str]:
+        """Return the violations if so many retries arrive after the bound."""
+        third_s = 2.0
+        late_s = third_s + MAX_QUARANTINE_DELAY_S + 0.1
+        times_s = [0.0, 1.0, third_s, *[late_s] * late_retries]
+        requests = [f"r{number}" for number in range(len(times_s))]
+        runner = mock.Mock(drain_acknowledged_s=None)
+        runner.arrivals = [
+            Arrival(received_s, request, "")
+            for received_s, request in zip(times_s, requests, strict=True)
+        ]
+        records = [
+            make_record(request=request, status=502, sent_body=CRASHING_PREFIX)
+            for request in requests
+        ]
+        return self.check_records(
+            *records,
+            runners=[runner],
+            runs=requests,
+            crash_resends={CRASHING_PREFIX: requests},
+            **fields,
+        )
+
+    def test_crashing_request_that_is_sent_on(self) -> None:
+        self.assertEqual(self.check_crashing_request(MAX_LATE_RETRIES), [])
+        self.assertEqual(len(self.check_crashing_request(MAX_LATE_RETRIES + 1)), 1)
+        fault = InjectedFault("kill", Program("gateway", 0), 4.0, 5.0)
+        violations = self.check_crashing_request(
+            MAX_LATE_RETRIES + 1, injected_faults=[fault]
+        )
+        self.assertEqual(violations, [])
+
+    def test_long_refusal_of_a_request_that_crashes_nothing(self) -> None:
+        refused = make_record(status=503, retry_after="600", body=b"")
+        self.assertEqual(len(self.check_records(refused)), 1)
+        crashing = refused._replace(sent_body=CRASHING_PREFIX + b"1")
+        self.assertEqual(self.check_records(crashing), [])
+
     def test_request_interrupted_by_shutdown(self) -> None:
         unanswered = make_record(
             status=0, echoed_request="", body=b"", is_complete=False
