--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -110,7 +110,7 @@
         """Return the incarnations that enough entries recently reported unreachable.
 
         A single report is not enough, since the entry itself may be slow or cut off,
-        unless there is only one entry.
+        unless there is known to be only one entry.
         """
         self.unreachable_ms_by_incarnation = {
             incarnation: recent
@@ -123,7 +123,8 @@
                 }
             )
         }
-        needed = min(MIN_UNREACHABLE_REPORTS, max(1, len(self.report_by_entry)))
+        entry_count = self.count_entries(now_ms)
+        needed = 1 if entry_count == 1 else MIN_UNREACHABLE_REPORTS
         return {
             incarnation
             for incarnation, reports in self.unreachable_ms_by_incarnation.items()
