--- a/src/yuccareach/agent/engine_client.py
+++ b/src/yuccareach/agent/engine_client.py
@@ -18,6 +18,7 @@
 from yuccareach.proto.engine_pb2_grpc import EngineStub
 from yuccareach.runtime.links import CHANNEL_OPTIONS
 from yuccareach.runtime.streams import NewestStreamSignal
+from yuccareach.runtime.tasks import cancel_tasks
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -89,9 +90,7 @@
 
     async def close(self) -> None:
         """Close the connection."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_tasks(self.tasks)
 
 
 __all__ = ["EngineClient"]
--- a/src/yuccareach/control/client.py
+++ b/src/yuccareach/control/client.py
@@ -14,6 +14,7 @@
 from yuccareach.proto.control_pb2_grpc import ControlStub
 from yuccareach.runtime.links import CHANNEL_OPTIONS
 from yuccareach.runtime.streams import NewestStreamSignal
+from yuccareach.runtime.tasks import cancel_tasks
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -172,9 +173,7 @@
 
     async def close(self) -> None:
         """End the streams and close the channels."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_tasks(self.tasks)
         for channel in self.channel_by_address.values():
             await channel.close()
 
--- a/src/yuccareach/control/peers.py
+++ b/src/yuccareach/control/peers.py
@@ -11,6 +11,7 @@
 from yuccareach.proto.control_pb2_grpc import ControlStub
 from yuccareach.runtime.links import CHANNEL_OPTIONS
 from yuccareach.runtime.streams import NewestStreamSignal
+from yuccareach.runtime.tasks import cancel_tasks
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -126,10 +127,9 @@
 
     async def close(self) -> None:
         """Close all streams."""
-        tasks = [box.task for box in self.outbox_by_address.values() if box.task]
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(
+            box.task for box in self.outbox_by_address.values() if box.task
+        )
 
 
 __all__ = ["PeerStreams"]
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -42,6 +42,7 @@
 from yuccareach.runtime.process import new_incarnation
 from yuccareach.runtime.reducer import Tick, monotonic_ms, wall_clock_ms
 from yuccareach.runtime.rpc import listen
+from yuccareach.runtime.tasks import cancel_tasks
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -417,9 +418,7 @@
 
     async def stop(self) -> None:
         """Stop the tasks and listeners and close the store."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_tasks(self.tasks)
         await self.http.stop()
         await self.server.stop(0.2)
         await self.peers.close()
--- a/src/yuccareach/entry/run.py
+++ b/src/yuccareach/entry/run.py
@@ -34,6 +34,7 @@
 from yuccareach.runtime.logs import Log, logger, write_log
 from yuccareach.runtime.process import new_incarnation
 from yuccareach.runtime.reducer import Dispatcher, wall_clock_ms
+from yuccareach.runtime.tasks import cancel_tasks
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Mapping
@@ -191,9 +192,7 @@
     async def stop(self) -> None:
         """Stop the HTTP server and close all connections."""
         await self.http.stop()
-        self.loss_report_task.cancel()
-        for task in self.background_tasks:
-            task.cancel()
+        await cancel_tasks([self.loss_report_task, *self.background_tasks])
         await self.dispatcher.stop_ticks()
         await self.control.close()
         await self.links.close()
--- a/src/yuccareach/gateway/run.py
+++ b/src/yuccareach/gateway/run.py
@@ -13,6 +13,7 @@
 from yuccareach.gateway.state import Gateway, GatewaySettings
 from yuccareach.gateway.table import Limits
 from yuccareach.gateway.view import ViewPoller
+from yuccareach.runtime.tasks import cancel_tasks
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -136,9 +137,7 @@
 
     async def stop(self) -> None:
         """Stop the background tasks and close all connections."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await cancel_tasks(self.tasks)
         await self.caller_server.stop()
         await self.monitoring_server.stop()
         await self.view_poller.close()
--- a/src/yuccareach/platform/run_control.py
+++ b/src/yuccareach/platform/run_control.py
@@ -16,6 +16,7 @@
 from yuccareach.platform.orders import send_place_order
 from yuccareach.platform.process import run_process
 from yuccareach.platform.settings import ProcessSettings, load_settings
+from yuccareach.runtime.tasks import cancel_tasks
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -78,8 +79,7 @@
     async def stop(self) -> None:
         """Stop placing layers and serving, and release all resources."""
         if self.placement_task is not None:
-            self.placement_task.cancel()
-            await asyncio.gather(self.placement_task, return_exceptions=True)
+            await cancel_tasks([self.placement_task])
         await self.process.stop()
 
 
--- a/src/yuccareach/runtime/links.py
+++ b/src/yuccareach/runtime/links.py
@@ -9,6 +9,7 @@
 
 from yuccareach.proto import data_pb2 as pb
 from yuccareach.proto.data_pb2_grpc import DataServicer, DataStub
+from yuccareach.runtime.tasks import cancel_tasks
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
@@ -213,10 +214,7 @@
 
     async def close(self) -> None:
         """End every outgoing stream."""
-        tasks = list(self.task_by_address.values())
-        for task in tasks:
-            task.cancel()
-        await asyncio.gather(*tasks, return_exceptions=True)
+        await cancel_tasks(self.task_by_address.values())
 
 
 __all__ = [
--- /dev/null
+++ b/tests/runtime/test_tasks.py
@@ -0,0 +1,43 @@
+"""Tests of ending background tasks."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+from yuccareach.runtime.tasks import cancel_tasks
+
+TIMEOUT_S = 5.0
+
+
+class CancelTasksTests(unittest.IsolatedAsyncioTestCase):
+    async def test_task_that_lost_its_cancellation_to_an_error_is_ended(self) -> None:
+        # Guards against a process that never stopped: its engine's channel failed as it
+        # was cancelled, and the client paused and connected again.
+        has_failed = False
+
+        async def _stay_connected() -> None:
+            nonlocal has_failed
+            while True:
+                try:
+                    await asyncio.sleep(60)
+                except asyncio.CancelledError:
+                    if has_failed:
+                        raise
+                    has_failed = True
+
+        task = asyncio.create_task(_stay_connected())
+        await asyncio.sleep(0)
+        async with asyncio.timeout(TIMEOUT_S):
+            await cancel_tasks([task])
+        self.assertTrue(has_failed)
+        self.assertTrue(task.cancelled())
+
+    async def test_tasks_that_have_ended_are_not_waited_for(self) -> None:
+        async def _fail() -> None:
+            raise ValueError
+
+        task = asyncio.create_task(_fail())
+        await asyncio.gather(task, return_exceptions=True)
+        await cancel_tasks([task])
+        self.assertFalse(task.cancelled())
