--- a/src/yuccareach/gateway/probes.py
+++ b/src/yuccareach/gateway/probes.py
@@ -127,18 +127,19 @@
 async def _try_to_connect(backend: Backend) -> ProbeResult:
     """Try to connect to a server; a connection that is made is kept for requests.
 
-    The result is unknown if the timeout fired far too late, since then this process
-    itself was delayed.
+    The result is unknown if a timeout fired far too late and no later attempt had a
+    result, since this process itself was delayed then.
     """
     loop = asyncio.get_running_loop()
+    was_delayed = False
     for _ in range(MAX_CONNECT_ATTEMPTS):
         started_s = loop.time()
         try:
             async with asyncio.timeout(CONNECT_TIMEOUT_S):
                 connection = await backend.pool.connect()
         except TimeoutError:
-            if loop.time() - started_s > CONNECT_TIMEOUT_S + TIMER_DELAY_THRESHOLD_S:
-                return ProbeResult.UNKNOWN
+            elapsed_s = loop.time() - started_s
+            was_delayed |= elapsed_s > CONNECT_TIMEOUT_S + TIMER_DELAY_THRESHOLD_S
             continue
         except ConnectionRefusedError:
             return ProbeResult.REFUSED
@@ -146,7 +147,7 @@
             return ProbeResult.SILENT
         backend.pool.add_unused(connection)
         return ProbeResult.REACHABLE
-    return ProbeResult.SILENT
+    return ProbeResult.UNKNOWN if was_delayed else ProbeResult.SILENT
 
 
 __all__ = [
--- a/tests/gateway/test_probes.py
+++ b/tests/gateway/test_probes.py
@@ -53,6 +53,24 @@
 
         self.assertEqual(await self.find_lost(_delay_process), [])
 
+    async def test_refusal_after_a_delay_of_this_process_is_a_loss(self) -> None:
+        # Guards against a crashed stage that stayed in its chains: its refusal came
+        # while this process was delayed, and the probe was not repeated.
+        attempts = 0
+
+        async def _delay_process_once() -> None:
+            nonlocal attempts
+            attempts += 1
+            if attempts > 1:
+                raise ConnectionRefusedError
+            asyncio.get_running_loop().call_soon(
+                time.sleep,
+                probes.CONNECT_TIMEOUT_S + 5 * probes.TIMER_DELAY_THRESHOLD_S,
+            )
+            await asyncio.sleep(10)
+
+        self.assertEqual(await self.find_lost(_delay_process_once), [self.backend])
+
     async def test_recently_probed_stage_is_not_probed_again(self) -> None:
         connect = mock.AsyncMock(side_effect=ConnectionRefusedError)
         await self.find_lost(connect)
