--- a/src/yuccareach/gateway/http_server.py
+++ b/src/yuccareach/gateway/http_server.py
@@ -369,6 +369,11 @@
             if connection.is_idle:
                 connection.transport.close()
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request is being received or served on any connection."""
+        return any(not connection.is_idle for connection in self.connections)
+
     async def stop(self) -> None:
         """Close all listeners and connections."""
         self.close_listeners()
--- a/src/yuccareach/gateway/run.py
+++ b/src/yuccareach/gateway/run.py
@@ -26,6 +26,9 @@
 # which are 1 s apart.
 ROTATION_EXIT_DELAY_S = 2.6
 DRAIN_CHECK_INTERVAL_S = 0.05
+# Connections that were accepted before the listeners closed are registered within this
+# time.
+REGISTRATION_DELAY_S = 0.2
 # Part of the grace period that is reserved for closing connections and channels.
 GRACE_MARGIN_S = 0.5
 
@@ -130,10 +133,12 @@
         deadline_s = gateway.now() + gateway.settings.grace_period_s - GRACE_MARGIN_S
         await asyncio.sleep(ROTATION_EXIT_DELAY_S)
         self.caller_server.close_listeners()
-        self.caller_server.close_idle()
-        while gateway.active_requests and gateway.now() < deadline_s:
-            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
+        registered_s = gateway.now() + REGISTRATION_DELAY_S
+        while gateway.now() < deadline_s:
             self.caller_server.close_idle()
+            if gateway.now() > registered_s and not self.caller_server.is_busy:
+                return
+            await asyncio.sleep(DRAIN_CHECK_INTERVAL_S)
 
     async def stop(self) -> None:
         """Stop the background tasks and close all connections."""
