--- a/src/yuccareach/gateway/probes.py
+++ b/src/yuccareach/gateway/probes.py
@@ -28,6 +28,8 @@
 # A timer that fires this much too late shows that this process itself was delayed, for
 # instance for lack of processor time.
 TIMER_DELAY_THRESHOLD_S = 0.02
+# Time to read an answer that came while this process was delayed.
+LATE_ANSWER_TIMEOUT_S = 0.01
 # The result of a probe stays valid for this long.
 PROBE_INTERVAL_S = 0.12
 # A server that accepted no connection is probed again after this long.
@@ -134,19 +136,24 @@
     was_delayed = False
     for _ in range(MAX_CONNECT_ATTEMPTS):
         started_s = loop.time()
+        attempt = asyncio.ensure_future(backend.pool.connect())
         try:
-            async with asyncio.timeout(CONNECT_TIMEOUT_S):
-                connection = await backend.pool.connect()
-        except TimeoutError:
+            await asyncio.wait((attempt,), timeout=CONNECT_TIMEOUT_S)
             elapsed_s = loop.time() - started_s
-            was_delayed |= elapsed_s > CONNECT_TIMEOUT_S + TIMER_DELAY_THRESHOLD_S
-            continue
+            is_late = elapsed_s > CONNECT_TIMEOUT_S + TIMER_DELAY_THRESHOLD_S
+            if is_late and not attempt.done():
+                # An answer that came during the delay has not been read yet.
+                await asyncio.wait((attempt,), timeout=LATE_ANSWER_TIMEOUT_S)
+            if attempt.done():
+                backend.pool.add_unused(attempt.result())
+                return ProbeResult.REACHABLE
         except ConnectionRefusedError:
             return ProbeResult.REFUSED
         except OSError:
             return ProbeResult.SILENT
-        backend.pool.add_unused(connection)
-        return ProbeResult.REACHABLE
+        finally:
+            attempt.cancel()
+        was_delayed |= is_late
     return ProbeResult.UNKNOWN if was_delayed else ProbeResult.SILENT
 
 
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -64,6 +64,8 @@
         self.excluded_incarnations: set[str] = set()
         # What the loss of a stage of the current chain is counted by.
         self.loss_attempt = start_attempt(gateway, admitted)
+        # The server that the last refusal names, if it is not the one that refused.
+        self.named_backend: Backend | None = None
         # Whether the current attempt has lost a later stage.
         self.later_stage_lost = False
         self.attempts = 0
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -32,7 +32,7 @@
     record_answer,
     start_attempt,
 )
-from yuccareach.gateway.probes import probe_backends
+from yuccareach.gateway.probes import probe_backend
 from yuccareach.gateway.sse import EventSplitter
 from yuccareach.gateway.stream_run import StreamRun, format_chain, to_dialect_stages
 
@@ -115,6 +115,10 @@
             return _end_unserved(run, True, 504, "deadline")
         if result is AttemptResult.NOT_RUN:
             run.queue.withdraw_grant(run.tokens)
+            if run.named_backend is not None:
+                # The refusal does not tell whether the named server is full or gone.
+                await probe_backend(run.gateway, run.named_backend)
+                run.named_backend = None
             refusals += 1
             if refusals >= MAX_REFUSALS and not run.reply.has_started:
                 return _end_unserved(run, may_have_run, 502, "full")
@@ -375,8 +379,7 @@
     else:
         faulty.record_refusal(now_s)
         if faulty is not backend_request.backend:
-            # The refusal does not tell whether the named server is full or gone.
-            run.gateway.start_background_task(probe_backends(run.gateway, [faulty]))
+            run.named_backend = faulty
 
 
 def _log_attempt(run: StreamRun, chain: Chain) -> None:
