--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -17,6 +17,7 @@
 
 DATA_PATH = Path("docs/capacity/slopes.json")
 GATEWAY_DATA_PATH = Path("docs/capacity/gateway.json")
+LOSSES_DATA_PATH = Path("docs/capacity/losses.json")
 PAGE_PATH = Path("docs/CAPACITY.md")
 PLOTS_FOLDER = Path("docs/capacity")
 MAX_FIT_ERROR = 0.2
@@ -344,6 +345,7 @@
     yield from _render_roles(fits)
     yield from _render_failures(fits)
     yield from _render_gateway()
+    yield from _render_losses()
     yield from _render_slopes(data, fits)
 
 
@@ -462,6 +464,54 @@
     yield ""
 
 
+def _render_losses() -> Iterator[str]:
+    """Yield the lines on the counts of backend servers lost under a request."""
+    cost = json.loads(LOSSES_DATA_PATH.read_text(encoding="utf-8"))
+    request_s = TOKENS_PER_S / REQUESTS_PER_S * MAX_BETWEEN_TOKENS_MS / 1000
+    requests_per_runner = REQUESTS_PER_S * request_s * STAGE_COUNT / RUNNER_COUNT
+    # Each request that a lost runner was running is counted, and answered later.
+    changes_per_crash = 2 * requests_per_runner
+    zone_requests = requests_per_runner * RUNNER_COUNT / ZONE_COUNT
+    zone_bytes = 2 * zone_requests * cost["bytes_in_view"]
+    zone_leader_s = 2 * zone_requests * cost["send_us"] * NODE_COUNT / 1e6
+    yield "## Counts of lost backend servers"
+    yield ""
+    yield "| what | for one change | a crash | a zone | the most that is kept |"
+    yield "| --- | --- | --- | --- | --- |"
+    yield (
+        f"| to each entry or gateway | {cost['bytes_in_view']:.0f} bytes | "
+        f"{changes_per_crash * cost['bytes_in_view'] / 1000:.1f} KB | "
+        f"{zone_bytes / 1000:.0f} KB | "
+        f"{cost['counts'] * cost['bytes_in_view'] / 1000:.0f} KB |"
+    )
+    yield (
+        f"| in the log | {cost['bytes_in_log']:.0f} bytes | "
+        f"{changes_per_crash * cost['bytes_in_log'] / 1000:.1f} KB | "
+        f"{2 * zone_requests * cost['bytes_in_log'] / 1000:.0f} KB | snapshot: "
+        f"{cost['counts'] * cost['bytes_in_snapshot'] / 1000:.0f} KB |"
+    )
+    yield (
+        f"| leader, to {NODE_COUNT} of them | {cost['send_us']:.1f} µs each | "
+        f"{changes_per_crash * cost['send_us'] * NODE_COUNT / 1000:.0f} ms | "
+        f"{zone_leader_s:.0f} s of a core | |"
+    )
+    yield (
+        f"| entry or gateway | {cost['merge_us']:.1f} µs | "
+        f"{changes_per_crash * cost['merge_us'] / 1000:.2f} ms | "
+        f"{2 * zone_requests * cost['merge_us'] / 1000:.0f} ms | |"
+    )
+    yield ""
+    yield (
+        f"Worked out from `python -m bench.losses` for {requests_per_runner:.0f} "
+        "requests on each runner, all different; every one is counted once and reset "
+        f"by its answer. {FAILURES_PER_DAY} instances fail on a day. At rest there is "
+        "nothing to send. The loss of a zone breaks first: the leader encodes the same "
+        "changes anew for each view. It sends at most 1,000 counts with a view, so that "
+        "views stay short."
+    )
+    yield ""
+
+
 def _render_slopes(data: dict[str, Any], fits: dict[str, Fit]) -> Iterator[str]:
     """Yield the lines on the fits and the links to their plots."""
     yield "## Measured slopes"
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -316,8 +316,9 @@
             watcher.request.members
             and watcher.sent_loss_changes < self.machine.loss_changes
         ):
+            update.wall_ms = wall_clock_ms()
             update.losses.extend(
-                self.machine.losses_after(watcher.sent_loss_changes, wall_clock_ms())
+                self.machine.losses_after(watcher.sent_loss_changes, update.wall_ms)
             )
             watcher.sent_loss_changes = self.machine.loss_changes
         entry_count = len(self.find_watching_entries())
--- a/src/yuccareach/control/state_machine.py
+++ b/src/yuccareach/control/state_machine.py
@@ -325,25 +325,15 @@
     ) -> list[cpb.QuarantineRecord]:
         """Return the oldest quarantine records newer than a count of changes.
 
-        At most `limit` records are returned, each with its remaining time at the wall
-        clock's wall_ms. Expired records are left out.
+        At most `limit` records are returned. Those that have expired by the wall
+        clock's wall_ms are left out.
         """
         newer = itertools.takewhile(
             lambda record: record.change > change,
             reversed(self.quarantine_by_fingerprint.values()),
         )
         current = [record for record in newer if record.expires_ms > wall_ms]
-        return [
-            cpb.QuarantineRecord(
-                fingerprint=record.fingerprint,
-                expires_ms=record.expires_ms,
-                losses=record.losses,
-                change=record.change,
-                generation=record.generation,
-                remaining_ms=record.expires_ms - wall_ms,
-            )
-            for record in reversed(current[-limit:])
-        ]
+        return current[: -limit - 1 : -1]
 
     # Snapshots.
 
--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -277,7 +277,8 @@
     counts are added then.
     """
     after = known_change if known_change <= machine.loss_changes else 0
-    losses = machine.losses_after(after, wall_clock_ms(), MAX_LOSSES_PER_VIEW)
+    view.wall_ms = wall_clock_ms()
+    losses = machine.losses_after(after, view.wall_ms, MAX_LOSSES_PER_VIEW)
     is_last = len(losses) < MAX_LOSSES_PER_VIEW
     view.losses.extend(losses)
     view.loss_changes = machine.loss_changes if is_last else losses[-1].change
--- a/src/yuccareach/entry/quarantine.py
+++ b/src/yuccareach/entry/quarantine.py
@@ -15,8 +15,6 @@
 from yuccareach.quarantine.table import Attempt, LossCount
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
     from yuccareach.entry.events import CallRequested
     from yuccareach.entry.state import EntryState, PlainCall, Request
     from yuccareach.proto import control_pb2 as cpb
@@ -132,16 +130,9 @@
     return [ReportLosses(changes), *(reporting.build_log(item) for item in changes)]
 
 
-def merge_records(
-    state: EntryState, records: Iterable[cpb.QuarantineRecord], now: int
-) -> None:
+def merge_records(state: EntryState, update: cpb.WatchUpdate, now: int) -> None:
     """Merge the counts of all entries, as control reported them."""
-    for record in records:
-        count = LossCount(record.generation, record.losses)
-        remaining_ms = record.remaining_ms or table.compute_retention_ms(count)
-        table.merge_count(
-            state.quarantine, record.fingerprint, count, remaining_ms, now
-        )
+    reporting.merge_records(state.quarantine, update.losses, update.wall_ms, now)
 
 
 __all__ = [
--- a/src/yuccareach/entry/reducer.py
+++ b/src/yuccareach/entry/reducer.py
@@ -77,7 +77,7 @@
     effects = apply_push(state.settings, update.settings)
     effects += fleet.update_members(state, update)
     state.entry_count = update.entries or state.entry_count
-    quarantine.merge_records(state, update.losses, now)
+    quarantine.merge_records(state, update, now)
     if update.departed or update.members or update.members_snapshot:
         effects += quarantine.resolve_pending_losses(state, now)
         effects += recovery.handle_members_change(state, now)
--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.quarantine import reporting, table
-from yuccareach.quarantine.table import Attempt, LossCount
+from yuccareach.quarantine.table import Attempt
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -83,12 +83,9 @@
 
 def merge_view(gateway: Gateway, view: cpb.View) -> None:
     """Merge the counts of all gateways, as a view contains them."""
-    now_ms = gateway.now_ms()
-    for record in view.losses:
-        count = LossCount(record.generation, record.losses)
-        table.merge_count(
-            gateway.quarantine, record.fingerprint, count, record.remaining_ms, now_ms
-        )
+    reporting.merge_records(
+        gateway.quarantine, view.losses, view.wall_ms, gateway.now_ms()
+    )
     gateway.loss_changes = view.loss_changes
 
 
--- a/src/yuccareach/quarantine/reporting.py
+++ b/src/yuccareach/quarantine/reporting.py
@@ -13,13 +13,14 @@
     MAX_FINGERPRINTS,
     LossCount,
     compute_retention_ms,
+    merge_count,
 )
 from yuccareach.runtime.logs import Log
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Iterable
 
-    from yuccareach.quarantine.table import CountChange
+    from yuccareach.quarantine.table import CountChange, QuarantineTable
 
 RETRY_DELAY_S = 0.2
 MAX_REPORTS_PER_COMMAND = 500
@@ -91,6 +92,24 @@
     )
 
 
+def merge_records(
+    quarantine: QuarantineTable,
+    records: Iterable[cpb.QuarantineRecord],
+    wall_ms: int,
+    now_ms: int,
+) -> None:
+    """Merge the counts of all entries, as control sent them at its time wall_ms.
+
+    Control instances of earlier versions send no time; counts are kept anew then.
+    """
+    for record in records:
+        count = LossCount(record.generation, record.losses)
+        remaining_ms = (
+            record.expires_ms - wall_ms if wall_ms else compute_retention_ms(count)
+        )
+        merge_count(quarantine, record.fingerprint, count, remaining_ms, now_ms)
+
+
 def build_log(change: CountChange) -> Log:
     """Return the log line of a changed count."""
     fields = {
@@ -105,4 +124,4 @@
     return Log("loss_noted", fields | {"incarnation": change.incarnation})
 
 
-__all__ = ["LossReporter", "build_command", "build_log"]
+__all__ = ["LossReporter", "build_command", "build_log", "merge_records"]
--- a/tests/control/test_loss_counts.py
+++ b/tests/control/test_loss_counts.py
@@ -35,13 +35,17 @@
         self.report(b"a", 0, 3)
         self.assertEqual(self.read_counts(), [LossCount(1, 0)])
 
-    def test_readers_get_only_changes_that_they_lack_with_the_time_left(self) -> None:
+    def test_readers_get_only_changes_that_they_lack(self) -> None:
         self.report(b"a", 0, 1)
         change = self.machine.loss_changes
         self.report(b"b", 0, 1)
         (record,) = self.machine.losses_after(change, 61_000)
         self.assertEqual(record.fingerprint, b"b")
-        self.assertEqual(record.remaining_ms, QUARANTINE_MS - 60_000)
+        self.assertEqual(record.expires_ms, 1_000 + QUARANTINE_MS)
+
+    def test_expired_counts_are_not_sent(self) -> None:
+        self.report(b"a", 0, 1)
+        self.assertEqual(self.read_counts(wall_ms=1_000 + QUARANTINE_MS), [])
 
     def test_limited_reader_gets_the_oldest_changes_first(self) -> None:
         for fingerprint in (b"a", b"b", b"c"):
--- a/tests/quarantine/test_reporting.py
+++ b/tests/quarantine/test_reporting.py
@@ -7,11 +7,33 @@
 
 from yuccareach.control.errors import ControlUnavailable
 from yuccareach.proto import control_pb2 as cpb
-from yuccareach.quarantine.reporting import LossReporter
-from yuccareach.quarantine.table import CountChange, LossCount
+from yuccareach.quarantine.reporting import LossReporter, merge_records
+from yuccareach.quarantine.table import (
+    QUARANTINE_LOSS_THRESHOLD,
+    QUARANTINE_MS,
+    CountChange,
+    LossCount,
+    QuarantineTable,
+    compute_refusal_ms,
+    compute_retention_ms,
+)
 from yuccareach.runtime.logs import Log
 
 
+class MergeRecordsTests(unittest.TestCase):
+    def test_count_is_kept_as_long_as_control_keeps_it(self) -> None:
+        quarantine = QuarantineTable()
+        count = LossCount(0, QUARANTINE_LOSS_THRESHOLD)
+        expires_ms = 1_000 + compute_retention_ms(count)
+        record = cpb.QuarantineRecord(
+            fingerprint=b"a", expires_ms=expires_ms, losses=count.losses
+        )
+        merge_records(quarantine, [record], 61_000, 5_000)
+        self.assertEqual(
+            compute_refusal_ms(quarantine, b"a", 5_000), QUARANTINE_MS - 60_000
+        )
+
+
 def make_change(fingerprint: bytes, losses: int) -> CountChange:
     return CountChange(fingerprint, LossCount(0, losses), "r1", "w", "i")
 
