--- a/src/yuccareach/control/raft.py
+++ b/src/yuccareach/control/raft.py
@@ -26,6 +26,10 @@
 from yuccareach.runtime.reducer import Tick
 
 Effects = list[Any]
+# Kinds of command that carry the time at which the leader received them.
+_TIMED_COMMANDS = frozenset(
+    ("settings", "permit_acquire", "permit_finish", "lease", "quarantine", "losses")
+)
 
 
 def reduce(state: RaftState, event: Any, now: int, wall_ms: int = 0) -> Effects:
@@ -154,11 +158,6 @@
     return effects
 
 
-_TIMED_COMMANDS = frozenset(
-    ("settings", "permit_acquire", "permit_finish", "lease", "quarantine", "losses")
-)
-
-
 def _set_command_time(command: cpb.Command, wall_ms: int) -> None:
     """Set the command's time, which is the state machine's only clock."""
     kind = command.WhichOneof("body")
--- a/src/yuccareach/entry/calls.py
+++ b/src/yuccareach/entry/calls.py
@@ -116,7 +116,7 @@
     call.resend_at_ms = now + RESEND_INTERVAL_MS
     call.may_have_run = True
     if not is_resend:
-        call.loss_attempt = quarantine.start_call_attempt(state, call, now)
+        call.tracked_attempt = quarantine.start_call_attempt(state, call, now)
     message = pb.Call()
     message.CopyFrom(call.event.message)
     message.permit = call.permit
@@ -192,7 +192,7 @@
     if call is None or call.server is None or call.server.address != peer:
         return [IncrementCounter("late_replies", "unknown_call")]
     if message.outcome == pb.RAN:
-        effects = quarantine.record_answer(state, call.loss_attempt, now)
+        effects = quarantine.record_answer(state, call.tracked_attempt, now)
         return effects + _return_reply(state, call, message, now)
     if message.outcome == pb.NOT_RUN:
         call.may_have_run = False
@@ -210,7 +210,7 @@
     """Count the loss of a call's backend server, now or once it is gone."""
     assert call.server is not None
     loss = Loss(reason, call.server.incarnation, accepted=True)
-    return quarantine.record_loss(state, call.loss_attempt, loss, now)
+    return quarantine.record_loss(state, call.tracked_attempt, loss, now)
 
 
 def _retry(state: EntryState, call: PlainCall, reason: str, now: int) -> Effects:
--- a/src/yuccareach/entry/quarantine.py
+++ b/src/yuccareach/entry/quarantine.py
@@ -12,7 +12,7 @@
 from yuccareach.entry.events import Refusal, ReportLosses
 from yuccareach.quarantine import reporting, table
 from yuccareach.quarantine.fingerprints import compute_fingerprint
-from yuccareach.quarantine.table import Attempt, LossCount
+from yuccareach.quarantine.table import LossCount, TrackedAttempt
 
 if TYPE_CHECKING:
     from yuccareach.entry.events import CallRequested
@@ -80,23 +80,27 @@
     )
 
 
-def start_request_attempt(state: EntryState, request: Request, now: int) -> Attempt:
+def start_request_attempt(
+    state: EntryState, request: Request, now: int
+) -> TrackedAttempt:
     """Return what a loss during a model request's next attempt is counted by."""
     known_count = get_count(state, request.fingerprint, now)
-    return Attempt(
+    return TrackedAttempt(
         request.fingerprint, known_count, request.identifier, request.workspace.name
     )
 
 
-def start_call_attempt(state: EntryState, call: PlainCall, now: int) -> Attempt:
+def start_call_attempt(state: EntryState, call: PlainCall, now: int) -> TrackedAttempt:
     """Return what a loss during a call's next attempt is counted by."""
     known_count = get_count(state, call.fingerprint, now)
-    return Attempt(
+    return TrackedAttempt(
         call.fingerprint, known_count, call.event.request, call.event.workspace.name
     )
 
 
-def record_loss(state: EntryState, attempt: Attempt, loss: Loss, now: int) -> list[Any]:
+def record_loss(
+    state: EntryState, attempt: TrackedAttempt, loss: Loss, now: int
+) -> list[Any]:
     """Count a loss against an attempt, now or once the backend server is gone."""
     if loss.reason in _CRASH_REASONS:
         change = table.record_loss(state.quarantine, attempt, loss.incarnation, now)
@@ -106,7 +110,7 @@
     return []
 
 
-def record_answer(state: EntryState, attempt: Attempt, now: int) -> list[Any]:
+def record_answer(state: EntryState, attempt: TrackedAttempt, now: int) -> list[Any]:
     """Record that backend servers have answered a request completely."""
     change = table.record_answer(state.quarantine, attempt, now)
     return _report([change] if change is not None else [])
--- a/src/yuccareach/entry/recovery.py
+++ b/src/yuccareach/entry/recovery.py
@@ -46,7 +46,7 @@
 
 def _handle_loss(state: EntryState, request: Request, loss: Loss, now: int) -> Effects:
     """Record a loss and recover the request, unless the loss quarantines it."""
-    effects = quarantine.record_loss(state, request.loss_attempt, loss, now)
+    effects = quarantine.record_loss(state, request.tracked_attempt, loss, now)
     request.loss_count = quarantine.get_count(state, request.fingerprint, now).losses
     quarantine_refusal = quarantine.check(state, request.fingerprint, now)
     if quarantine_refusal is not None:
--- a/src/yuccareach/entry/requests.py
+++ b/src/yuccareach/entry/requests.py
@@ -149,7 +149,7 @@
     request.previous_probe_reply_by_stage = {}
     request.was_sent = True
     request.accepted_by_first_stage = False
-    request.loss_attempt = quarantine.start_request_attempt(state, request, now)
+    request.tracked_attempt = quarantine.start_request_attempt(state, request, now)
     request.counted_as_suspect = request.loss_count > 0
     fleet.adjust_running_counts(state, chain, 1, is_suspect=request.counted_as_suspect)
     message = _build_open_message(state, request)
@@ -251,7 +251,7 @@
     workspace, name = request.workspace.name, request.request_class.name
     duration_ms = now - request.started_ms
     return [
-        *quarantine.record_answer(state, request.loss_attempt, now),
+        *quarantine.record_answer(state, request.tracked_attempt, now),
         FinishAnswer(
             request.identifier,
             reason,
--- a/src/yuccareach/entry/state.py
+++ b/src/yuccareach/entry/state.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from yuccareach.quarantine.table import NO_LOSSES, Attempt, QuarantineTable
+from yuccareach.quarantine.table import NO_LOSSES, QuarantineTable, TrackedAttempt
 from yuccareach.settings.store import RequestClass, SettingsStore, Workspace
 
 if TYPE_CHECKING:
@@ -80,7 +80,9 @@
         self.refused_by_incarnations: set[str] = set()
         self.fingerprint = b""
         # What the loss of a backend server of the current chain is counted by.
-        self.loss_attempt = Attempt(b"", NO_LOSSES, identifier, workspace.name)
+        self.tracked_attempt = TrackedAttempt(
+            b"", NO_LOSSES, identifier, workspace.name
+        )
         # Backend servers lost while they ran requests with the same fingerprint.
         self.loss_count = 0
         # Whether the chain's backend servers count this request as a suspect.
@@ -134,7 +136,9 @@
         self.resend_at_ms = 0
         self.fingerprint = b""
         # What the loss of the current backend server is counted by.
-        self.loss_attempt = Attempt(b"", NO_LOSSES, event.request, event.workspace.name)
+        self.tracked_attempt = TrackedAttempt(
+            b"", NO_LOSSES, event.request, event.workspace.name
+        )
         self.tried_incarnations: set[str] = set()
 
 
--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -140,7 +140,7 @@
         if run.attempts and not gateway.take_retry(admitted.service.name):
             return
         run.attempts += 1
-        loss_attempt = start_attempt(gateway, admitted)
+        tracked_attempt = start_attempt(gateway, admitted)
         last_attempt = await _send_attempt(
             gateway, admitted, backend, can_retry=run.possible_runs == 0
         )
@@ -148,11 +148,11 @@
         excluded_incarnations.add(backend.announcement.incarnation)
         _log_attempt(gateway, admitted, backend, last_attempt)
         if last_attempt.is_answered:
-            record_answer(gateway, loss_attempt)
+            record_answer(gateway, tracked_attempt)
         elif last_attempt.ending is Ending.TIMED_OUT:
-            add_pending_losses(gateway, loss_attempt, [backend])
+            add_pending_losses(gateway, tracked_attempt, [backend])
         elif last_attempt.ending is Ending.BROKEN:
-            await record_broken_attempt(gateway, loss_attempt, [backend])
+            await record_broken_attempt(gateway, tracked_attempt, [backend])
         if last_attempt.is_success:
             return
         if not last_attempt.has_not_run:
--- a/src/yuccareach/gateway/crashes.py
+++ b/src/yuccareach/gateway/crashes.py
@@ -13,24 +13,18 @@
 
     from yuccareach.gateway.backends import Backend
     from yuccareach.gateway.state import Gateway
-    from yuccareach.quarantine.table import Attempt
+    from yuccareach.quarantine.table import TrackedAttempt
 
 
 async def record_broken_attempt(
-    gateway: Gateway, attempt: Attempt, backends: Iterable[Backend]
+    gateway: Gateway, attempt: TrackedAttempt, backends: Iterable[Backend]
 ) -> None:
     """Count a loss if one of these servers has crashed under an attempt.
 
     A server that refuses connections has crashed. A loss of one that does not answer is
-    pending until it refuses or departs. Servers that are leaving, or have left, as
-    announced count no loss.
+    pending until it refuses or departs.
     """
-    suspects = [
-        backend
-        for backend in backends
-        if gateway.fleet.is_current(backend) and not backend.announcement.draining
-    ]
-    add_pending_losses(gateway, attempt, suspects)
+    suspects = add_pending_losses(gateway, attempt, backends)
     for backend in suspects:
         if backend.is_refusing:
             confirm_crash(gateway, backend)
--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.quarantine import reporting, table
-from yuccareach.quarantine.table import Attempt
+from yuccareach.quarantine.table import TrackedAttempt
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -17,9 +17,9 @@
     from yuccareach.quarantine.table import CountChange
 
 
-def start_attempt(gateway: Gateway, admitted: AdmittedRequest) -> Attempt:
+def start_attempt(gateway: Gateway, admitted: AdmittedRequest) -> TrackedAttempt:
     """Return what a loss during an attempt that starts now is counted by."""
-    return Attempt(
+    return TrackedAttempt(
         admitted.fingerprint,
         table.get_count(gateway.quarantine, admitted.fingerprint, gateway.now_ms()),
         admitted.request_id,
@@ -40,7 +40,7 @@
     return table.admit(gateway.quarantine, fingerprint, gateway.now_ms()) / 1000
 
 
-def record_answer(gateway: Gateway, attempt: Attempt) -> None:
+def record_answer(gateway: Gateway, attempt: TrackedAttempt) -> None:
     """Record that a backend server has answered a request completely."""
     change = table.record_answer(gateway.quarantine, attempt, gateway.now_ms())
     if change is not None:
@@ -48,13 +48,22 @@
 
 
 def add_pending_losses(
-    gateway: Gateway, attempt: Attempt, backends: Iterable[Backend]
-) -> None:
-    """Remember a failed attempt, which counts if one of its servers has crashed."""
+    gateway: Gateway, attempt: TrackedAttempt, backends: Iterable[Backend]
+) -> list[Backend]:
+    """Remember a failed attempt, which counts if one of its servers has crashed.
+
+    Return those servers, without the ones that are leaving, or have left, as announced.
+    """
+    suspects = [
+        backend
+        for backend in backends
+        if gateway.fleet.is_current(backend) and not backend.announcement.draining
+    ]
     now_ms = gateway.now_ms()
-    for backend in backends:
+    for backend in suspects:
         incarnation = backend.announcement.incarnation
         table.add_pending_loss(gateway.quarantine, attempt, incarnation, now_ms)
+    return suspects
 
 
 def confirm_crash(gateway: Gateway, backend: Backend) -> None:
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -218,7 +218,7 @@
         _interrupt(gateway, run, "first_stage_lost")
         return
     run.later_stage_lost = True
-    await record_broken_attempt(gateway, run.loss_attempt, [lost_backend])
+    await record_broken_attempt(gateway, run.tracked_attempt, [lost_backend])
     if compute_refusal_s(gateway, run.admitted.fingerprint):
         _interrupt(gateway, run, QUARANTINED)
         return
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -40,6 +40,8 @@
         self.splitter = EventSplitter()
         self.last_event_id = admitted.metadata.last_event_id
         self.chain: Chain | None = None
+        # The chain at the end of the last attempt.
+        self.last_chain = Chain((), 0.0)
         self.starting_backend: Backend | None = None
         # Tokens reserved at each stage of the chain.
         self.reserved_tokens_by_stage: list[int] = []
@@ -63,7 +65,7 @@
         self.first_stage_lost = False
         self.excluded_incarnations: set[str] = set()
         # What the loss of a stage of the current chain is counted by.
-        self.loss_attempt = start_attempt(gateway, admitted)
+        self.tracked_attempt = start_attempt(gateway, admitted)
         # The server that the last refusal names, if it is not the one that refused.
         self.named_backend: Backend | None = None
         # Whether the current attempt has lost a later stage.
@@ -177,7 +179,7 @@
     def move_to_chain(self, chain: Chain) -> None:
         """Move the reservation to the chain over which the request continues."""
         self.release_chain()
-        self.loss_attempt = start_attempt(self.gateway, self.admitted)
+        self.tracked_attempt = start_attempt(self.gateway, self.admitted)
         self.queue.record_move(self.workspace, self.tokens)
         self._reserve_at(chain)
 
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -108,7 +108,7 @@
         run.attempts += 1
         run.retry_reserved = False
         result = await _run_attempt(run, chain)
-        await _count_losses(run, result, chain)
+        await _count_losses(run, result)
         if result is AttemptResult.DONE:
             return Outcome(200, "answered")
         if result is AttemptResult.TIMED_OUT:
@@ -130,8 +130,8 @@
             return _end_unserved(run, True, 502, "broken")
 
 
-async def _count_losses(run: StreamRun, result: AttemptResult, chain: Chain) -> None:
-    """Record a complete answer or possible losses of an attempt over a chain.
+async def _count_losses(run: StreamRun, result: AttemptResult) -> None:
+    """Record a complete answer or possible losses of the attempt that has ended.
 
     An answer during which a later stage was lost does not show that the request is
     harmless. Such a loss is counted when it is detected as a stall, but the attempt may
@@ -139,12 +139,12 @@
     """
     if result in (AttemptResult.DONE, AttemptResult.FAILED):
         if not run.later_stage_lost:
-            record_answer(run.gateway, run.loss_attempt)
+            record_answer(run.gateway, run.tracked_attempt)
     elif result in (AttemptResult.BROKEN, AttemptResult.TIMED_OUT):
-        backends = [stage.backend for stage in chain.stages]
-        add_pending_losses(run.gateway, run.loss_attempt, backends)
+        backends = [stage.backend for stage in run.last_chain.stages]
+        add_pending_losses(run.gateway, run.tracked_attempt, backends)
         if result is AttemptResult.BROKEN:
-            await record_broken_attempt(run.gateway, run.loss_attempt, backends[:1])
+            await record_broken_attempt(run.gateway, run.tracked_attempt, backends[:1])
 
 
 def _choose_chain(run: StreamRun) -> Chain | None:
@@ -271,7 +271,7 @@
     run.splitter = EventSplitter()
     run.interrupted.clear()
     run.first_stage_lost = run.later_stage_lost = False
-    run.loss_attempt = start_attempt(gateway, admitted)
+    run.tracked_attempt = start_attempt(gateway, admitted)
     run.last_progress_s = gateway.now()
     _log_attempt(run, chain)
     try:
@@ -286,6 +286,7 @@
         finally:
             run.backend_request.release()
     finally:
+        run.last_chain = run.chain or chain
         run.release_chain()
         run.backend_request = None
 
--- a/src/yuccareach/quarantine/fingerprints.py
+++ b/src/yuccareach/quarantine/fingerprints.py
@@ -14,9 +14,11 @@
 
     With a key, the parts cannot be guessed from the fingerprint alone.
     """
-    return hashlib.blake2b(
-        b"\0".join(parts), key=key.encode()[:64], digest_size=FINGERPRINT_BYTES
-    ).digest()
+    digest = hashlib.blake2b(key=key.encode()[:64], digest_size=FINGERPRINT_BYTES)
+    for number, part in enumerate(parts):
+        digest.update(b"\0" if number else b"")
+        digest.update(part)
+    return digest.digest()
 
 
 def format_fingerprint(fingerprint: bytes) -> str:
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -47,7 +47,7 @@
 NO_LOSSES = LossCount(0, 0)
 
 
-class Attempt(NamedTuple):
+class TrackedAttempt(NamedTuple):
     """What is needed to count the loss of a backend server against an attempt."""
 
     fingerprint: bytes
@@ -80,7 +80,7 @@
 class PendingLoss(NamedTuple):
     """An attempt that has failed, perhaps because its backend server crashed."""
 
-    attempt: Attempt
+    attempt: TrackedAttempt
     expires_ms: int
 
 
@@ -151,7 +151,7 @@
 
 
 def record_loss(
-    table: QuarantineTable, attempt: Attempt, incarnation: str, now_ms: int
+    table: QuarantineTable, attempt: TrackedAttempt, incarnation: str, now_ms: int
 ) -> CountChange | None:
     """Count a loss against an attempt; return the new count if it has changed."""
     known = attempt.known_count
@@ -160,7 +160,7 @@
 
 
 def record_answer(
-    table: QuarantineTable, attempt: Attempt, now_ms: int
+    table: QuarantineTable, attempt: TrackedAttempt, now_ms: int
 ) -> CountChange | None:
     """Reset the losses after a complete answer; return the new count if any."""
     current = get_count(table, attempt.fingerprint, now_ms)
@@ -172,7 +172,7 @@
 
 def _change_count(
     table: QuarantineTable,
-    attempt: Attempt,
+    attempt: TrackedAttempt,
     count: LossCount,
     incarnation: str,
     now_ms: int,
@@ -226,7 +226,7 @@
 
 
 def add_pending_loss(
-    table: QuarantineTable, attempt: Attempt, incarnation: str, now_ms: int
+    table: QuarantineTable, attempt: TrackedAttempt, incarnation: str, now_ms: int
 ) -> None:
     """Remember a failed attempt, which counts once its backend server proves lost."""
     pending = table.pending_by_incarnation.setdefault(incarnation, deque())
@@ -275,7 +275,7 @@
     "QUARANTINE_LOSS_THRESHOLD",
     "QUARANTINE_MS",
     "TRIAL_MS",
-    "Attempt",
+    "TrackedAttempt",
     "CountChange",
     "LossCount",
     "QuarantineTable",
--- /dev/null
+++ b/tests/gateway/test_losses.py
@@ -0,0 +1,72 @@
+"""Tests of which failed attempts count as losses of backend servers."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from typing import Any
+from unittest import mock
+
+from tests.gateway.fleet import build_backend
+from yuccareach.gateway.backends import Fleet
+from yuccareach.gateway.losses import (
+    add_pending_losses,
+    confirm_crash,
+    resolve_pending_losses,
+)
+from yuccareach.quarantine.table import (
+    NO_LOSSES,
+    QuarantineTable,
+    TrackedAttempt,
+    get_count,
+)
+
+ATTEMPT = TrackedAttempt(b"f", NO_LOSSES, "r1", "w")
+
+
+class PendingLossTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.gateway: Any = mock.Mock()
+        self.gateway.now = time.monotonic
+        self.gateway.now_ms = lambda: 0
+        self.gateway.quarantine = QuarantineTable()
+        self.gateway.fleet = Fleet()
+        self.announcement = build_backend("a", "z", "l4", 0, 80).announcement
+        self.gateway.fleet.update([self.announcement], [])
+        self.backend = self.gateway.fleet.backend_by_name["a"]
+
+    def count_losses(self) -> int:
+        return get_count(self.gateway.quarantine, b"f", 0).losses
+
+    def test_server_that_departs_after_a_failed_attempt_counts(self) -> None:
+        add_pending_losses(self.gateway, ATTEMPT, [self.backend])
+        self.gateway.fleet.update([], ["a"])
+        resolve_pending_losses(self.gateway)
+        self.assertEqual(self.count_losses(), 1)
+
+    def test_server_that_refuses_connections_counts_at_once(self) -> None:
+        add_pending_losses(self.gateway, ATTEMPT, [self.backend])
+        confirm_crash(self.gateway, self.backend)
+        self.assertEqual(self.count_losses(), 1)
+
+    def test_draining_server_does_not_count(self) -> None:
+        self.backend.announcement = self.announcement._replace(draining=True)
+        self.assertEqual(add_pending_losses(self.gateway, ATTEMPT, [self.backend]), [])
+        confirm_crash(self.gateway, self.backend)
+        self.assertEqual(self.count_losses(), 0)
+
+    def test_server_that_had_departed_before_the_failure_does_not_count(self) -> None:
+        # Guards against a second count of the same crash: a stream that had been
+        # rerouted around a lost stage failed later for another reason.
+        self.gateway.fleet.update([], ["a"])
+        add_pending_losses(self.gateway, ATTEMPT, [self.backend])
+        resolve_pending_losses(self.gateway)
+        self.assertEqual(self.count_losses(), 0)
+
+    def test_server_that_is_reclaimed_with_notice_does_not_count(self) -> None:
+        add_pending_losses(self.gateway, ATTEMPT, [self.backend])
+        self.gateway.fleet.update([self.announcement._replace(draining=True)], [])
+        resolve_pending_losses(self.gateway)
+        self.gateway.fleet.update([], ["a"])
+        resolve_pending_losses(self.gateway)
+        self.assertEqual(self.count_losses(), 0)
--- a/tests/quarantine/test_table.py
+++ b/tests/quarantine/test_table.py
@@ -12,9 +12,9 @@
     QUARANTINE_LOSS_THRESHOLD,
     QUARANTINE_MS,
     TRIAL_MS,
-    Attempt,
     LossCount,
     QuarantineTable,
+    TrackedAttempt,
 )
 
 FINGERPRINT = b"f" * 16
@@ -26,11 +26,11 @@
 
     def start_attempt(
         self, now_ms: int = 0, quarantine_table: QuarantineTable | None = None
-    ) -> Attempt:
+    ) -> TrackedAttempt:
         known_count = table.get_count(
             quarantine_table or self.table, FINGERPRINT, now_ms
         )
-        return Attempt(FINGERPRINT, known_count, "r1", "w")
+        return TrackedAttempt(FINGERPRINT, known_count, "r1", "w")
 
     def lose_servers(self, number: int, now_ms: int = 0) -> None:
         for _ in range(number):
