--- a/src/yuccareach/gateway/budget.py
+++ b/src/yuccareach/gateway/budget.py
@@ -29,6 +29,8 @@
     NORMAL_FRACTION = 0.7
     # Fraction for urgent retries, without which an answer would be cut off.
     URGENT_FRACTION = 0.9
+    # Number of entries while it is unknown; more share no budget on the platform.
+    ASSUMED_ENTRIES = 100
     # Fraction in the first window after the process has started, since an earlier
     # process of the same entry may have used URGENT_FRACTION within that window.
     STARTING_FRACTION = 1 - URGENT_FRACTION
@@ -48,14 +50,13 @@
     def take_retry(self, now_s: float, entries: int, *, urgent: bool = False) -> bool:
         """Return whether one more retry may be sent, and count it if so.
 
-        `entries` is the number of entries that share the slack. While it is unknown, 0,
-        none of the slack is used.
+        `entries` is the number of entries that share the slack, or 0 if unknown.
         """
         self._expire(now_s)
         fraction = self.URGENT_FRACTION if urgent else self.NORMAL_FRACTION
         is_starting = now_s - self.started_s < self.limits.window_s
-        slack_fraction = self.STARTING_FRACTION if is_starting else fraction
-        slack_share = self.limits.slack / entries if entries else 0.0
+        slack_fraction = self.STARTING_FRACTION if is_starting and entries else fraction
+        slack_share = self.limits.slack / (entries or self.ASSUMED_ENTRIES)
         max_retries = (
             fraction * self.limits.ratio * len(self.request_times_s)
             + slack_fraction * slack_share
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -79,7 +79,7 @@
         self.dialect = dialect
         self.table: RoutingTable | None = None
         self.fleet = Fleet()
-        # Gateways that share the retry budget, this one included; 0 while unknown.
+        # Gateways that share the retry budget, this one included; 0 if unknown.
         self.entry_count = 0
         # Loop time and number of gateways of recent views, oldest first.
         self.recent_entry_counts: deque[tuple[float, int]] = deque()
