--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -26,6 +26,9 @@
 from bench.soak.runners import Arrival
 from bench.soak.seeds import REGRESSIONS
 
+# Lines of each process's log that a failed seed prints.
+LOGGED_LINES = 300
+
 
 def make_record(**fields: Any) -> RequestRecord:
     """Return the record of a plain call with a correct answer."""
@@ -45,6 +48,16 @@
     return f"id: {number}\ndata: token-{number} {state}\n\n".encode()
 
 
+def read_logs(folder: Path) -> str:
+    """Return the last lines of each process's log, so that a failure can be traced."""
+    return "\n".join(
+        "\n".join(
+            (path.name, *path.read_text(errors="replace").splitlines()[-LOGGED_LINES:])
+        )
+        for path in sorted(folder.glob("*.log"))
+    )
+
+
 class FindViolationsTests(unittest.TestCase):
     """Each guarantee, with records that violate it."""
 
@@ -187,6 +200,8 @@
         log.setLevel(logging.CRITICAL)
         with tempfile.TemporaryDirectory(ignore_cleanup_errors=True) as folder:
             result = await run_seed(plan, Path(folder))
+            if result.violations:
+                print(read_logs(Path(folder)))
         self.assertEqual(result.violations, [])
         self.assertGreater(result.answers[200], 0)
 
