--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -117,6 +117,23 @@
         for gateway in (*self.gateways, fresh):
             await self.assert_refused("/look/1", gateway)
 
+    async def test_gateways_that_are_cut_off_quarantine_alone_and_report_later(
+        self,
+    ) -> None:
+        # A public route, since keyed requests are refused once the lease has ended.
+        path = "/open/1"
+        await self.stop_control()
+        self.assertLessEqual(await self.resend_until_bound(path), MAX_LATE_RETRIES)
+        for gateway in self.gateways:
+            await self.assert_refused(path, gateway)
+        self.control = PlatformControl(self.write_and_load_settings("control"))
+        await self.control.start()
+        await self.wait_until(lambda: self.is_leader())
+        fresh = await self.add_gateway("fresh")
+        quarantine = fresh.gateway.quarantine
+        await self.wait_until(lambda: quarantine.record_by_fingerprint)
+        await self.assert_refused(path, fresh)
+
     async def test_frequent_call_is_not_refused_while_its_servers_crash(self) -> None:
         # Guards against a quarantine that counts every loss under a fingerprint: the
         # same call ran on every server that crashed for another reason.
