--- a/bench/losses.py
+++ b/bench/losses.py
@@ -29,7 +29,7 @@
     machine.apply(command)
     apply_s = time.process_time() - started_s
     started_s = time.process_time()
-    view = cpb.View(losses=machine.losses_after(0, WALL_MS))
+    view = cpb.View(losses=machine.loss_counts.list_after(0, WALL_MS))
     send_s = time.process_time() - started_s
     table = QuarantineTable()
     started_s = time.process_time()
--- a/src/yuccareach/control/operators.py
+++ b/src/yuccareach/control/operators.py
@@ -281,7 +281,7 @@
         "backend_servers_by_availability_zone": dict(
             Counter(member.availability_zone for member in members)
         ),
-        "quarantined": len(process.machine.quarantine_by_fingerprint),
+        "quarantined": len(process.machine.loss_counts.record_by_fingerprint),
     }
 
 
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -92,7 +92,7 @@
         self.settings_change_event = asyncio.Event()
         self.members_change_event = asyncio.Event()
         self.notified_revision = self.machine.revision
-        self.notified_loss_changes = self.machine.loss_changes
+        self.notified_loss_changes = self.machine.loss_counts.changes
         self.notified_document_version = self.machine.document.version
         self.tasks: list[asyncio.Task[None]] = []
         self.draining = False
@@ -218,8 +218,8 @@
                 if revision != self.notified_revision:
                     self.notified_revision = revision
                     self.notify_all_watchers()
-                elif self.machine.loss_changes != self.notified_loss_changes:
-                    self.notified_loss_changes = self.machine.loss_changes
+                elif self.machine.loss_counts.changes != self.notified_loss_changes:
+                    self.notified_loss_changes = self.machine.loss_counts.changes
                     self.notify_member_watchers()
             case Log():
                 write_log(_log, effect)
@@ -314,13 +314,15 @@
             watcher.members_version = delta.version
         if (
             watcher.request.members
-            and watcher.sent_loss_changes < self.machine.loss_changes
+            and watcher.sent_loss_changes < self.machine.loss_counts.changes
         ):
             update.wall_ms = wall_clock_ms()
             update.losses.extend(
-                self.machine.losses_after(watcher.sent_loss_changes, update.wall_ms)
+                self.machine.loss_counts.list_after(
+                    watcher.sent_loss_changes, update.wall_ms
+                )
             )
-            watcher.sent_loss_changes = self.machine.loss_changes
+            watcher.sent_loss_changes = self.machine.loss_counts.changes
         entry_count = len(self.find_watching_entries())
         if watcher.request.members and watcher.sent_entry_count != entry_count:
             update.entries = watcher.sent_entry_count = entry_count
--- a/src/yuccareach/control/state_machine.py
+++ b/src/yuccareach/control/state_machine.py
@@ -7,19 +7,13 @@
 from __future__ import annotations
 
 import hashlib
-import itertools
 from collections import OrderedDict
 from typing import NamedTuple
 
 import xxhash
 
+from yuccareach.control.loss_counts import LossCounts, load_loss_counts
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
-from yuccareach.quarantine.table import (
-    MAX_FINGERPRINTS,
-    NO_LOSSES,
-    LossCount,
-    select_eviction,
-)
 
 MAX_HISTORY_RECORDS = 500
 MAX_CHANGE_IDS = 10_000
@@ -41,9 +35,7 @@
 
     history holds the newest accepted settings changes. change_by_id holds the answers
     to recent change ids, so that a retry gets the first answer. tombstone_by_digest
-    maps the digest of a removed permit's key to the time of its removal. loss_changes
-    counts the changes of quarantine records, which are ordered by their last change, so
-    that a watcher is sent only those after the count it has seen.
+    maps the digest of a removed permit's key to the time of its removal.
     """
 
     def __init__(self) -> None:
@@ -57,8 +49,7 @@
         self.permit_by_id: OrderedDict[PermitId, cpb.PermitRecord] = OrderedDict()
         self.tombstone_by_digest: OrderedDict[int, int] = OrderedDict()
         self.lease_by_resource: dict[str, cpb.LeaseRecord] = {}
-        self.quarantine_by_fingerprint: dict[bytes, cpb.QuarantineRecord] = {}
-        self.loss_changes = 0
+        self.loss_counts = LossCounts()
         self.document = cpb.RoutingDocument()
 
     def apply(self, command: cpb.Command) -> cpb.CommandAnswer:
@@ -73,9 +64,11 @@
             case "lease":
                 return self._grant_lease(command.lease)
             case "quarantine":
-                return self._record_single_loss(command.quarantine)
+                self._advance_clock(command.quarantine.at_ms)
+                self.loss_counts.apply_single_loss(command.quarantine, self.now_ms)
             case "losses":
-                return self._record_losses(command.losses)
+                self._advance_clock(command.losses.at_ms)
+                self.loss_counts.apply_reports(command.losses.reports, self.now_ms)
             case "document":
                 return self._replace_document(command.document)
         return cpb.CommandAnswer()
@@ -267,74 +260,6 @@
             )
         )
 
-    # Losses of backend servers under a request's fingerprint.
-
-    def _record_single_loss(self, request: cpb.Quarantine) -> cpb.CommandAnswer:
-        """Apply a command that an earlier version wrote: one more loss."""
-        self._advance_clock(request.at_ms)
-        self._remove_expired_loss_counts()
-        previous = self._get_loss_count(request.fingerprint)
-        count = LossCount(previous.generation, previous.losses + 1)
-        self._store_loss_count(request.fingerprint, count, request.duration_ms)
-        return cpb.CommandAnswer()
-
-    def _record_losses(self, request: cpb.LossReports) -> cpb.CommandAnswer:
-        """Store the counts that are newer than the stored ones."""
-        self._advance_clock(request.at_ms)
-        self._remove_expired_loss_counts()
-        for report in request.reports:
-            count = LossCount(report.generation, report.losses)
-            if count > self._get_loss_count(report.fingerprint):
-                self._store_loss_count(report.fingerprint, count, report.retention_ms)
-        return cpb.CommandAnswer()
-
-    def _remove_expired_loss_counts(self) -> None:
-        self.quarantine_by_fingerprint = {
-            fingerprint: record
-            for fingerprint, record in self.quarantine_by_fingerprint.items()
-            if record.expires_ms > self.now_ms
-        }
-
-    def _get_loss_count(self, fingerprint: bytes) -> LossCount:
-        record = self.quarantine_by_fingerprint.get(fingerprint)
-        if record is None:
-            return NO_LOSSES
-        return LossCount(record.generation, record.losses)
-
-    def _store_loss_count(
-        self, fingerprint: bytes, count: LossCount, retention_ms: int
-    ) -> None:
-        records = self.quarantine_by_fingerprint
-        records.pop(fingerprint, None)
-        self.loss_changes += 1
-        records[fingerprint] = cpb.QuarantineRecord(
-            fingerprint=fingerprint,
-            expires_ms=self.now_ms + retention_ms,
-            losses=count.losses,
-            change=self.loss_changes,
-            generation=count.generation,
-        )
-        while len(records) > MAX_FINGERPRINTS:
-            evicted = select_eviction(
-                (key, record.losses) for key, record in records.items()
-            )
-            del records[evicted]
-
-    def losses_after(
-        self, change: int, wall_ms: int, limit: int = MAX_FINGERPRINTS
-    ) -> list[cpb.QuarantineRecord]:
-        """Return the oldest quarantine records newer than a count of changes.
-
-        At most `limit` records are returned. Those that have expired by the wall
-        clock's wall_ms are left out.
-        """
-        newer = itertools.takewhile(
-            lambda record: record.change > change,
-            reversed(self.quarantine_by_fingerprint.values()),
-        )
-        current = [record for record in newer if record.expires_ms > wall_ms]
-        return current[: -limit - 1 : -1]
-
     # Snapshots.
 
     def dump(self) -> bytes:
@@ -349,12 +274,8 @@
             changes=self.change_by_id.values(),
             permits=self.permit_by_id.values(),
             leases=[lease for _, lease in sorted(self.lease_by_resource.items())],
-            quarantines=[
-                record
-                for record in self.quarantine_by_fingerprint.values()
-                if record.expires_ms > self.now_ms
-            ],
-            loss_changes=self.loss_changes,
+            quarantines=self.loss_counts.list_current(self.now_ms),
+            loss_changes=self.loss_counts.changes,
             document=self.document,
             tombstones=[
                 cpb.TombstoneRecord(digest=digest, at_ms=at_ms)
@@ -381,11 +302,7 @@
         (permit_id(record.key), record) for record in state.permits
     )
     machine.lease_by_resource = {lease.resource: lease for lease in state.leases}
-    machine.quarantine_by_fingerprint = {
-        record.fingerprint: record
-        for record in sorted(state.quarantines, key=lambda record: record.change)
-    }
-    machine.loss_changes = state.loss_changes
+    machine.loss_counts = load_loss_counts(state.quarantines, state.loss_changes)
     machine.document.CopyFrom(state.document)
     machine.tombstone_by_digest = OrderedDict(
         (record.digest, record.at_ms) for record in state.tombstones
--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -18,8 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from yuccareach.control.loss_counts import LossCounts
     from yuccareach.control.run import ControlProcess
-    from yuccareach.control.state_machine import StateMachine
 
 # A poll is answered after this long even if nothing has changed.
 LONG_POLL_TIMEOUT_MS = 400
@@ -217,7 +217,7 @@
         request.document_version < process.machine.document.version
         or request.source != process.run_id
         or request.members_version < process.members.version
-        or request.loss_changes < process.machine.loss_changes
+        or request.loss_changes < process.machine.loss_counts.changes
     )
 
 
@@ -266,22 +266,22 @@
     )
     if request.document_version < process.machine.document.version:
         view.document.CopyFrom(process.machine.document)
-    _add_losses(view, process.machine, request.loss_changes)
+    _add_losses(view, process.machine.loss_counts, request.loss_changes)
     return view
 
 
-def _add_losses(view: cpb.View, machine: StateMachine, known_change: int) -> None:
+def _add_losses(view: cpb.View, counts: LossCounts, known_change: int) -> None:
     """Add the loss counts that changed after the last change that an entry knows.
 
     Its number is greater than this instance's after the restore of an old backup; all
     counts are added then.
     """
-    after = known_change if known_change <= machine.loss_changes else 0
+    after = known_change if known_change <= counts.changes else 0
     view.wall_ms = wall_clock_ms()
-    losses = machine.losses_after(after, view.wall_ms, MAX_LOSSES_PER_VIEW)
+    losses = counts.list_after(after, view.wall_ms, MAX_LOSSES_PER_VIEW)
     is_last = len(losses) < MAX_LOSSES_PER_VIEW
     view.losses.extend(losses)
-    view.loss_changes = machine.loss_changes if is_last else losses[-1].change
+    view.loss_changes = counts.changes if is_last else losses[-1].change
 
 
 __all__ = ["EntryReports", "ReadBatcher", "ServerUsage", "answer_view"]
--- a/tests/control/test_loss_counts.py
+++ b/tests/control/test_loss_counts.py
@@ -22,24 +22,24 @@
         self.machine.apply(command)
 
     def read_counts(self, after: int = 0, wall_ms: int = 1_000) -> list[LossCount]:
-        records = self.machine.losses_after(after, wall_ms)
+        records = self.machine.loss_counts.list_after(after, wall_ms)
         return [LossCount(record.generation, record.losses) for record in records]
 
     def test_repeated_or_outdated_report_changes_nothing(self) -> None:
         self.report(b"a", 0, 2)
-        changes = self.machine.loss_changes
+        changes = self.machine.loss_counts.changes
         self.report(b"a", 0, 2)
         self.report(b"a", 0, 1)
-        self.assertEqual(self.machine.loss_changes, changes)
+        self.assertEqual(self.machine.loss_counts.changes, changes)
         self.report(b"a", 1, 0)
         self.report(b"a", 0, 3)
         self.assertEqual(self.read_counts(), [LossCount(1, 0)])
 
     def test_readers_get_only_changes_that_they_lack(self) -> None:
         self.report(b"a", 0, 1)
-        change = self.machine.loss_changes
+        change = self.machine.loss_counts.changes
         self.report(b"b", 0, 1)
-        (record,) = self.machine.losses_after(change, 61_000)
+        (record,) = self.machine.loss_counts.list_after(change, 61_000)
         self.assertEqual(record.fingerprint, b"b")
         self.assertEqual(record.expires_ms, 1_000 + QUARANTINE_MS)
 
@@ -50,16 +50,16 @@
     def test_limited_reader_gets_the_oldest_changes_first(self) -> None:
         for fingerprint in (b"a", b"b", b"c"):
             self.report(fingerprint, 0, 1)
-        records = self.machine.losses_after(0, 1_000, limit=2)
+        records = self.machine.loss_counts.list_after(0, 1_000, limit=2)
         self.assertEqual([item.fingerprint for item in records], [b"a", b"b"])
 
     def test_snapshot_keeps_counts_and_drops_expired_ones(self) -> None:
         self.report(b"old", 0, 1, at_ms=1_000)
         self.report(b"a", 3, 2, at_ms=1_000 + QUARANTINE_MS)
         restored = load_state_machine(self.machine.dump())
-        self.assertEqual(list(restored.quarantine_by_fingerprint), [b"a"])
+        self.assertEqual(list(restored.loss_counts.record_by_fingerprint), [b"a"])
         self.assertEqual(restored.dump(), self.machine.dump())
-        self.assertEqual(restored.loss_changes, self.machine.loss_changes)
+        self.assertEqual(restored.loss_counts.changes, self.machine.loss_counts.changes)
 
     def test_command_of_an_earlier_version_adds_one_loss(self) -> None:
         for _ in range(2):
@@ -78,5 +78,7 @@
         ]
         counts = dict.fromkeys(fingerprints, LossCount(0, 1))
         self.machine.apply(build_command(counts))
-        self.assertEqual(len(self.machine.quarantine_by_fingerprint), MAX_FINGERPRINTS)
-        self.assertIn(b"kept", self.machine.quarantine_by_fingerprint)
+        self.assertEqual(
+            len(self.machine.loss_counts.record_by_fingerprint), MAX_FINGERPRINTS
+        )
+        self.assertIn(b"kept", self.machine.loss_counts.record_by_fingerprint)
--- a/tests/system.py
+++ b/tests/system.py
@@ -326,7 +326,7 @@
         update = cpb.WatchUpdate(
             members_snapshot=True,
             members=members,
-            losses=self.control_state_machine.losses_after(0, 0),
+            losses=self.control_state_machine.loss_counts.list_after(0, 0),
         )
         for entry in self.entries.values():
             if name in ("", entry.name):
