--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -231,6 +231,16 @@
         """Return whether this incarnation is still a member."""
         return self.backend_by_name.get(backend.name) is backend
 
+    def has_restarted(self, backend: Backend) -> bool:
+        """Return whether a later incarnation is a member in a server's place."""
+        announcement = backend.announcement
+        successor = self.backend_by_address.get(announcement.address)
+        return (
+            successor is not None
+            and successor is not backend
+            and successor.announcement.service == announcement.service
+        )
+
     def list_unreachable_incarnations(self, now_s: float) -> list[str]:
         """Return the incarnations that this entry cannot reach."""
         return [
--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -52,17 +52,22 @@
 ) -> list[Backend]:
     """Remember a failed attempt, which counts if one of its servers has crashed.
 
-    Return those servers, without the ones that are leaving, or have left, as announced.
+    It counts at once if one has restarted. Return those that have not, without the ones
+    that are leaving, or have left, as announced.
     """
-    suspects = [
-        backend
-        for backend in backends
-        if gateway.fleet.is_current(backend) and not backend.announcement.draining
-    ]
+    suspects = []
     now_ms = gateway.now_ms()
-    for backend in suspects:
+    for backend in backends:
+        is_current = gateway.fleet.is_current(backend)
+        has_restarted = gateway.fleet.has_restarted(backend)
+        if backend.announcement.draining or not (is_current or has_restarted):
+            continue
         incarnation = backend.announcement.incarnation
         table.add_pending_loss(gateway.quarantine, attempt, incarnation, now_ms)
+        if has_restarted:
+            confirm_crash(gateway, backend)
+        else:
+            suspects.append(backend)
     return suspects
 
 
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -218,7 +218,13 @@
         _interrupt(gateway, run, "first_stage_lost")
         return
     run.later_stage_lost = True
-    await record_broken_attempt(gateway, run.tracked_attempt, [lost_backend])
+    # The member at the lost stage's address may be a later incarnation already.
+    lost_incarnations = [
+        stage.backend
+        for stage in (run.chain.stages if run.chain else ())
+        if stage.backend.announcement.address == lost_backend.announcement.address
+    ]
+    await record_broken_attempt(gateway, run.tracked_attempt, lost_incarnations)
     if compute_refusal_s(gateway, run.admitted.fingerprint):
         _interrupt(gateway, run, QUARANTINED)
         return
--- a/tests/gateway/test_losses.py
+++ b/tests/gateway/test_losses.py
@@ -63,6 +63,21 @@
         resolve_pending_losses(self.gateway)
         self.assertEqual(self.count_losses(), 0)
 
+    def test_server_that_has_restarted_before_the_failure_was_seen_counts(self) -> None:
+        # Guards against crashes that count for nothing: a later stage was back, and
+        # announced again, before its streams counted as stalled.
+        reborn = self.announcement._replace(name="b", incarnation="b@2")
+        self.gateway.fleet.update([reborn], ["a"])
+        self.assertEqual(add_pending_losses(self.gateway, ATTEMPT, [self.backend]), [])
+        self.assertEqual(self.count_losses(), 1)
+
+    def test_server_whose_address_another_service_uses_does_not_count(self) -> None:
+        other = self.announcement._replace(name="b", incarnation="b@1", service="other")
+        self.gateway.fleet.update([other], ["a"])
+        add_pending_losses(self.gateway, ATTEMPT, [self.backend])
+        resolve_pending_losses(self.gateway)
+        self.assertEqual(self.count_losses(), 0)
+
     def test_server_that_is_reclaimed_with_notice_does_not_count(self) -> None:
         add_pending_losses(self.gateway, ATTEMPT, [self.backend])
         self.gateway.fleet.update([self.announcement._replace(draining=True)], [])
