--- /dev/null
+++ b/src/yuccareach/health/__init__.py
@@ -0,0 +1,1 @@
+"""What the data planes know of backend servers, and by what proof."""
--- /dev/null
+++ b/src/yuccareach/health/servers.py
@@ -0,0 +1,109 @@
+"""What one process knows of one incarnation of a backend server, and by what proof.
+
+A server that does not answer is silent. It may still run what it was sent, and go on
+later: neither silence nor a late heartbeat shows that it has ended. Only an EndProof
+does.
+"""
+
+from __future__ import annotations
+
+from enum import StrEnum
+
+
+class EndProof(StrEnum):
+    """What shows that an incarnation has ended, with all that it ran."""
+
+    # Its machine answers, but nothing listens at its address.
+    REFUSED = "connection_refused"
+    # A later incarnation has its name or its address.
+    SUCCEEDED = "later_incarnation"
+    # The process beside it reports that it has exited.
+    REPORTED = "agent_report"
+
+
+class ServerHealth:
+    """Observations of one incarnation; times are in ms of the process's own clock."""
+
+    def __init__(self) -> None:
+        # Since when it has left something unanswered; None if it has not.
+        self.silent_since_ms: int | None = None
+        self.end_proof: EndProof | None = None
+        # Whether it has said that it is leaving.
+        self.is_leaving = False
+        # Until then it has asked for no requests.
+        self.refuses_until_ms = 0
+
+
+def record_contact(health: ServerHealth) -> None:
+    """Record that a server has answered or accepted a connection.
+
+    A connection that was refused before was no proof then.
+    """
+    health.silent_since_ms = None
+    if health.end_proof is EndProof.REFUSED:
+        health.end_proof = None
+
+
+def record_silence(health: ServerHealth, since_ms: int) -> None:
+    """Record that a server has left something unanswered since a time."""
+    if health.silent_since_ms is None:
+        health.silent_since_ms = since_ms
+
+
+def record_end(health: ServerHealth, proof: EndProof) -> None:
+    """Record that an incarnation has ended, by the first proof of it."""
+    health.end_proof = health.end_proof or proof
+
+
+def record_leaving(health: ServerHealth) -> None:
+    """Record that a server has said that it is leaving."""
+    health.is_leaving = True
+
+
+def record_refusal(health: ServerHealth, now_ms: int, retry_after_ms: int) -> None:
+    """Record that a server asks for no requests for a time."""
+    health.refuses_until_ms = max(health.refuses_until_ms, now_ms + retry_after_ms)
+
+
+def has_ended(health: ServerHealth) -> bool:
+    """Return whether it is shown that the incarnation runs nothing any more."""
+    return health.end_proof is not None
+
+
+def compute_silence_ms(health: ServerHealth, now_ms: int) -> int:
+    """Return for how long a server has been silent; 0 if it is not."""
+    if health.silent_since_ms is None:
+        return 0
+    return max(0, now_ms - health.silent_since_ms)
+
+
+def compute_refusal_ms(health: ServerHealth, now_ms: int) -> int:
+    """Return for how much longer a server asks for no requests."""
+    return max(0, health.refuses_until_ms - now_ms)
+
+
+def accepts_requests(health: ServerHealth, now_ms: int) -> bool:
+    """Return whether a server may be sent new requests.
+
+    A silent one may, as a last resort.
+    """
+    return (
+        not health.is_leaving
+        and not has_ended(health)
+        and not compute_refusal_ms(health, now_ms)
+    )
+
+
+__all__ = [
+    "EndProof",
+    "ServerHealth",
+    "accepts_requests",
+    "compute_refusal_ms",
+    "compute_silence_ms",
+    "has_ended",
+    "record_contact",
+    "record_end",
+    "record_leaving",
+    "record_refusal",
+    "record_silence",
+]
--- a/src/yuccareach/platform/standin.py
+++ b/src/yuccareach/platform/standin.py
@@ -17,6 +17,12 @@
 from aiohttp import web
 
 from yuccareach.placement.assignments import NO_LAYERS, LayerRange
+from yuccareach.platform.standin_faults import (
+    REFUSED_STATUS,
+    RunnerArrival,
+    RunnerFaults,
+    parse_prompt_parts,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
@@ -43,13 +49,17 @@
         # of each chain that runs it, or the one runner that runs it as a plain call.
         self.crashing_prefix: bytes | None = None
         self.crashing_stage = 0
+        # So does a stream whose prompt has this part, as it begins to be answered.
+        self.crashing_part: str | None = None
         # Loop times at which such requests crashed runners.
         self.crash_times_s: list[float] = []
+        # Every request that reached a runner, also one that it refused.
+        self.arrivals: list[RunnerArrival] = []
 
-    def is_crashing(self, body: bytes) -> bool:
-        """Return whether a request with this body crashes the runners that run it."""
-        return self.crashing_prefix is not None and body.startswith(
-            self.crashing_prefix
+    def is_crashing(self, body: bytes, prompt_parts: tuple[str, ...] = ()) -> bool:
+        """Return whether a request crashes the runners that run it."""
+        return self.crashing_part in prompt_parts or (
+            self.crashing_prefix is not None and body.startswith(self.crashing_prefix)
         )
 
 
@@ -71,6 +81,7 @@
 
         # Faults and timing that tests set.
 
+        self.faults = RunnerFaults()
         # Number of the event after which a stream's connection is aborted.
         self.abort_after_events: int | None = None
         # Refuses requests, and states that it has not executed them.
@@ -101,6 +112,7 @@
     async def start(self, port: int = 0) -> None:
         """Listen on a port of the loopback address, by default on a free one."""
         app = web.Application()
+        app.on_response_prepare.append(self._add_announcement)
         app.router.add_get("/-/report", self._handle_report)
         app.router.add_post("/-/order", self._handle_order)
         app.router.add_route("*", "/{path:.*}", self._serve)
@@ -196,7 +208,14 @@
 
     # Handlers of calls to the runner.
 
+    async def _add_announcement(
+        self, request: web.Request, response: web.StreamResponse
+    ) -> None:
+        if self.faults.announces_leaving:
+            response.headers["Server-Leaving"] = "1"
+
     async def _handle_report(self, request: web.Request) -> web.Response:
+        await self.faults.wait_while_silent()
         stalled = [
             {"id": request_id, "address": address}
             for request_id, address in self.stalled_address_by_request.items()
@@ -204,6 +223,7 @@
         return web.json_response({"stalled": stalled, "pace": self.slowdown})
 
     async def _handle_order(self, request: web.Request) -> web.Response:
+        await self.faults.wait_while_silent()
         order = await request.json()
         self.received_orders.append(order)
         if order["op"] == "place" and self.rejects_place_orders:
@@ -242,6 +262,16 @@
     async def _serve(self, request: web.Request) -> web.StreamResponse:
         self.received_headers.append(request.headers.copy())
         request_id = request.headers.get("Yuccareach-Request-Id", "")
+        self.group.arrivals.append(
+            RunnerArrival(
+                asyncio.get_running_loop().time(),
+                request_id,
+                self.name,
+                get_prompt_parts(request),
+            )
+        )
+        self.faults.begin_silence(self.faults.silence_on_arrival_s)
+        await self.faults.wait_while_silent()
         echo = {"Yuccareach-Request-Id": request_id}
         target = request.headers.get("Yuccareach-Target-Runner")
         if target != self.name:
@@ -249,6 +279,13 @@
         if self.is_full:
             refusal = {**echo, "Yuccareach-Not-Executed": "1"}
             return web.Response(status=503, headers=refusal)
+        if self.faults.retry_after_s is not None:
+            refusal = {
+                **echo,
+                "Yuccareach-Not-Executed": "1",
+                "Retry-After": f"{self.faults.retry_after_s:g}",
+            }
+            return web.Response(status=REFUSED_STATUS, headers=refusal)
         if self.is_silent:
             await asyncio.sleep(SILENCE_DELAY_S)
         signed = {**echo, "Yuccareach-Runner-Signature": f"{self.name}.{request_id}"}
@@ -282,6 +319,9 @@
         last = int(request.headers["Yuccareach-Token-Usage"].split(",")[1])
         for number in range(first, last + 1):
             await self._crash_stage(request, request_id)
+            if number - first == self.faults.silence_after_events:
+                self.faults.begin_silence(self.faults.silence_after_events_s)
+            await self.faults.wait_while_silent()
             if self.abort_after_events is not None:
                 if number > self.abort_after_events:
                     assert request.transport is not None
@@ -301,8 +341,9 @@
         return response
 
     async def _crash_stage(self, request: web.Request, request_id: str) -> None:
-        """Crash the runner of the crashing stage if the request has that body."""
-        if not self.group.is_crashing(await request.read()):
+        """Crash the runner of the crashing stage if the request is a crashing one."""
+        body = await request.read()
+        if not self.group.is_crashing(body, get_prompt_parts(request)):
             return
         address, _, _ = self.path_by_request[request_id][self.group.crashing_stage]
         runner = self.group.runner_by_address.get(address)
@@ -333,6 +374,11 @@
         self.stalled_address_by_request.pop(request_id, None)
 
 
+def get_prompt_parts(request: web.Request) -> tuple[str, ...]:
+    """Return the ids of the parts of a request's prompt, in order."""
+    return parse_prompt_parts(request.headers.get("Yuccareach-Prompt-Prefix", ""))
+
+
 def parse_path(text: str) -> list[tuple[str, int, int]]:
     """Return address, first layer and end layer of each stage of a path."""
     stages = []
