--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.http_client import ConnectionPool
+from yuccareach.health.servers import ServerHealth
 
 if TYPE_CHECKING:
     import asyncio
@@ -59,6 +60,8 @@
     def __init__(self, announcement: Announcement) -> None:
         self.announcement = announcement
         self.pool = ConnectionPool(announcement.address)
+        # What this entry knows of the incarnation, and by what proof.
+        self.health = ServerHealth()
         # Streams and calls of this entry that run here.
         self.running_requests = 0
         # Streams of this entry that have their first stage here and no event yet.
