Do not accuse a request of a departure by itself

Callers could be refused as quarantined although no server had crashed: a pending loss was confirmed as soon as control no longer listed the server, which also happens when only its heartbeats are late.

--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -64,6 +64,7 @@
             continue
         incarnation = backend.announcement.incarnation
         table.add_pending_loss(gateway.quarantine, attempt, incarnation, now_ms)
+        gateway.fleet.suspect_by_incarnation[incarnation] = backend
         if has_restarted:
             confirm_crash(gateway, backend)
         else:
@@ -82,16 +83,25 @@
 
 
 def resolve_pending_losses(gateway: Gateway) -> None:
-    """Count the pending losses of backend servers that have departed unannounced."""
-    announcements = [
-        backend.announcement for backend in gateway.fleet.backend_by_name.values()
-    ]
+    """Count the pending losses of backend servers whose later incarnation is known.
+
+    A departure by itself does not count, since the heartbeats may only be late.
+    """
+    fleet, pending = gateway.fleet, gateway.quarantine.pending_by_incarnation
+    announcements = [backend.announcement for backend in fleet.backend_by_name.values()]
+    replaced = {
+        incarnation
+        for incarnation, backend in fleet.suspect_by_incarnation.items()
+        if fleet.has_restarted(backend)
+    }
     changes = table.resolve_pending_losses(
         gateway.quarantine,
-        {item.incarnation for item in announcements},
+        pending.keys() - replaced,
         {item.incarnation for item in announcements if item.draining},
         gateway.now_ms(),
     )
+    for incarnation in fleet.suspect_by_incarnation.keys() - pending.keys():
+        del fleet.suspect_by_incarnation[incarnation]
     _report(gateway, changes)
 
 
