Wait for a silent server's call unless another attempt is possible

Callers of idempotent calls got 504 or 502 while sound servers were silent: after 2.5 objectives the attempt was cut, and only then was it found that the retry budget was used up, that no other server was there, or that the others refused the call. After a crash, calls ended with 502 too, since runs on servers that had ended counted against maxAttempts.

Now the open attempt is left only if the route, the quarantine and the budget allow another one and a server is there that is not avoided; this is tried every 0.25 s. If the others refuse the call, it goes back to the server that it left. Runs count unless their servers have provably ended; a refusal counts as before. A call is sent on at once if its server is found to have ended.

--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -15,9 +15,15 @@
     send_refusal,
     strip_connection_headers,
 )
-from yuccareach.gateway.backend_requests import send_request
+from yuccareach.gateway.attempts import (
+    LeftServers,
+    count_attempts,
+    list_open_incarnations,
+    record_left,
+)
+from yuccareach.gateway.backend_requests import BackendRequest, send_request
 from yuccareach.gateway.backends import Backend, choose_backend
-from yuccareach.gateway.crashes import record_broken_attempt
+from yuccareach.gateway.crashes import record_broken_attempt, seek_end_proof
 from yuccareach.gateway.dialect import ForwardMetadata
 from yuccareach.gateway.http_client import Ending, ResponseHead
 from yuccareach.gateway.losses import (
@@ -32,8 +38,10 @@
     from yuccareach.gateway.state import Gateway
 
 # An idempotent call without an answer is sent to another backend server after this many
-# times the route's objective.
+# times the route's objective, if that is possible then. Otherwise it is waited for, and
+# sent once it is possible.
 ATTEMPT_TIMEOUT_FACTOR = 2.5
+SWITCH_CHECK_INTERVAL_S = 0.25
 # A time-out after less time than this does not count as a failure, since the backend
 # server may only have been busy.
 MIN_FAILURE_WAIT_S = 0.25
@@ -88,8 +96,16 @@
 
     def __init__(self) -> None:
         self.attempts = 0
+        # Number of attempts that backend servers refused to run.
+        self.refusals = 0
         # Number of attempts that may have run at a backend server.
         self.possible_runs = 0
+        self.left_servers = LeftServers()
+        self.excluded_incarnations: set[str] = set()
+        # Whether an attempt was given up that might have gone on.
+        self.has_left_open_attempt = False
+        # Whether the retry budget has already granted the next attempt.
+        self.retry_reserved = False
         self.last_attempt = _NOT_SENT
 
 
@@ -118,34 +134,26 @@
 
     That is the case if its time is up, if the route or the retry budget allows no more
     attempts, if all backend servers of the service have been tried, or if the call is
-    quarantined.
+    quarantined. A call that has left an open attempt is sent on until its time is up.
     """
-    excluded_incarnations: set[str] = set()
-    while True:
-        backend = choose_backend(
-            gateway.fleet.find_by_service(admitted.service.name),
-            gateway.settings.zone,
-            gateway.now(),
-            excluded_incarnations,
-        )
-        if _compute_remaining_ms(gateway, admitted) < MIN_REMAINING_MS:
-            return
+    while _compute_remaining_ms(gateway, admitted) >= MIN_REMAINING_MS:
+        backend = _choose_backend(gateway, admitted, run)
         if backend is None and gateway.is_awaiting_members:
             await asyncio.sleep(MEMBERS_CHECK_INTERVAL_S)
             continue
-        if backend is None:
-            return
         if run.attempts and compute_refusal_s(gateway, admitted.fingerprint):
             return
-        if run.attempts and not gateway.take_retry(admitted.service.name):
-            return
+        if backend is None or not _reserve_retry(gateway, admitted, run):
+            if not run.has_left_open_attempt:
+                return
+            await asyncio.sleep(SWITCH_CHECK_INTERVAL_S)
+            continue
         run.attempts += 1
+        run.retry_reserved = False
         tracked_attempt = start_attempt(gateway, admitted)
-        last_attempt = await _send_attempt(
-            gateway, admitted, backend, can_retry=run.possible_runs == 0
-        )
+        last_attempt = await _send_attempt(gateway, admitted, backend, run)
         run.last_attempt = last_attempt
-        excluded_incarnations.add(backend.announcement.incarnation)
+        run.excluded_incarnations.add(backend.announcement.incarnation)
         _log_attempt(gateway, admitted, backend, last_attempt)
         if last_attempt.is_answered:
             record_answer(gateway, tracked_attempt)
@@ -157,29 +165,84 @@
             return
         if not last_attempt.has_not_run:
             run.possible_runs += 1
-            if not admitted.route.is_idempotent:
-                return
-        was_sent = last_attempt.ending is not Ending.NOT_SENT
-        if was_sent and run.attempts >= admitted.route.max_attempts:
+            record_left(run.left_servers, backend)
+        elif last_attempt.ending is not Ending.NOT_SENT:
+            run.refusals += not run.has_left_open_attempt
+        if not _can_retry(gateway, admitted, run):
             return
 
 
+def _choose_backend(
+    gateway: Gateway, admitted: AdmittedRequest, run: CallRun
+) -> Backend | None:
+    """Return the server for the next attempt, or None.
+
+    A call that has left an open attempt may go back there if all others refuse it.
+    """
+    candidates = gateway.fleet.find_by_service(admitted.service.name)
+    zone, now_s = gateway.settings.zone, gateway.now()
+    excluded = run.excluded_incarnations
+    backend = choose_backend(candidates, zone, now_s, excluded)
+    if backend is None and run.has_left_open_attempt:
+        excluded = excluded - list_open_incarnations(run.left_servers)
+        backend = choose_backend(candidates, zone, now_s, excluded)
+    return backend
+
+
+def _can_retry(
+    gateway: Gateway,
+    admitted: AdmittedRequest,
+    run: CallRun,
+    leaving: Backend | None = None,
+) -> bool:
+    """Return whether the route allows another attempt, after leaving a server."""
+    route = admitted.route
+    has_run = run.possible_runs > 0 or leaving is not None
+    if has_run and not route.is_idempotent:
+        return False
+    counted = count_attempts(run.left_servers, gateway.fleet, leaving)
+    return counted + run.refusals < route.max_attempts
+
+
+def _reserve_retry(gateway: Gateway, admitted: AdmittedRequest, run: CallRun) -> bool:
+    """Return whether the retry budget grants the next attempt, if it is a retry."""
+    if run.attempts and not run.retry_reserved:
+        run.retry_reserved = gateway.take_retry(admitted.service.name)
+    return run.retry_reserved or not run.attempts
+
+
+def _reserve_switch(
+    gateway: Gateway, admitted: AdmittedRequest, run: CallRun, open_backend: Backend
+) -> bool:
+    """Return whether a call can be sent to another server now.
+
+    If so, the retry is taken from the budget.
+    """
+    if not _can_retry(gateway, admitted, run, open_backend):
+        return False
+    if compute_refusal_s(gateway, admitted.fingerprint):
+        return False
+    backend = choose_backend(
+        gateway.fleet.find_by_service(admitted.service.name),
+        gateway.settings.zone,
+        gateway.now(),
+        run.excluded_incarnations | {open_backend.announcement.incarnation},
+    )
+    if backend is None or backend.is_avoided(gateway.now()):
+        return False
+    return _reserve_retry(gateway, admitted, run)
+
+
 def _compute_remaining_ms(gateway: Gateway, admitted: AdmittedRequest) -> int:
     return int((admitted.deadline_s - gateway.now()) * 1000)
 
 
 async def _send_attempt(
-    gateway: Gateway, admitted: AdmittedRequest, backend: Backend, *, can_retry: bool
+    gateway: Gateway, admitted: AdmittedRequest, backend: Backend, run: CallRun
 ) -> Attempt:
-    """Send a call to one backend server and return the result.
-
-    If the call can be retried, its timeout is shorter than the remaining time.
-    """
+    """Send a call to one backend server and return the result."""
     remaining_ms = _compute_remaining_ms(gateway, admitted)
-    timeout_s = remaining_ms / 1000
-    if admitted.route.is_idempotent and can_retry and admitted.route.max_attempts > 1:
-        objective_s = admitted.route.objective_ms / 1000
-        timeout_s = min(timeout_s, ATTEMPT_TIMEOUT_FACTOR * objective_s)
+    sent_s = gateway.now()
     metadata = ForwardMetadata(
         remaining_ms,
         backend.name,
@@ -194,10 +257,7 @@
         if backend_request is None:
             return _NOT_SENT
         try:
-            async with asyncio.timeout(timeout_s):
-                ending = await asyncio.shield(backend_request.exchange.ended)
-        except TimeoutError:
-            ending = Ending.TIMED_OUT
+            ending = await _await_ending(gateway, admitted, backend_request, run)
         finally:
             backend_request.release()
         head = (
@@ -206,13 +266,46 @@
             else None
         )
         attempt = Attempt(ending, head, b"".join(backend_request.exchange.body))
-        if ending is not Ending.TIMED_OUT or timeout_s >= MIN_FAILURE_WAIT_S:
+        waited_s = gateway.now() - sent_s
+        if ending is not Ending.TIMED_OUT or waited_s >= MIN_FAILURE_WAIT_S:
             _record_result(gateway, backend, attempt)
         return attempt
     finally:
         backend.running_requests -= 1
 
 
+async def _await_ending(
+    gateway: Gateway,
+    admitted: AdmittedRequest,
+    backend_request: BackendRequest,
+    run: CallRun,
+) -> Ending:
+    """Wait for the answer to an attempt.
+
+    Stop waiting at the call's deadline, and before it if the server has ended or the
+    call can be sent to another one.
+    """
+    ended = backend_request.exchange.ended
+    patience_s = ATTEMPT_TIMEOUT_FACTOR * admitted.route.objective_ms / 1000
+    while True:
+        remaining_s = admitted.deadline_s - gateway.now()
+        await asyncio.wait((ended,), timeout=max(0.0, min(patience_s, remaining_s)))
+        if ended.done():
+            return ended.result()
+        if patience_s >= remaining_s:
+            return Ending.TIMED_OUT
+        patience_s = SWITCH_CHECK_INTERVAL_S
+        if not admitted.route.is_idempotent:
+            continue
+        if await seek_end_proof(gateway, backend_request.backend):
+            return ended.result() if ended.done() else Ending.BROKEN
+        if ended.done():
+            return ended.result()
+        if _reserve_switch(gateway, admitted, run, backend_request.backend):
+            run.has_left_open_attempt = True
+            return Ending.TIMED_OUT
+
+
 def _record_result(gateway: Gateway, backend: Backend, attempt: Attempt) -> None:
     """Record a backend server's success or failure; a refusal is neither."""
     if attempt.is_answered:
