Probe the server of a waiting attempt less often

An open attempt may now be waited for until its deadline. Meanwhile its servers were probed eight times a second, each time over a new connection, and asked for reports. While the log says that an attempt is waited for, they are probed once a second and a repair is tried every 0.5 s. A server that leaves a report unanswered is logged (backend_server_silent).

Two more tests: a server that neither sends nor accepts connections for 1.3 s, and one that does so for good.

--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -92,8 +92,8 @@
         # The last probe, which may still be in progress.
         self.probe: asyncio.Future[ProbeResult] | None = None
         self.last_probe_s = -1.0
-        # A query that waits for the end of a silence.
-        self.recontact: asyncio.Task[None] | None = None
+        # Whether a request for a report waits for the end of a silence.
+        self.is_recontacted = False
         # Multiple of the server's expected times, and when it was last queried.
         self.slowdown = 1.0
         self.last_slowdown_query_s = -10.0
--- a/src/yuccareach/gateway/crashes.py
+++ b/src/yuccareach/gateway/crashes.py
@@ -16,6 +16,10 @@
     from yuccareach.gateway.state import Gateway
     from yuccareach.quarantine.table import TrackedAttempt
 
+# While an open attempt is waited for, its server is probed this often. Each probe opens
+# a connection.
+MAX_PROBE_AGE_S = 1.0
+
 
 async def record_broken_attempt(
     gateway: Gateway, attempt: TrackedAttempt, backends: Iterable[Backend]
@@ -29,12 +33,24 @@
     for backend in add_pending_losses(gateway, attempt, servers):
         if has_ended(backend.health):
             confirm_crash(gateway, backend)
-    await asyncio.gather(*(seek_end_proof(gateway, backend) for backend in servers))
+    await asyncio.gather(
+        *(seek_end_proof(gateway, backend, 0.0) for backend in servers)
+    )
+
 
+async def seek_end_proof(
+    gateway: Gateway, backend: Backend, max_age_s: float = MAX_PROBE_AGE_S
+) -> bool:
+    """Return whether it is shown that a server has ended.
 
-async def seek_end_proof(gateway: Gateway, backend: Backend) -> bool:
-    """Return whether it is shown that a server has ended, after a probe if needed."""
-    if not gateway.fleet.has_ended(backend):
+    It is probed first unless it was probed within max_age_s.
+    """
+    now_s = gateway.now()
+    if (
+        not gateway.fleet.has_ended(backend)
+        and now_s - backend.last_probe_s >= max_age_s
+    ):
+        backend.last_probe_s = now_s
         await probe_backend(gateway, backend)
     return gateway.fleet.has_ended(backend)
 
--- a/src/yuccareach/gateway/probes.py
+++ b/src/yuccareach/gateway/probes.py
@@ -141,8 +141,9 @@
             if not gateway.fleet.is_current(backend)
         ]
         for backend in gateway.fleet.find_unanswering():
-            if backend.recontact is None or backend.recontact.done():
-                backend.recontact = asyncio.create_task(_recontact(gateway, backend))
+            if not backend.is_recontacted:
+                backend.is_recontacted = True
+                gateway.start_background_task(_recontact(gateway, backend))
         unconnectable = gateway.fleet.find_unconnectable()
         if due_backends := [*unconnectable, *departed_suspects]:
             await probe_backends(gateway, due_backends)
@@ -152,6 +153,7 @@
     """Request a report from a silent server, and wait for the end of its silence."""
     path = gateway.dialect.report_path
     report = await call_backend(backend.pool, b"GET", path, b"", RECONTACT_TIMEOUT_S)
+    backend.is_recontacted = False
     if report is not None:
         record_contact(backend.health)
         gateway.log("backend_server_regained", backend_server=backend.name)
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -51,8 +51,10 @@
 # count as stalled again.
 REROUTE_GRACE_S = 0.6
 MAX_REROUTE_ATTEMPTS = 3
-# Interval between the repairs of a stream whose open attempt is waited for.
+# Minimum interval between the repairs of one stream, and of one whose open attempt is
+# waited for. A repair may request a report.
 REPAIR_INTERVAL_S = 0.1
+WAITING_REPAIR_INTERVAL_S = 0.5
 
 
 async def watch_streams(gateway: Gateway) -> None:
@@ -102,7 +104,9 @@
     chain_by_stages = {
         run.chain.stages: run.chain
         for run in runs
-        if run.chain is not None and is_suspiciously_idle(run, now_s)
+        if run.chain is not None
+        and not run.wait_logged
+        and is_suspiciously_idle(run, now_s)
     }
     for chain in chain_by_stages.values():
         gateway.start_background_task(find_lost_backends(gateway, chain))
@@ -202,6 +206,7 @@
     if was_delayed:
         return {}
     record_silence(first_backend.health, int(started_s * 1000))
+    gateway.log("backend_server_silent", backend_server=first_backend.name)
     return None
 
 
@@ -217,7 +222,9 @@
     """
     now_s = gateway.now()
     run.last_progress_s = max(run.last_progress_s, now_s - MIN_STALL_S)
-    run.next_repair_s = now_s + REPAIR_INTERVAL_S
+    run.next_repair_s = now_s + (
+        WAITING_REPAIR_INTERVAL_S if run.wait_logged else REPAIR_INTERVAL_S
+    )
     if cause_by_request is None:
         await _leave_first_stage(gateway, run, first_backend, "first_stage_silent")
         return
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -7,7 +7,9 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from typing import TYPE_CHECKING, Any
+from unittest import mock
 
 from tests.platform.deployment import Answer, DeploymentTestCase, read_event_ids
 from tests.platform.examples import (
@@ -242,6 +244,44 @@
         self.assert_answered(answer, EVENTS)
         self.assertLessEqual(len(self.list_servers("r1")), MAX_ATTEMPTS)
 
+    async def request_over_dark_server(self, dark_s: float) -> float:
+        """Request a stream whose first server neither sends nor accepts connections.
+
+        Return the longest pause between parts of the answer, in seconds.
+        """
+        await self.add_runners((0, 80))
+        loop = asyncio.get_running_loop()
+        arrivals_s: list[float] = []
+        patches: list[Any] = []
+
+        async def _hang() -> None:
+            await asyncio.sleep(60)
+
+        async def _darken(body: bytes) -> None:
+            arrivals_s.append(loop.time())
+            if body.count(b"id:") >= SILENT_AFTER_EVENTS and not patches:
+                name = self.list_servers("r1")[0]
+                self.find_runner(name).faults.begin_silence(dark_s)
+                pool = self.gateway.gateway.fleet.backend_by_name[name].pool
+                patches.append(mock.patch.object(pool, "connect", _hang))
+                patches[0].start()
+                self.addCleanup(patches[0].stop)
+                loop.call_later(dark_s, patches[0].stop)
+
+        answer = await self.request("/draft/1", "r1", events=EVENTS, on_event=_darken)
+        self.assertTrue(patches)
+        self.assert_answered(answer, EVENTS)
+        self.assertLessEqual(len(self.list_servers("r1")), MAX_ATTEMPTS)
+        return max(later - earlier for earlier, later in itertools.pairwise(arrivals_s))
+
+    async def test_stream_over_a_server_dark_for_a_while_is_answered(self) -> None:
+        await self.request_over_dark_server(SILENCE_S)
+
+    async def test_stream_over_a_server_dark_for_good_goes_on_elsewhere(self) -> None:
+        pause_s = await self.request_over_dark_server(60)
+        # Connecting shows it sooner than a report that does not come within 0.4 s.
+        self.assertLess(pause_s, 0.7)
+
     async def test_crashed_servers_do_not_count_against_the_attempts(self) -> None:
         await self.add_runners((0, 80), count=5)
         for runner in self.runners:
