Send no requests to a silent server that accepts no connection

Callers saw requests refused for want of retries while servers were dark.

Cause: the graph of chains left out only what had been silent for two seconds, and a server whose reports had not come kept that silence alone when it accepted no connection either. Both are kept now, and what accepts no connection is left out until it does, as before.

--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -158,9 +158,7 @@
     def is_avoided(self, now_s: float) -> bool:
         """Return whether other servers are to be preferred to this one."""
         until_s = max(self.avoid_until_s, self.full_until_s)
-        return (
-            has_ended(self.health) or self.health.silence is not None or now_s < until_s
-        )
+        return has_ended(self.health) or bool(self.health.silences) or now_s < until_s
 
 
 class Fleet:
@@ -245,7 +243,7 @@
         return [
             backend
             for backend in self.backend_by_name.values()
-            if backend.health.silence is Silence.ANSWER
+            if Silence.ANSWER in backend.health.silences
         ]
 
     def find_unreachable(self, now_s: float) -> list[Backend]:
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -194,7 +194,7 @@
     If the time-out came far too late, this process itself was delayed, and no cause is
     reported.
     """
-    if first_backend.health.silence is Silence.ANSWER:
+    if Silence.ANSWER in first_backend.health.silences:
         return None
     path = gateway.dialect.report_path
     started_s = gateway.now()
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -192,13 +192,15 @@
     def get_graph(self, service: Service) -> LayerGraph:
         """Return the graph of a service's layers, rebuilt when members change.
 
-        Servers that are presumed to be lost are left out: a request sent to one would
-        only fail, and its retry would use up the retry budget.
+        Servers that accept no connection or are presumed to be lost are left out: a
+        request sent to one would only fail, and its retry use up the retry budget.
         """
         assert self.table is not None and service.model is not None
-        unreachable = frozenset(
-            item.name for item in self.fleet.find_unreachable(self.now())
+        left_out = (
+            *self.fleet.find_unreachable(self.now()),
+            *self.fleet.find_unconnectable(),
         )
+        unreachable = frozenset(item.name for item in left_out)
         cache_key = (self.fleet.version, self.table.version, unreachable)
         cached = self.graph_by_service.get(service.name)
         if cached is not None and cached.cache_key == cache_key:
--- a/src/yuccareach/health/servers.py
+++ b/src/yuccareach/health/servers.py
@@ -40,7 +40,7 @@
     def __init__(self) -> None:
         # Since when it has left something unanswered; None if it has not.
         self.silent_since_ms: int | None = None
-        self.silence: Silence | None = None
+        self.silences: set[Silence] = set()
         self.end_proof: EndProof | None = None
         # Whether it has said that it is leaving.
         self.is_leaving = False
@@ -50,7 +50,7 @@
 
 def record_contact(health: ServerHealth) -> None:
     """Record that a server has sent something."""
-    health.silent_since_ms = health.silence = None
+    health.silences.clear()
     record_connection(health)
 
 
@@ -61,8 +61,9 @@
     that leaves requests unanswered remains so. A connection that was refused before was
     no proof then.
     """
-    if health.silence is Silence.CONNECTION:
-        health.silent_since_ms = health.silence = None
+    health.silences.discard(Silence.CONNECTION)
+    if not health.silences:
+        health.silent_since_ms = None
     if health.end_proof is EndProof.REFUSED:
         health.end_proof = None
 
@@ -73,8 +74,7 @@
     """Record that a server has left something unanswered since a time."""
     if health.silent_since_ms is None:
         health.silent_since_ms = since_ms
-    if health.silence is not Silence.ANSWER:
-        health.silence = silence
+    health.silences.add(silence)
 
 
 def record_end(health: ServerHealth, proof: EndProof) -> None:
@@ -106,7 +106,7 @@
 
 def accepts_connections(health: ServerHealth) -> bool:
     """Return whether the last connection attempt succeeded, as far as is known."""
-    return not has_ended(health) and health.silence is not Silence.CONNECTION
+    return not has_ended(health) and Silence.CONNECTION not in health.silences
 
 
 def is_presumed_lost(health: ServerHealth, now_ms: int) -> bool:
--- a/tests/health/test_servers.py
+++ b/tests/health/test_servers.py
@@ -51,6 +51,21 @@
         self.assertEqual(compute_silence_ms(dark, 2_000), 0)
         self.assertEqual(compute_silence_ms(hanging, 2_000), 1_000)
 
+    def test_silent_server_that_accepts_no_connection_either_stays_unconnectable(
+        self,
+    ) -> None:
+        for silences in (
+            (Silence.ANSWER, Silence.CONNECTION),
+            (Silence.CONNECTION, Silence.ANSWER),
+        ):
+            health = ServerHealth()
+            for silence in silences:
+                record_silence(health, 1_000, silence)
+            self.assertFalse(accepts_connections(health))
+            record_connection(health)
+            self.assertTrue(accepts_connections(health))
+            self.assertEqual(compute_silence_ms(health, 2_000), 1_000)
+
     def test_server_is_presumed_lost_only_after_more_than_a_second_or_so(self) -> None:
         health = ServerHealth()
         record_silence(health, 0)
