Send nothing new to a server that says in its answers that it is leaving

Callers' requests went on to a server whose answers said Server-Leaving: 1 while its heartbeats said ready, calls and streams alike, until it was gone.

Cause: a departure was known from heartbeats only. The header was passed on unread.

The adapter decodes it, and one hook (gateway/server_notices.py) records it in the server's health as soon as a head is read, of answers to requests, reports and orders. choose_backend and the graph of chains leave out what accepts no requests; the graph's cache key names those servers, so a cached graph cannot outlive the notice. A stream that runs at a leaving server stays there, also when another of its stages is replaced. The notice holds for one incarnation: a later one starts anew, and one that departs and returns is still leaving. Where only leaving servers hold some layers, streams are refused at once, waiting ones too; calls are told to come back after 1 s. A leaving server that ends is no crash of its requests, like one that is draining.

Changed in tests of: they wait until the gateway expects no further members, since it holds requests for those until 2 s after its first view; and calls to a server that refuses without Retry-After are sent one by one, since 20 at once need more retries than the shared budget grants while the number of gateways is unknown. What they assert is the same, and one arrival at that server is now the bound.

--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -62,6 +62,7 @@
     """A request in the queue, with the callback that reserves capacity for it.
 
     `granted` gets the reserved capacity, or None once the wait deadline has passed.
+    The callback may end the wait itself.
     """
 
     ticket: Ticket
@@ -184,6 +185,8 @@
             if item.granted.done():
                 continue
             capacity = item.reserve_capacity()
+            if item.granted.done():
+                continue
             if capacity is not None:
                 item.granted.set_result(capacity)
             elif self._should_block_overtaking(item.ticket, now_s):
--- /dev/null
+++ b/src/yuccareach/gateway/availability.py
@@ -0,0 +1,67 @@
+"""Which backend servers may take part in new chains, and from when on."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccareach.gateway.chains import build_graph
+from yuccareach.health.servers import find_acceptance_ms, has_ended
+
+if TYPE_CHECKING:
+    from collections.abc import Collection, Iterable
+
+    from yuccareach.gateway.backends import Backend
+    from yuccareach.gateway.table import ModelProfile
+
+
+def can_take_part(backend: Backend, now_s: float) -> bool:
+    """Return whether a server accepts connections and new requests."""
+    return backend.is_connectable and backend.accepts_requests(now_s)
+
+
+def can_continue(backend: Backend) -> bool:
+    """Return whether a server may go on with a stream that it runs."""
+    return backend.is_connectable and not has_ended(backend.health)
+
+
+def find_for_chain(
+    backends: Iterable[Backend], now_s: float, current_backends: Collection[Backend]
+) -> list[Backend]:
+    """Return the servers that a chain may consist of.
+
+    A stream that runs at some servers may go on there, also if they accept no new
+    requests.
+    """
+    return [
+        backend
+        for backend in backends
+        if can_take_part(backend, now_s)
+        or (backend in current_backends and can_continue(backend))
+    ]
+
+
+def find_layers_acceptance_ms(
+    backends: Iterable[Backend], model: ModelProfile
+) -> float:
+    """Return from when on each loaded layer has a server that accepts requests.
+
+    Infinity if all servers that have loaded some layer are leaving. Servers that accept
+    no connections are left out.
+    """
+    graph = build_graph(filter(can_continue, backends), model)
+    return max(
+        (
+            min(find_acceptance_ms(backend.health) for backend in at_boundary)
+            for at_boundary in graph.backends_by_boundary[:-1]
+            if at_boundary
+        ),
+        default=0.0,
+    )
+
+
+__all__ = [
+    "can_continue",
+    "can_take_part",
+    "find_for_chain",
+    "find_layers_acceptance_ms",
+]
--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.http_client import Ending, Exchange, encode_request
+from yuccareach.gateway.server_notices import build_response_reader
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -69,7 +70,7 @@
             )
             return None
     exchange = Exchange(
-        admitted.metadata.request_id, gateway.dialect.read_response, on_data
+        admitted.metadata.request_id, build_response_reader(gateway, backend), on_data
     )
     request = admitted.request
     headers = [
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -10,6 +10,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.http_client import ConnectionPool
+from yuccareach.health.servers import ServerHealth, accepts_requests, copy_notices
 
 if TYPE_CHECKING:
     import asyncio
@@ -24,6 +25,9 @@
 FULL_DURATION_S = 0.2
 # Weight of the newest outcome in the failure rate, an exponential moving average.
 FAILURE_WEIGHT = 0.2
+# Departed incarnations whose notices are kept, since one whose heartbeats were late
+# becomes a member again.
+MAX_DEPARTED_NOTICES = 1_000
 
 
 class ProbeResult(StrEnum):
@@ -59,6 +63,7 @@
     def __init__(self, announcement: Announcement) -> None:
         self.announcement = announcement
         self.pool = ConnectionPool(announcement.address)
+        self.health = ServerHealth()
         # Streams and calls of this entry that run here.
         self.running_requests = 0
         # Streams of this entry that have their first stage here and no event yet.
@@ -142,6 +147,10 @@
             self.is_connectable = True
             self.unreachable_until_s = self.avoid_until_s = 0.0
 
+    def accepts_requests(self, now_s: float) -> bool:
+        """Return whether the server may be sent new requests."""
+        return accepts_requests(self.health, int(now_s * 1000))
+
     def is_unreachable(self, now_s: float) -> bool:
         """Return whether this entry or an adjacent stage cannot reach the server."""
         return not self.is_connectable or now_s < self.unreachable_until_s
@@ -160,6 +169,8 @@
         self.backend_by_address: dict[str, Backend] = {}
         # Incremented when a member joins, leaves or is announced with other properties.
         self.version = 0
+        # What departed incarnations that may return have said, oldest first.
+        self.departed_health_by_incarnation: dict[str, ServerHealth] = {}
 
     def update(
         self, announcements: Iterable[Announcement], departed: Iterable[str]
@@ -180,9 +191,7 @@
                 or backend.announcement.incarnation != announcement.incarnation
             ):
                 self._remove(announcement.name)
-                backend = self.backend_by_name[announcement.name] = Backend(
-                    announcement
-                )
+                backend = self._add(announcement)
             backend.announcement = announcement
             self.backend_by_address[announcement.address] = backend
             self.version += 1
@@ -192,12 +201,27 @@
         for name in set(self.backend_by_name) - names:
             self._remove(name)
 
+    def _add(self, announcement: Announcement) -> Backend:
+        backend = self.backend_by_name[announcement.name] = Backend(announcement)
+        former = self.departed_health_by_incarnation.pop(announcement.incarnation, None)
+        if former is not None:
+            copy_notices(former, backend.health)
+        return backend
+
+    def _keep_notices(self, backend: Backend) -> None:
+        if backend.health.is_leaving or backend.health.refuses_until_ms:
+            kept = self.departed_health_by_incarnation
+            kept[backend.announcement.incarnation] = backend.health
+            if len(kept) > MAX_DEPARTED_NOTICES:
+                del kept[next(iter(kept))]
+
     def _remove(self, name: str) -> None:
         backend = self.backend_by_name.pop(name, None)
         if backend is None:
             return
         self.version += 1
         backend.pool.close()
+        self._keep_notices(backend)
         if self.backend_by_address.get(backend.announcement.address) is backend:
             del self.backend_by_address[backend.announcement.address]
 
@@ -255,9 +279,10 @@
 ) -> Backend | None:
     """Return the backend server to send a call to, or None without a candidate.
 
-    Servers that are to be avoided come last. Otherwise the least loaded server is
-    chosen, with its load weighted by its failure rate, and between equals one in the
-    entry's availability zone.
+    Servers that accept no requests now, or that are excluded, are no candidates. Those
+    that are to be avoided come last. Otherwise the least loaded server is chosen, with
+    its load weighted by its failure rate, and between equals one in the entry's
+    availability zone.
     """
 
     def _rank(backend: Backend) -> tuple[bool, float, bool]:
@@ -268,6 +293,7 @@
         item
         for item in candidates
         if item.announcement.incarnation not in excluded_incarnations
+        and item.accepts_requests(now_s)
     ]
     return min(usable, key=_rank, default=None)
 
--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.admitted_requests import (
@@ -26,10 +27,12 @@
     record_answer,
     start_attempt,
 )
+from yuccareach.health.servers import find_acceptance_ms
 
 if TYPE_CHECKING:
     from yuccareach.gateway.http_server import Reply
     from yuccareach.gateway.state import Gateway
+    from yuccareach.gateway.table import Service
 
 # An idempotent call without an answer is sent to another backend server after this many
 # times the route's objective.
@@ -45,6 +48,9 @@
 # Retry delay for a refused call. A full service has free capacity again after about the
 # duration of a call.
 FULL_RETRY_DELAY_S = 0.1
+# Retry delay while all backend servers are leaving. One that takes their place
+# announces itself with its first heartbeat.
+LEAVING_RETRY_DELAY_S = 1.0
 
 
 class Attempt(NamedTuple):
@@ -255,10 +261,25 @@
     refusal_s = compute_refusal_s(gateway, admitted.fingerprint)
     if not may_have_run:
         reason = QUARANTINED if refusal_s else "not_run"
-        return send_refusal(reply, refusal_s or FULL_RETRY_DELAY_S, reason)
+        retry_s = refusal_s or _estimate_retry_after_s(gateway, admitted.service)
+        return send_refusal(reply, retry_s, reason)
     if last_attempt.ending is Ending.TIMED_OUT:
         return send_failure(reply, 504, "timed_out")
     return send_failure(reply, 502, QUARANTINED if refusal_s else "outcome_unknown")
 
 
+def _estimate_retry_after_s(gateway: Gateway, service: Service) -> float:
+    """Estimate after how many seconds a server of a plain service accepts a call."""
+    acceptance_ms = min(
+        (
+            find_acceptance_ms(backend.health)
+            for backend in gateway.fleet.find_by_service(service.name)
+        ),
+        default=0,
+    )
+    if acceptance_ms == math.inf:
+        return LEAVING_RETRY_DELAY_S
+    return max(FULL_RETRY_DELAY_S, (acceptance_ms - gateway.now_ms()) / 1000)
+
+
 __all__ = ["Attempt", "serve_call"]
--- a/src/yuccareach/gateway/dialect.py
+++ b/src/yuccareach/gateway/dialect.py
@@ -61,6 +61,8 @@
     running_requests: int | None
     queued_requests: int | None
     slots: int | None
+    # Whether the backend server states that it is leaving.
+    is_leaving: bool = False
 
 
 class Dialect(NamedTuple):
--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -315,6 +315,9 @@
         self.idle_connections.clear()
 
 
+_NO_METADATA = ResponseMetadata(None, False, False, None, None, None, None)
+
+
 class BackendResponse(NamedTuple):
     """A complete response to a request of the gateway's own."""
 
@@ -330,18 +333,27 @@
     timeout_s: float,
     *,
     new_connection: bool = False,
+    read_response: Callable[[int, Headers], ResponseMetadata] | None = None,
 ) -> BackendResponse | None:
     """Send a request of the gateway's own to a backend server.
 
     Returns None if no complete response arrives within the timeout, which includes the
-    time to connect. With `new_connection`, no pooled connection is used.
+    time to connect. With `new_connection`, no pooled connection is used. The head of
+    the response is decoded by `read_response`, if set.
     """
     address = f"{pool.host}:{pool.port}".encode()
     headers: Headers = [(b"Host", address)]
     if body:
         headers.append((b"Content-Type", b"application/json"))
     now_s = asyncio.get_running_loop().time()
-    exchange = Exchange(b"", _accept_any_response)
+
+    def _read_response(status: int, response_headers: Headers) -> ResponseMetadata:
+        if read_response is None:
+            return _NO_METADATA
+        # These requests have no id to match.
+        return read_response(status, response_headers)._replace(request_id=None)
+
+    exchange = Exchange(b"", _read_response)
     connection: BackendConnection | None = None
     try:
         async with asyncio.timeout(timeout_s):
@@ -365,11 +377,6 @@
     return BackendResponse(head.status, b"".join(exchange.body))
 
 
-def _accept_any_response(status: int, headers: Headers) -> ResponseMetadata:
-    """Accept a response without a request id."""
-    return ResponseMetadata(None, False, False, None, None, None, None)
-
-
 def encode_request(
     method: bytes, target: bytes, headers: Headers, body: bytes
 ) -> bytes:
--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -60,7 +60,8 @@
     for backend in backends:
         is_current = gateway.fleet.is_current(backend)
         has_restarted = gateway.fleet.has_restarted(backend)
-        if backend.announcement.draining or not (is_current or has_restarted):
+        is_leaving = backend.announcement.draining or backend.health.is_leaving
+        if is_leaving or not (is_current or has_restarted):
             continue
         incarnation = backend.announcement.incarnation
         table.add_pending_loss(gateway.quarantine, attempt, incarnation, now_ms)
@@ -83,13 +84,15 @@
 
 def resolve_pending_losses(gateway: Gateway) -> None:
     """Count the pending losses of backend servers that have departed unannounced."""
-    announcements = [
-        backend.announcement for backend in gateway.fleet.backend_by_name.values()
-    ]
+    backends = gateway.fleet.backend_by_name.values()
     changes = table.resolve_pending_losses(
         gateway.quarantine,
-        {item.incarnation for item in announcements},
-        {item.incarnation for item in announcements if item.draining},
+        {item.announcement.incarnation for item in backends},
+        {
+            item.announcement.incarnation
+            for item in backends
+            if item.announcement.draining or item.health.is_leaving
+        },
         gateway.now_ms(),
     )
     _report(gateway, changes)
--- a/src/yuccareach/gateway/slowdowns.py
+++ b/src/yuccareach/gateway/slowdowns.py
@@ -9,6 +9,7 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.http_client import call_backend
+from yuccareach.gateway.server_notices import build_response_reader
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -52,7 +53,14 @@
 
 async def _query_slowdown(gateway: Gateway, backend: Backend) -> None:
     path = gateway.dialect.report_path
-    report = await call_backend(backend.pool, b"GET", path, b"", REPORT_TIMEOUT_S)
+    report = await call_backend(
+        backend.pool,
+        b"GET",
+        path,
+        b"",
+        REPORT_TIMEOUT_S,
+        read_response=build_response_reader(gateway, backend),
+    )
     slowdown = (
         gateway.dialect.read_slowdown(report.body) if report is not None else None
     )
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -20,6 +20,7 @@
     find_lost_backends,
     is_suspiciously_idle,
 )
+from yuccareach.gateway.server_notices import build_response_reader
 from yuccareach.gateway.slowdowns import find_due_for_recheck, query_slowdowns
 from yuccareach.gateway.stream_run import StreamRun, format_chain, to_dialect_stages
 
@@ -179,7 +180,14 @@
     """
     path = gateway.dialect.report_path
     started_s = gateway.now()
-    report = await call_backend(first_backend.pool, b"GET", path, b"", REPORT_TIMEOUT_S)
+    report = await call_backend(
+        first_backend.pool,
+        b"GET",
+        path,
+        b"",
+        REPORT_TIMEOUT_S,
+        read_response=build_response_reader(gateway, first_backend),
+    )
     if report is not None:
         return gateway.dialect.read_stalled_requests(report.body)
     was_delayed = gateway.now() - started_s > REPORT_TIMEOUT_S + TIMER_DELAY_THRESHOLD_S
@@ -321,7 +329,9 @@
     if service.model is None or run.chain is None:
         return None
     first_stage = run.chain.stages[0]
-    graph = run.gateway.get_graph(service)
+    graph = run.gateway.get_graph(
+        service, [stage.backend for stage in run.chain.stages]
+    )
     if first_stage.end_layer not in graph.boundaries:
         return None
     requirements = run.build_requirements()._replace(
@@ -394,6 +404,7 @@
             body,
             timeout_s,
             new_connection=attempt > 0,
+            read_response=build_response_reader(gateway, first_backend),
         )
         if answer is not None:
             return RerouteAnswer(
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -10,18 +10,25 @@
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from yuccareach.gateway.admission import AdmissionQueue
+from yuccareach.gateway.availability import (
+    can_take_part,
+    find_for_chain,
+    find_layers_acceptance_ms,
+)
 from yuccareach.gateway.backends import Fleet
 from yuccareach.gateway.budget import RetryBudget, RetryBudgetLimits
 from yuccareach.gateway.chains import Chain, LayerGraph, build_graph
 from yuccareach.gateway.table import Limits
+from yuccareach.health.servers import find_acceptance_ms
 from yuccareach.metrics.registry import Registry
 from yuccareach.quarantine.reporting import LossReporter
 from yuccareach.quarantine.table import QuarantineTable
 from yuccareach.runtime.logs import Log, logger, write_log
 
 if TYPE_CHECKING:
-    from collections.abc import Coroutine
+    from collections.abc import Collection, Coroutine
 
+    from yuccareach.gateway.backends import Backend
     from yuccareach.gateway.dialect import Dialect
     from yuccareach.gateway.stream_run import StreamRun
     from yuccareach.gateway.table import RoutingTable, Service
@@ -61,9 +68,11 @@
     """The graph of one service, and the versions that it was built from."""
 
     graph: LayerGraph
-    # Versions of the members and of the routing table, and the names of the servers
-    # that were left out because they accept no connections.
-    cache_key: tuple[int, int, frozenset[str]]
+    # Loop time from which on every loaded layer has a server that accepts requests.
+    acceptance_ms: float
+    # Versions of the members and of the routing table, and of each server that was
+    # left out its name, whether it accepts connections, and when it accepts requests.
+    cache_key: tuple[int, int, frozenset[tuple[str, bool, float]]]
 
 
 def get_boot_time_s() -> float:
@@ -189,24 +198,52 @@
         self.registry.count("repeats", "sent" if allowed else "over_budget")
         return allowed
 
-    def get_graph(self, service: Service) -> LayerGraph:
+    def get_graph(
+        self, service: Service, current_backends: Collection[Backend] = ()
+    ) -> LayerGraph:
         """Return the graph of a service's layers, rebuilt when members change.
 
-        Servers that accept no connections are left out: a request sent to one would
-        only fail, and its retry would use up the retry budget.
+        Servers that accept no connections or no requests are left out: a request sent
+        to one would only fail, and its retry would use up the retry budget. Those where
+        a stream runs already are kept for it, if it names them as current_backends.
         """
-        assert self.table is not None and service.model is not None
-        unconnectable = frozenset(item.name for item in self.fleet.find_unconnectable())
-        cache_key = (self.fleet.version, self.table.version, unconnectable)
-        cached = self.graph_by_service.get(service.name)
-        if cached is not None and cached.cache_key == cache_key:
-            return cached.graph
+        now_s = self.now()
+        if all(item.accepts_requests(now_s) for item in current_backends):
+            return self._get_cached_graph(service).graph
+        assert service.model is not None
         members = self.fleet.find_by_service(service.name)
-        graph = build_graph(
-            (item for item in members if item.is_connectable), service.model
+        return build_graph(
+            find_for_chain(members, now_s, current_backends), service.model
+        )
+
+    def _get_cached_graph(self, service: Service) -> CachedGraph:
+        assert self.table is not None and service.model is not None
+        now_s = self.now()
+        left_out = frozenset(
+            (item.name, item.is_connectable, find_acceptance_ms(item.health))
+            for item in self.fleet.backend_by_name.values()
+            if not can_take_part(item, now_s)
         )
-        self.graph_by_service[service.name] = CachedGraph(graph, cache_key)
-        return graph
+        cache_key = (self.fleet.version, self.table.version, left_out)
+        cached = self.graph_by_service.get(service.name)
+        if cached is None or cached.cache_key != cache_key:
+            members = self.fleet.find_by_service(service.name)
+            cached = self.graph_by_service[service.name] = CachedGraph(
+                build_graph(find_for_chain(members, now_s, ()), service.model),
+                find_layers_acceptance_ms(members, service.model),
+                cache_key,
+            )
+        return cached
+
+    def estimate_refusal_s(self, service: Service) -> float:
+        """Estimate how long some layers have only servers that accept no requests.
+
+        Infinity if they are leaving; 0 if no layer has such servers only.
+        """
+        if service.model is None or self.table is None:
+            return 0.0
+        acceptance_ms = self._get_cached_graph(service).acceptance_ms
+        return max(0.0, acceptance_ms - self.now_ms()) / 1000
 
     def estimate_coverage_gap_s(self, service: Service) -> float:
         """Estimate how long some layers stay uncovered; 0 while every layer is loaded.
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -177,18 +177,20 @@
         return chain
     ticket = _build_ticket(run)
     now_s = run.gateway.now()
-    # A started response cannot be refused any more, and members that have yet to
-    # announce themselves may add capacity.
-    must_wait = run.reply.has_started or run.gateway.is_awaiting_members
-    has_coverage_gap = run.gateway.estimate_coverage_gap_s(run.admitted.service) > 0
-    if not must_wait and (has_coverage_gap or not run.queue.should_wait(ticket, now_s)):
+    service = run.admitted.service
+    is_closed = (
+        run.gateway.estimate_coverage_gap_s(service) > 0
+        or run.gateway.estimate_refusal_s(service) > 0
+    )
+    should_wait = not is_closed and run.queue.should_wait(ticket, now_s)
+    if not should_wait and not _must_wait(run):
         run.gateway.log(
             "refused_for_want_of_room",
             request=run.admitted.request_id,
             tokens=run.tokens,
             ahead=run.queue.count_tokens_ahead(ticket),
             expected_wait_s=run.queue.estimate_wait_s(ticket, now_s),
-            closed=has_coverage_gap,
+            closed=is_closed,
         )
         return None
     granted: asyncio.Future[Chain | None] = asyncio.get_running_loop().create_future()
@@ -197,6 +199,8 @@
         found_chain = _choose_chain(run)
         if found_chain is not None:
             run.reserve(found_chain)
+        elif run.gateway.estimate_refusal_s(service) and not _must_wait(run):
+            granted.set_result(None)
         return found_chain
 
     run.queue.add(WaitingRequest(ticket, _reserve_capacity, granted))
@@ -207,6 +211,15 @@
         run.queue.remove(ticket)
 
 
+def _must_wait(run: StreamRun) -> bool:
+    """Return whether a stream waits for capacity even if none is likely in time.
+
+    A started response cannot be refused any more, and members that have yet to announce
+    themselves may add capacity.
+    """
+    return run.reply.has_started or run.gateway.is_awaiting_members
+
+
 def _build_ticket(run: StreamRun) -> Ticket:
     route, workspace = run.admitted.route, run.admitted.workspace
     workspace_priority = workspace.priority if workspace else None
--- a/src/yuccareach/health/servers.py
+++ b/src/yuccareach/health/servers.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 
 
@@ -65,6 +66,12 @@
     health.refuses_until_ms = max(health.refuses_until_ms, now_ms + retry_after_ms)
 
 
+def copy_notices(source: ServerHealth, target: ServerHealth) -> None:
+    """Copy what an incarnation has said of itself to another record of it."""
+    target.is_leaving = source.is_leaving
+    target.refuses_until_ms = source.refuses_until_ms
+
+
 def has_ended(health: ServerHealth) -> bool:
     """Return whether it is shown that the incarnation runs nothing any more."""
     return health.end_proof is not None
@@ -82,16 +89,19 @@
     return max(0, health.refuses_until_ms - now_ms)
 
 
+def find_acceptance_ms(health: ServerHealth) -> float:
+    """Return from when on a server may be sent new requests; infinity if never."""
+    if health.is_leaving or has_ended(health):
+        return math.inf
+    return health.refuses_until_ms
+
+
 def accepts_requests(health: ServerHealth, now_ms: int) -> bool:
     """Return whether a server may be sent new requests.
 
     A silent one may, as a last resort.
     """
-    return (
-        not health.is_leaving
-        and not has_ended(health)
-        and not compute_refusal_ms(health, now_ms)
-    )
+    return now_ms >= find_acceptance_ms(health)
 
 
 __all__ = [
@@ -100,6 +110,8 @@
     "accepts_requests",
     "compute_refusal_ms",
     "compute_silence_ms",
+    "copy_notices",
+    "find_acceptance_ms",
     "has_ended",
     "record_contact",
     "record_end",
--- a/src/yuccareach/platform/headers.py
+++ b/src/yuccareach/platform/headers.py
@@ -30,6 +30,8 @@
 RUNNER_LOAD = b"yuccareach-runner-load"
 # Address of the runner that caused a refusal, if it is another one of the chain.
 FAULTY_ADDRESS = b"at-server"
+# "1" if the runner is leaving, whatever its heartbeats say.
+SERVER_LEAVING = b"server-leaving"
 # Scheme of the Authorization header, in lower case.
 KEY_SCHEME = b"token "
 
@@ -158,6 +160,9 @@
         running_requests=running,
         queued_requests=queued,
         slots=slots,
+        is_leaving=any(
+            name == SERVER_LEAVING and value.strip() == b"1" for name, value in headers
+        ),
     )
 
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -7,6 +7,7 @@
 import math
 import unittest
 from collections import Counter
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
@@ -97,6 +98,23 @@
         self.queue.grant_capacity(1.5)
         self.assertIsNone(granted.result())
 
+    async def test_callback_that_ends_its_wait_does_not_hold_up_the_others(
+        self,
+    ) -> None:
+        granted = [asyncio.get_running_loop().create_future() for _ in range(3)]
+
+        def _end_wait(number: int) -> None:
+            granted[number].set_result(None)
+
+        for number, future in enumerate(granted):
+            waiting = WaitingRequest(
+                build_ticket(number), partial(_end_wait, number), future
+            )
+            self.queue.add(waiting)
+        # By then, a request that finds no capacity would not be overtaken.
+        self.queue.grant_capacity(1.4)
+        self.assertTrue(all(future.done() for future in granted))
+
 
 class RefusalTests(unittest.TestCase):
     def test_request_that_cannot_be_granted_in_time_should_not_wait(self) -> None:
--- /dev/null
+++ b/tests/gateway/test_availability.py
@@ -0,0 +1,119 @@
+"""Tests of which backend servers may take part in new chains."""
+
+from __future__ import annotations
+
+import math
+import unittest
+from typing import Any
+from unittest import mock
+
+from tests.gateway.fleet import MODEL, build_two_zones
+from yuccareach.gateway.availability import find_for_chain, find_layers_acceptance_ms
+from yuccareach.gateway.backends import Backend
+from yuccareach.gateway.budget import RetryBudgetLimits
+from yuccareach.gateway.chains import LayerGraph
+from yuccareach.gateway.state import Gateway, GatewaySettings
+from yuccareach.gateway.table import Service
+from yuccareach.health.servers import EndProof, record_end, record_leaving
+from yuccareach.platform.headers import DIALECT
+
+SERVICE = Service("s", 100, MODEL)
+
+
+class FindForChainTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.backends = build_two_zones()
+
+    def test_leaving_server_takes_part_only_in_a_stream_that_runs_there(self) -> None:
+        leaving = self.backends[0]
+        record_leaving(leaving.health)
+        others = self.backends[1:]
+        self.assertEqual(find_for_chain(self.backends, 0.0, ()), others)
+        self.assertEqual(find_for_chain(self.backends, 0.0, others), others)
+        self.assertEqual(find_for_chain(self.backends, 0.0, [leaving]), self.backends)
+
+    def test_lost_server_takes_no_part_in_a_stream_that_ran_there(self) -> None:
+        ended, unconnectable = self.backends[:2]
+        record_end(ended.health, EndProof.REPORTED)
+        unconnectable.is_connectable = False
+        self.assertEqual(
+            find_for_chain(self.backends, 0.0, self.backends), self.backends[2:]
+        )
+
+
+class AcceptanceTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.backends = build_two_zones()
+
+    def find_acceptance_ms(self) -> float:
+        return find_layers_acceptance_ms(self.backends, MODEL)
+
+    def test_layers_with_an_accepting_server_are_available(self) -> None:
+        # Each zone holds all layers.
+        for backend in self.backends[:4]:
+            record_leaving(backend.health)
+        self.assertEqual(self.find_acceptance_ms(), 0)
+
+    def test_layers_held_by_leaving_servers_only_are_not_available(self) -> None:
+        for backend in (self.backends[0], self.backends[4]):
+            record_leaving(backend.health)
+        self.assertEqual(self.find_acceptance_ms(), math.inf)
+
+    def test_server_without_connections_does_not_count(self) -> None:
+        record_leaving(self.backends[0].health)
+        self.backends[4].is_connectable = False
+        self.assertEqual(self.find_acceptance_ms(), math.inf)
+
+    def test_layers_without_any_server_are_left_out(self) -> None:
+        self.assertEqual(find_layers_acceptance_ms([], MODEL), 0)
+
+
+class CachedGraphTests(unittest.IsolatedAsyncioTestCase):
+    """The graph that a gateway keeps between two changes of the members."""
+
+    async def asyncSetUp(self) -> None:
+        limits = RetryBudgetLimits(0.2, 100, 10)
+        self.gateway = Gateway(GatewaySettings("g", "z1", 5.0, limits, 8.0), DIALECT)
+        table: Any = mock.Mock(version=1)
+        self.gateway.table = table
+        announcements = [item.announcement for item in build_two_zones()]
+        self.gateway.fleet.update(announcements, [])
+
+    def get_backend(self, name: str) -> Backend:
+        return self.gateway.fleet.backend_by_name[name]
+
+    def list_names(self, graph: LayerGraph) -> set[str]:
+        return {
+            backend.name
+            for at_boundary in graph.backends_by_boundary
+            for backend in at_boundary
+        }
+
+    async def test_graph_is_kept_while_nothing_changes(self) -> None:
+        graph = self.gateway.get_graph(SERVICE)
+        self.assertIs(self.gateway.get_graph(SERVICE), graph)
+
+    async def test_server_that_says_it_is_leaving_is_not_in_the_cached_graph(
+        self,
+    ) -> None:
+        self.assertIn("a2", self.list_names(self.gateway.get_graph(SERVICE)))
+        record_leaving(self.get_backend("a2").health)
+        graph = self.gateway.get_graph(SERVICE)
+        self.assertNotIn("a2", self.list_names(graph))
+        self.assertEqual(graph.complete_zones, {"z2"})
+
+    async def test_graph_for_a_running_stream_keeps_its_leaving_stage(self) -> None:
+        leaving = self.get_backend("a2")
+        record_leaving(leaving.health)
+        graph = self.gateway.get_graph(SERVICE, [leaving])
+        self.assertIn("a2", self.list_names(graph))
+        self.assertNotIn("a2", self.list_names(self.gateway.get_graph(SERVICE)))
+
+    async def test_layers_held_by_leaving_servers_only_are_a_coverage_gap(
+        self,
+    ) -> None:
+        self.assertEqual(self.gateway.estimate_refusal_s(SERVICE), 0)
+        for name in ("a2", "b2"):
+            record_leaving(self.get_backend(name).health)
+        self.assertEqual(self.gateway.estimate_refusal_s(SERVICE), math.inf)
+        self.assertGreater(self.gateway.estimate_coverage_gap_s(SERVICE), 0)
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -5,7 +5,13 @@
 import unittest
 
 from tests.gateway.fleet import build_backend
-from yuccareach.gateway.backends import INITIAL_AVOIDANCE_S, Fleet, choose_backend
+from yuccareach.gateway.backends import (
+    INITIAL_AVOIDANCE_S,
+    MAX_DEPARTED_NOTICES,
+    Fleet,
+    choose_backend,
+)
+from yuccareach.health.servers import record_leaving
 
 
 class FleetTests(unittest.TestCase):
@@ -40,6 +46,42 @@
         self.fleet.update([announcement], [])
         self.assertEqual(self.fleet.version, version)
 
+    def test_member_that_returns_as_the_same_incarnation_is_still_leaving(
+        self,
+    ) -> None:
+        announcement = build_backend("a", "z", "l4", 0, 9).announcement
+        self.fleet.update([announcement], [])
+        record_leaving(self.fleet.backend_by_name["a"].health)
+        self.fleet.update([], ["a"])
+        self.fleet.update([announcement], [])
+        self.assertFalse(self.fleet.backend_by_name["a"].accepts_requests(0.0))
+
+    def test_later_incarnation_of_a_leaving_server_accepts_requests(self) -> None:
+        first, second = (
+            build_backend("a", "z", "l4", 0, 9, incarnation_number=number).announcement
+            for number in (1, 2)
+        )
+        self.fleet.update([first], [])
+        record_leaving(self.fleet.backend_by_name["a"].health)
+        self.fleet.update([second], [])
+        self.assertTrue(self.fleet.backend_by_name["a"].accepts_requests(0.0))
+        other = second._replace(name="b", incarnation="b@1")
+        record_leaving(self.fleet.backend_by_name["a"].health)
+        self.fleet.update([other], [])
+        server = self.fleet.backend_by_address[second.address]
+        self.assertTrue(server.accepts_requests(0.0))
+
+    def test_notices_of_departed_incarnations_are_bounded(self) -> None:
+        for number in range(MAX_DEPARTED_NOTICES + 10):
+            announcement = build_backend(
+                "a", "z", "l4", 0, 9, incarnation_number=number
+            ).announcement
+            self.fleet.update([announcement], [])
+            record_leaving(self.fleet.backend_by_name["a"].health)
+        kept = self.fleet.departed_health_by_incarnation
+        self.assertEqual(len(kept), MAX_DEPARTED_NOTICES)
+        self.assertNotIn("a@0", kept)
+
     def test_draining_server_gets_no_new_requests(self) -> None:
         announcement = build_backend("a", "z", "l4", 0, 9).announcement
         self.fleet.update([announcement], [])
@@ -79,6 +121,16 @@
         self.assertIs(choose_backend([faulty, healthy], "z", 0.1, {"b@1"}), faulty)
         self.assertIsNone(choose_backend([faulty], "z", 0.1, {"a@1"}))
 
+    def test_leaving_server_is_not_chosen_even_if_there_is_no_other(self) -> None:
+        leaving, other = (
+            build_backend("a", "z", "", 0, 0),
+            build_backend("b", "z", "", 0, 0),
+        )
+        record_leaving(leaving.health)
+        other.running_requests = 50
+        self.assertIs(choose_backend([leaving, other], "z", 0.0, set()), other)
+        self.assertIsNone(choose_backend([leaving], "z", 0.0, set()))
+
     def test_server_is_avoided_longer_after_failures_in_a_row(self) -> None:
         server = build_backend("a", "z", "", 0, 0)
         server.record_failure(0.0)
--- a/tests/gateway/test_losses.py
+++ b/tests/gateway/test_losses.py
@@ -14,6 +14,7 @@
     confirm_crash,
     resolve_pending_losses,
 )
+from yuccareach.health.servers import record_leaving
 from yuccareach.quarantine.table import (
     NO_LOSSES,
     QuarantineTable,
@@ -55,6 +56,23 @@
         confirm_crash(self.gateway, self.backend)
         self.assertEqual(self.count_losses(), 0)
 
+    def test_server_that_has_said_it_is_leaving_does_not_count(self) -> None:
+        record_leaving(self.backend.health)
+        self.assertEqual(add_pending_losses(self.gateway, ATTEMPT, [self.backend]), [])
+        self.gateway.fleet.update([], ["a"])
+        resolve_pending_losses(self.gateway)
+        self.assertEqual(self.count_losses(), 0)
+
+    def test_server_that_says_it_is_leaving_after_a_failure_does_not_count(
+        self,
+    ) -> None:
+        add_pending_losses(self.gateway, ATTEMPT, [self.backend])
+        record_leaving(self.backend.health)
+        resolve_pending_losses(self.gateway)
+        self.gateway.fleet.update([], ["a"])
+        resolve_pending_losses(self.gateway)
+        self.assertEqual(self.count_losses(), 0)
+
     def test_server_that_had_departed_before_the_failure_does_not_count(self) -> None:
         # Guards against a second count of the same crash: a stream that had been
         # rerouted around a lost stage failed later for another reason.
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -77,6 +77,20 @@
         self.assertTrue(DIALECT.read_response(421, []).has_not_run)
         self.assertFalse(DIALECT.read_response(503, []).has_not_run)
 
+    def test_only_the_value_1_tells_that_a_runner_is_leaving(self) -> None:
+        for value in (b"1", b" 1 "):
+            metadata = DIALECT.read_response(200, [(b"server-leaving", value)])
+            self.assertTrue(metadata.is_leaving, value)
+        for value in (b"0", b"", b"yes", b"11", b"1.0"):
+            metadata = DIALECT.read_response(200, [(b"server-leaving", value)])
+            self.assertFalse(metadata.is_leaving, value)
+        self.assertFalse(DIALECT.read_response(200, []).is_leaving)
+
+    def test_one_of_several_departure_headers_is_enough(self) -> None:
+        for values in ((b"1", b"0"), (b"0", b"1"), (b"1", b"1")):
+            headers = [(b"server-leaving", value) for value in values]
+            self.assertTrue(DIALECT.read_response(200, headers).is_leaving, values)
+
     def test_malformed_load_counts_as_missing(self) -> None:
         metadata = DIALECT.read_response(200, [(b"yuccareach-runner-load", b"1,x")])
         self.assertIsNone(metadata.running_requests)
--- a/tests/platform/test_leaving_servers.py
+++ b/tests/platform/test_leaving_servers.py
@@ -5,6 +5,8 @@
 import asyncio
 
 from tests.platform.deployment import HEARTBEAT_MS, DeploymentTestCase, read_event_ids
+from tests.platform.examples import MODEL
+from yuccareach.gateway.chains import MAX_STARTING_STREAMS
 from yuccareach.gateway.slowdowns import query_slowdowns
 from yuccareach.platform.standin import Runner
 
@@ -17,6 +19,11 @@
 class LeavingTestCase(DeploymentTestCase):
     """A deployment whose arrivals at single runners are counted."""
 
+    async def wait_until_all_known(self, runners: list[Runner]) -> None:
+        """Wait until the gateway does not expect further members."""
+        await self.wait_until_known(*(runner.name for runner in runners))
+        await self.wait_until(lambda: not self.gateway.gateway.is_awaiting_members)
+
     def count_arrivals(self, runner: Runner) -> int:
         return sum(item.runner == runner.name for item in self.group.arrivals)
 
@@ -26,7 +33,7 @@
         await super().asyncSetUp()
         names = [f"p{number}" for number in range(3)]
         self.runners = [await self.add_runner(name) for name in names]
-        await self.wait_until_known(*names)
+        await self.wait_until_all_known(self.runners)
 
     async def let_one_leave(self) -> Runner:
         """Return a runner that has said in an answer that it is leaving."""
@@ -88,10 +95,12 @@
     ) -> None:
         leaving = self.runners[0]
         leaving.faults.announces_leaving = leaving.is_full = True
-        await self.request_many("a")
+        for number in range(len(self.runners)):
+            answer = await self.send_request("/look/1", f"l{number}", method="GET")
+            self.assertEqual(answer.status, 200)
         arrivals = self.count_arrivals(leaving)
-        self.assertGreater(arrivals, 0)
-        await self.request_many("b")
+        self.assertEqual(arrivals, 1)
+        await self.request_many("a")
         self.assertEqual(self.count_arrivals(leaving), arrivals)
 
     async def test_call_is_refused_at_once_if_every_server_is_leaving(self) -> None:
@@ -113,9 +122,7 @@
         # The gateway is in z1.
         self.near_runners = await self.add_pipeline("z1")
         self.far_runners = await self.add_pipeline("z2")
-        await self.wait_until_known(
-            *(runner.name for runner in (*self.near_runners, *self.far_runners))
-        )
+        await self.wait_until_all_known([*self.near_runners, *self.far_runners])
 
     async def request_streams(self, prefix: str, count: int = 5) -> None:
         answers = await asyncio.gather(
@@ -202,3 +209,24 @@
         self.assertEqual(answer.status, 503)
         self.assertGreater(float(answer.headers["Retry-After"]), FULL_RETRY_DELAY_S)
         self.assertEqual(len(self.group.arrivals), 2)
+
+    async def test_waiting_stream_is_refused_once_every_first_stage_is_leaving(
+        self,
+    ) -> None:
+        gateway = self.gateway.gateway
+        runners = (self.near_runners[0], self.far_runners[0])
+        backends = [gateway.fleet.backend_by_name[item.name] for item in runners]
+        for backend in backends:
+            backend.starting_streams = MAX_STARTING_STREAMS
+        request = asyncio.create_task(
+            self.send_request("/draft/1", "r1", events=10),
+        )
+        queue = gateway.get_queue(MODEL)
+        await self.wait_until(lambda: queue.waiting_by_number)
+        for runner in runners:
+            runner.faults.announces_leaving = True
+        await query_slowdowns(gateway, backends)
+        async with asyncio.timeout(PROMPT_REFUSAL_S):
+            answer = await request
+        self.assertEqual(answer.status, 503)
+        self.assertEqual(self.group.arrivals, [])
