Send nothing to a server that refuses with Retry-After until its time is over

Callers saw 503 beside two sound servers while a third refused with Retry-After, since the idle refusing server was the least loaded and drew most calls; each refusal took a retry from the budget. Where all servers refused, each call was sent all the same and its caller told to come back after 0.10 s.

Cause: the Retry-After of a server was never read. Calls took no notice of a refusal at all, streams counted the server as full for 0.2 s.

The adapter decodes it beside status 503, in seconds with or without a fraction; of several the longest counts; dates and other values are ignored with a log line. The hook records it for the server that answered, whichever server the refusal names, and for its own failures too; at most one hour. Until then choices and graphs of chains leave it out, without counting it as unreachable or its layers as lost. Afterwards it gets one request until it answers, so that not all requests in flight go to the least loaded server. While all servers of a service or of some layer refuse, calls and streams, waiting ones too, are refused at once with the time at which the first wants requests again; the queue's cap of 6 s does not shorten it.

--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -104,18 +104,25 @@
         return wait_s is not None and now_s + wait_s < ticket.wait_deadline_s
 
     def estimate_retry_after_s(
-        self, ticket: Ticket, now_s: float, coverage_gap_s: float = 0.0
+        self,
+        ticket: Ticket,
+        now_s: float,
+        coverage_gap_s: float = 0.0,
+        refusal_s: float = 0.0,
     ) -> float:
         """Return after how many seconds a refused request is likely to find capacity.
 
         For coverage_gap_s from now, no chain can cover all layers, so that no capacity
-        is granted.
+        is granted. For refusal_s from now, all servers of some layer refuse requests,
+        so that no shorter delay is of use.
         """
         self._expire_grants(now_s)
         wait_s = self.estimate_wait_s(ticket, now_s) if self.recent_grants else None
         if wait_s is None:
-            wait_s = 0.0 if coverage_gap_s else DEFAULT_RETRY_DELAY_S
-        return min(max(MIN_RETRY_DELAY_S, coverage_gap_s + wait_s), MAX_RETRY_DELAY_S)
+            is_known = coverage_gap_s or refusal_s
+            wait_s = 0.0 if is_known else DEFAULT_RETRY_DELAY_S
+        delay_s = max(MIN_RETRY_DELAY_S, coverage_gap_s + wait_s)
+        return max(refusal_s, min(delay_s, MAX_RETRY_DELAY_S))
 
     def add(self, waiting: WaitingRequest[Capacity]) -> None:
         """Add a request to the queue."""
--- a/src/yuccareach/gateway/availability.py
+++ b/src/yuccareach/gateway/availability.py
@@ -40,6 +40,21 @@
     ]
 
 
+def count_uncovered_layers(backends: Iterable[Backend], model: ModelProfile) -> int:
+    """Return the number of layers that no server keeps.
+
+    A server that refuses requests for a time keeps its layers.
+    """
+    return build_graph(
+        (
+            backend
+            for backend in backends
+            if can_continue(backend) and not backend.health.is_leaving
+        ),
+        model,
+    ).uncovered_layers
+
+
 def find_layers_acceptance_ms(
     backends: Iterable[Backend], model: ModelProfile
 ) -> float:
@@ -62,6 +77,7 @@
 __all__ = [
     "can_continue",
     "can_take_part",
+    "count_uncovered_layers",
     "find_for_chain",
     "find_layers_acceptance_ms",
 ]
--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -6,6 +6,7 @@
 
 from yuccareach.gateway.http_client import Ending, Exchange, encode_request
 from yuccareach.gateway.server_notices import build_response_reader
+from yuccareach.health.servers import record_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -51,6 +52,7 @@
     In that case the request has not run. Otherwise on_data receives the body as it
     arrives.
     """
+    record_request(backend.health, gateway.now_ms())
     pool = backend.pool
     max_idle_s = (
         float("inf") if admitted.route.is_idempotent else MAX_NON_IDEMPOTENT_IDLE_S
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -10,7 +10,12 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.http_client import ConnectionPool
-from yuccareach.health.servers import ServerHealth, accepts_requests, copy_notices
+from yuccareach.health.servers import (
+    ServerHealth,
+    accepts_requests,
+    copy_notices,
+    is_on_trial,
+)
 
 if TYPE_CHECKING:
     import asyncio
@@ -158,7 +163,11 @@
     def is_avoided(self, now_s: float) -> bool:
         """Return whether other servers are to be preferred to this one."""
         until_s = max(self.avoid_until_s, self.full_until_s)
-        return not self.is_connectable or now_s < until_s
+        return (
+            not self.is_connectable
+            or now_s < until_s
+            or is_on_trial(self.health, int(now_s * 1000))
+        )
 
 
 class Fleet:
--- a/src/yuccareach/gateway/dialect.py
+++ b/src/yuccareach/gateway/dialect.py
@@ -63,6 +63,10 @@
     slots: int | None
     # Whether the backend server states that it is leaving.
     is_leaving: bool = False
+    # For how many seconds the backend server, which refused, wants no requests.
+    retry_after_s: float | None = None
+    # A value of that time that cannot be read, and is ignored.
+    malformed_retry_after: str | None = None
 
 
 class Dialect(NamedTuple):
--- a/src/yuccareach/gateway/server_notices.py
+++ b/src/yuccareach/gateway/server_notices.py
@@ -4,7 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from yuccareach.health.servers import record_leaving
+from yuccareach.health.servers import (
+    compute_refusal_ms,
+    record_acceptance,
+    record_leaving,
+    record_refusal,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -13,6 +18,9 @@
     from yuccareach.gateway.dialect import Headers, ResponseMetadata
     from yuccareach.gateway.state import Gateway
 
+# Of a malformed value of a header.
+MAX_LOGGED_CHARACTERS = 80
+
 
 def build_response_reader(
     gateway: Gateway, backend: Backend
@@ -38,6 +46,33 @@
             backend_server=backend.name,
             address=backend.announcement.address,
         )
+    if metadata.retry_after_s:
+        _record_refusal(gateway, backend, metadata.retry_after_s)
+    elif metadata.is_signed:
+        record_acceptance(backend.health, gateway.now_ms())
+    if metadata.malformed_retry_after is not None:
+        gateway.log(
+            "retry_after_ignored",
+            backend_server=backend.name,
+            value=metadata.malformed_retry_after[:MAX_LOGGED_CHARACTERS],
+        )
+
+
+def _record_refusal(gateway: Gateway, backend: Backend, retry_after_s: float) -> None:
+    """Record for how long a server wants no requests.
+
+    Requests in flight are refused with it, so only the first refusal is logged.
+    """
+    now_ms = gateway.now_ms()
+    was_refusing = compute_refusal_ms(backend.health, now_ms) > 0
+    record_refusal(backend.health, now_ms, retry_after_s * 1000)
+    if not was_refusing:
+        gateway.log(
+            "server_refuses",
+            backend_server=backend.name,
+            address=backend.announcement.address,
+            retry_after_s=round(retry_after_s, 3),
+        )
 
 
 __all__ = ["build_response_reader", "record_notices"]
--- a/src/yuccareach/gateway/slowdowns.py
+++ b/src/yuccareach/gateway/slowdowns.py
@@ -79,6 +79,7 @@
         for backend in gateway.fleet.backend_by_name.values()
         if backend.slowdown >= SLOWDOWN_THRESHOLD
         and now_s - backend.last_slowdown_query_s > RECHECK_INTERVAL_S
+        and backend.accepts_requests(now_s)
     ]
 
 
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -12,6 +12,7 @@
 from yuccareach.gateway.admission import AdmissionQueue
 from yuccareach.gateway.availability import (
     can_take_part,
+    count_uncovered_layers,
     find_for_chain,
     find_layers_acceptance_ms,
 )
@@ -70,6 +71,8 @@
     graph: LayerGraph
     # Loop time from which on every loaded layer has a server that accepts requests.
     acceptance_ms: float
+    # Number of layers that no server keeps.
+    uncovered_layers: int
     # Versions of the members and of the routing table, and of each server that was
     # left out its name, whether it accepts connections, and when it accepts requests.
     cache_key: tuple[int, int, frozenset[tuple[str, bool, float]]]
@@ -231,6 +234,7 @@
             cached = self.graph_by_service[service.name] = CachedGraph(
                 build_graph(find_for_chain(members, now_s, ()), service.model),
                 find_layers_acceptance_ms(members, service.model),
+                count_uncovered_layers(members, service.model),
                 cache_key,
             )
         return cached
@@ -253,7 +257,7 @@
         """
         if service.model is None or self.table is None:
             return 0.0
-        uncovered_layers = self.get_graph(service).uncovered_layers
+        uncovered_layers = self._get_cached_graph(service).uncovered_layers
         if not uncovered_layers:
             return 0.0
         load_s = service.model.load_s * uncovered_layers / service.model.layers
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -253,11 +254,7 @@
     if not may_have_run and refusal_s:
         return send_refusal(reply, refusal_s, QUARANTINED)
     if not may_have_run:
-        coverage_gap_s = run.gateway.estimate_coverage_gap_s(run.admitted.service)
-        retry_s = run.queue.estimate_retry_after_s(
-            _build_ticket(run), run.gateway.now(), coverage_gap_s
-        )
-        return send_refusal(reply, retry_s, reason)
+        return send_refusal(reply, _estimate_retry_after_s(run), reason)
     if run.failure_head is not None and run.failure_head.metadata.is_signed:
         reply.send(
             run.failure_head.status,
@@ -268,6 +265,19 @@
     return send_failure(reply, status, reason)
 
 
+def _estimate_retry_after_s(run: StreamRun) -> float:
+    """Estimate after how many seconds the same stream is likely to be served."""
+    gateway, service = run.gateway, run.admitted.service
+    refusal_s = gateway.estimate_refusal_s(service)
+    return run.queue.estimate_retry_after_s(
+        _build_ticket(run),
+        gateway.now(),
+        gateway.estimate_coverage_gap_s(service),
+        # Layers of leaving servers only are a coverage gap.
+        refusal_s if math.isfinite(refusal_s) else 0.0,
+    )
+
+
 async def _run_attempt(run: StreamRun, chain: Chain) -> AttemptResult:
     """Run a stream over one chain until it ends, fails or is interrupted."""
     gateway, admitted = run.gateway, run.admitted
--- a/src/yuccareach/health/servers.py
+++ b/src/yuccareach/health/servers.py
@@ -10,6 +10,12 @@
 import math
 from enum import StrEnum
 
+# A longer time than this, for which a server asks for no requests, counts as this.
+MAX_REFUSAL_MS = 3_600_000
+# A server whose refusal is over gets a single request until it answers, or until so
+# long after that request.
+TRIAL_TIMEOUT_MS = 500
+
 
 class EndProof(StrEnum):
     """What shows that an incarnation has ended, with all that it ran."""
@@ -33,6 +39,9 @@
         self.is_leaving = False
         # Until then it has asked for no requests.
         self.refuses_until_ms = 0
+        # Whether it has not accepted a request since then.
+        self.needs_trial = False
+        self.on_trial_until_ms = 0
 
 
 def record_contact(health: ServerHealth) -> None:
@@ -61,15 +70,39 @@
     health.is_leaving = True
 
 
-def record_refusal(health: ServerHealth, now_ms: int, retry_after_ms: int) -> None:
+def record_refusal(health: ServerHealth, now_ms: int, retry_after_ms: float) -> None:
     """Record that a server asks for no requests for a time."""
-    health.refuses_until_ms = max(health.refuses_until_ms, now_ms + retry_after_ms)
+    until_ms = now_ms + math.ceil(min(retry_after_ms, MAX_REFUSAL_MS))
+    health.refuses_until_ms = max(health.refuses_until_ms, until_ms)
+    health.needs_trial = True
+
+
+def record_request(health: ServerHealth, now_ms: int) -> None:
+    """Record that a server is sent a request."""
+    if health.needs_trial:
+        health.on_trial_until_ms = now_ms + TRIAL_TIMEOUT_MS
+
+
+def record_acceptance(health: ServerHealth, now_ms: int) -> None:
+    """Record that a server has answered a request without a refusal.
+
+    During the time of a refusal, the answer is to an earlier request.
+    """
+    if not compute_refusal_ms(health, now_ms):
+        health.needs_trial = False
+        health.on_trial_until_ms = 0
+
+
+def is_on_trial(health: ServerHealth, now_ms: int) -> bool:
+    """Return whether a server that has refused has yet to answer the next request."""
+    return now_ms < health.on_trial_until_ms
 
 
 def copy_notices(source: ServerHealth, target: ServerHealth) -> None:
     """Copy what an incarnation has said of itself to another record of it."""
     target.is_leaving = source.is_leaving
     target.refuses_until_ms = source.refuses_until_ms
+    target.needs_trial = source.needs_trial
 
 
 def has_ended(health: ServerHealth) -> bool:
@@ -105,6 +138,8 @@
 
 
 __all__ = [
+    "MAX_REFUSAL_MS",
+    "TRIAL_TIMEOUT_MS",
     "EndProof",
     "ServerHealth",
     "accepts_requests",
@@ -113,9 +148,12 @@
     "copy_notices",
     "find_acceptance_ms",
     "has_ended",
+    "is_on_trial",
+    "record_acceptance",
     "record_contact",
     "record_end",
     "record_leaving",
     "record_refusal",
+    "record_request",
     "record_silence",
 ]
--- a/src/yuccareach/platform/headers.py
+++ b/src/yuccareach/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from yuccareach.gateway.dialect import (
@@ -32,6 +34,10 @@
 FAULTY_ADDRESS = b"at-server"
 # "1" if the runner is leaving, whatever its heartbeats say.
 SERVER_LEAVING = b"server-leaving"
+# Seconds, which may have a fraction, for which a refusing runner wants no requests.
+RETRY_AFTER = b"retry-after"
+REFUSED_STATUS = 503
+_SECONDS = re.compile(rb"\d+(\.\d+)?")
 # Scheme of the Authorization header, in lower case.
 KEY_SCHEME = b"token "
 
@@ -151,6 +157,7 @@
         else (None, None, None)
     )
     faulty_address = value_by_name.get(FAULTY_ADDRESS)
+    retry_after_s, malformed = _parse_retry_after(status, headers)
     return ResponseMetadata(
         request_id=value_by_name.get(REQUEST_ID),
         is_signed=SIGNATURE in value_by_name,
@@ -163,6 +170,26 @@
         is_leaving=any(
             name == SERVER_LEAVING and value.strip() == b"1" for name, value in headers
         ),
+        retry_after_s=retry_after_s,
+        malformed_retry_after=malformed,
+    )
+
+
+def _parse_retry_after(
+    status: int, headers: Headers
+) -> tuple[float | None, str | None]:
+    """Return the longest time that a refusal states, and a value that is no time.
+
+    The platform states times in seconds only, not as dates.
+    """
+    if status != REFUSED_STATUS:
+        return None, None
+    values = [value.strip() for name, value in headers if name == RETRY_AFTER]
+    times_s = [float(value) for value in values if _SECONDS.fullmatch(value)]
+    malformed = [value for value in values if not _SECONDS.fullmatch(value)]
+    return (
+        max(times_s, default=None),
+        malformed[0].decode("latin-1") if malformed else None,
     )
 
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -13,6 +13,7 @@
 
 from yuccareach.gateway.admission import (
     DEFAULT_RETRY_DELAY_S,
+    MAX_RETRY_DELAY_S,
     MAX_WAIT_OBJECTIVES,
     AdmissionQueue,
     Ticket,
@@ -180,6 +181,20 @@
             queue.estimate_retry_after_s(item, 1.0, coverage_gap_s=2.5), 3.5
         )
 
+    def test_retry_delay_is_not_shorter_than_the_refusal_of_all_servers(self) -> None:
+        queue: AdmissionQueue[str] = AdmissionQueue()
+        for refusal_s in (0.5, 3.0, 3 * MAX_RETRY_DELAY_S):
+            delay_s = queue.estimate_retry_after_s(
+                build_ticket(1), 1.0, refusal_s=refusal_s
+            )
+            self.assertEqual(delay_s, refusal_s)
+        queue.record_grant("w", 1_000, 0.0)
+        item = build_ticket(1, tokens=1_000)
+        self.assertEqual(
+            queue.estimate_retry_after_s(item, 1.0, coverage_gap_s=2.5, refusal_s=3.0),
+            3.5,
+        )
+
 
 class Arrival(NamedTuple):
     """One request of a simulated load."""
--- a/tests/gateway/test_availability.py
+++ b/tests/gateway/test_availability.py
@@ -8,13 +8,22 @@
 from unittest import mock
 
 from tests.gateway.fleet import MODEL, build_two_zones
-from yuccareach.gateway.availability import find_for_chain, find_layers_acceptance_ms
+from yuccareach.gateway.availability import (
+    count_uncovered_layers,
+    find_for_chain,
+    find_layers_acceptance_ms,
+)
 from yuccareach.gateway.backends import Backend
 from yuccareach.gateway.budget import RetryBudgetLimits
 from yuccareach.gateway.chains import LayerGraph
 from yuccareach.gateway.state import Gateway, GatewaySettings
 from yuccareach.gateway.table import Service
-from yuccareach.health.servers import EndProof, record_end, record_leaving
+from yuccareach.health.servers import (
+    EndProof,
+    record_end,
+    record_leaving,
+    record_refusal,
+)
 from yuccareach.platform.headers import DIALECT
 
 SERVICE = Service("s", 100, MODEL)
@@ -59,6 +68,28 @@
             record_leaving(backend.health)
         self.assertEqual(self.find_acceptance_ms(), math.inf)
 
+    def test_layers_held_by_refusing_servers_only_are_available_with_the_first(
+        self,
+    ) -> None:
+        record_refusal(self.backends[0].health, 0, 3_000)
+        record_refusal(self.backends[4].health, 0, 2_000)
+        self.assertEqual(self.find_acceptance_ms(), 2_000)
+        record_refusal(self.backends[3].health, 0, 5_000)
+        record_refusal(self.backends[6].health, 0, 4_000)
+        self.assertEqual(self.find_acceptance_ms(), 4_000)
+        record_leaving(self.backends[6].health)
+        self.assertEqual(self.find_acceptance_ms(), 5_000)
+
+    def test_refusing_servers_keep_their_layers(self) -> None:
+        for backend in self.backends:
+            record_refusal(backend.health, 0, 3_000)
+        self.assertEqual(count_uncovered_layers(self.backends, MODEL), 0)
+        for backend in self.backends[:4]:
+            record_leaving(backend.health)
+        # a1 to a4 held layers 62 to 80 with b3 only.
+        record_leaving(self.backends[6].health)
+        self.assertEqual(count_uncovered_layers(self.backends, MODEL), 80 - 62)
+
     def test_server_without_connections_does_not_count(self) -> None:
         record_leaving(self.backends[0].health)
         self.backends[4].is_connectable = False
@@ -109,6 +140,31 @@
         self.assertIn("a2", self.list_names(graph))
         self.assertNotIn("a2", self.list_names(self.gateway.get_graph(SERVICE)))
 
+    async def test_refusing_server_is_in_no_graph_until_its_time_is_over(
+        self,
+    ) -> None:
+        now_s = 100.0
+        with mock.patch.object(self.gateway, "now", lambda: now_s):
+            record_refusal(self.get_backend("a2").health, 100_000, 3_000)
+            graph = self.gateway.get_graph(SERVICE)
+            self.assertNotIn("a2", self.list_names(graph))
+            now_s = 103.0
+            graph = self.gateway.get_graph(SERVICE)
+            self.assertIn("a2", self.list_names(graph))
+
+    async def test_layers_held_by_refusing_servers_only_are_no_coverage_gap(
+        self,
+    ) -> None:
+        with mock.patch.object(self.gateway, "now", lambda: 100.0):
+            for name in ("a2", "b2"):
+                record_refusal(self.get_backend(name).health, 100_000, 3_000)
+            self.assertEqual(self.gateway.estimate_refusal_s(SERVICE), 3.0)
+            self.assertEqual(self.gateway.estimate_coverage_gap_s(SERVICE), 0)
+            # A refusal that is extended is not taken from the cache.
+            record_refusal(self.get_backend("a2").health, 100_000, 4_000)
+            record_refusal(self.get_backend("b2").health, 100_000, 5_000)
+            self.assertEqual(self.gateway.estimate_refusal_s(SERVICE), 4.0)
+
     async def test_layers_held_by_leaving_servers_only_are_a_coverage_gap(
         self,
     ) -> None:
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -11,7 +11,12 @@
     Fleet,
     choose_backend,
 )
-from yuccareach.health.servers import record_leaving
+from yuccareach.health.servers import (
+    record_acceptance,
+    record_leaving,
+    record_refusal,
+    record_request,
+)
 
 
 class FleetTests(unittest.TestCase):
@@ -56,6 +61,15 @@
         self.fleet.update([announcement], [])
         self.assertFalse(self.fleet.backend_by_name["a"].accepts_requests(0.0))
 
+    def test_member_that_returns_as_the_same_incarnation_still_refuses(self) -> None:
+        announcement = build_backend("a", "z", "l4", 0, 9).announcement
+        self.fleet.update([announcement], [])
+        record_refusal(self.fleet.backend_by_name["a"].health, 0, 3_000)
+        self.fleet.update([], ["a"])
+        self.fleet.update([announcement], [])
+        self.assertFalse(self.fleet.backend_by_name["a"].accepts_requests(2.9))
+        self.assertTrue(self.fleet.backend_by_name["a"].accepts_requests(3.0))
+
     def test_later_incarnation_of_a_leaving_server_accepts_requests(self) -> None:
         first, second = (
             build_backend("a", "z", "l4", 0, 9, incarnation_number=number).announcement
@@ -131,6 +145,30 @@
         self.assertIs(choose_backend([leaving, other], "z", 0.0, set()), other)
         self.assertIsNone(choose_backend([leaving], "z", 0.0, set()))
 
+    def test_refusing_server_is_not_chosen_until_its_time_is_over(self) -> None:
+        refusing = build_backend("a", "z", "", 0, 0)
+        record_refusal(refusing.health, 0, 3_000)
+        self.assertIsNone(choose_backend([refusing], "z", 2.999, set()))
+        self.assertIs(choose_backend([refusing], "z", 3.0, set()), refusing)
+
+    def test_server_that_refused_gets_one_request_before_the_others_are_busy(
+        self,
+    ) -> None:
+        # Guards against refusals that use up the retry budget: each time a refusal was
+        # over, all requests in flight went to the server, which was least loaded.
+        refusing, busy = (
+            build_backend("a", "z", "", 0, 0),
+            build_backend("b", "z", "", 0, 0),
+        )
+        busy.running_requests = 50
+        record_refusal(refusing.health, 0, 3_000)
+        candidates = [refusing, busy]
+        self.assertIs(choose_backend(candidates, "z", 3.0, set()), refusing)
+        record_request(refusing.health, 3_000)
+        self.assertIs(choose_backend(candidates, "z", 3.1, set()), busy)
+        record_acceptance(refusing.health, 3_200)
+        self.assertIs(choose_backend(candidates, "z", 3.2, set()), refusing)
+
     def test_server_is_avoided_longer_after_failures_in_a_row(self) -> None:
         server = build_backend("a", "z", "", 0, 0)
         server.record_failure(0.0)
--- a/tests/gateway/test_server_notices.py
+++ b/tests/gateway/test_server_notices.py
@@ -9,10 +9,16 @@
 
 from tests.gateway.fleet import build_backend
 from yuccareach.gateway.http_client import ConnectionPool, call_backend
-from yuccareach.gateway.server_notices import build_response_reader
+from yuccareach.gateway.server_notices import (
+    MAX_LOGGED_CHARACTERS,
+    build_response_reader,
+)
+from yuccareach.health.servers import is_on_trial, record_request
 from yuccareach.platform.headers import DIALECT
 
 LEAVING = [(b"server-leaving", b"1")]
+REFUSED = [(b"yuccareach-not-executed", b"1"), (b"retry-after", b"3")]
+SIGNED = [(b"yuccareach-runner-signature", b"s")]
 
 
 class NoticeTests(unittest.IsolatedAsyncioTestCase):
@@ -42,6 +48,35 @@
         self.read_response(200, [])
         self.assertTrue(self.backend.health.is_leaving)
 
+    def test_refusal_holds_for_the_server_that_answered(self) -> None:
+        self.read_response(503, [*REFUSED, (b"at-server", b"1.1.1.1:1")])
+        self.assertFalse(self.backend.accepts_requests(3.999))
+        self.assertTrue(self.backend.accepts_requests(4.0))
+
+    def test_own_failure_of_a_server_is_a_refusal_too(self) -> None:
+        self.read_response(503, [*SIGNED, (b"retry-after", b"3")])
+        self.assertFalse(self.backend.accepts_requests(3.999))
+
+    def test_refusals_of_requests_in_flight_are_logged_once(self) -> None:
+        for _ in range(3):
+            self.read_response(503, REFUSED)
+        self.assertEqual(self.list_events(), ["server_refuses"])
+
+    def test_malformed_time_is_logged_and_changes_nothing(self) -> None:
+        self.read_response(503, [(b"retry-after", b"x" * 5_000)])
+        self.assertEqual(self.list_events(), ["retry_after_ignored"])
+        value = self.gateway.log.call_args.kwargs["value"]
+        self.assertEqual(len(value), MAX_LOGGED_CHARACTERS)
+        self.assertTrue(self.backend.accepts_requests(1.0))
+
+    def test_only_the_servers_own_answer_ends_a_trial(self) -> None:
+        self.read_response(503, REFUSED)
+        for headers, expected in (([], True), (SIGNED, False)):
+            self.gateway.now_ms = lambda: 5_000
+            record_request(self.backend.health, 5_000)
+            self.read_response(200, headers)
+            self.assertEqual(is_on_trial(self.backend.health, 5_001), expected)
+
     async def test_notice_counts_before_the_body_has_arrived(self) -> None:
         was_read = asyncio.Event()
 
--- a/tests/health/test_servers.py
+++ b/tests/health/test_servers.py
@@ -2,19 +2,27 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 from yuccareach.health.servers import (
+    MAX_REFUSAL_MS,
+    TRIAL_TIMEOUT_MS,
     EndProof,
     ServerHealth,
     accepts_requests,
     compute_refusal_ms,
     compute_silence_ms,
+    copy_notices,
+    find_acceptance_ms,
     has_ended,
+    is_on_trial,
+    record_acceptance,
     record_contact,
     record_end,
     record_leaving,
     record_refusal,
+    record_request,
     record_silence,
 )
 
@@ -63,7 +71,60 @@
         self.assertFalse(accepts_requests(health, 3_999))
         self.assertTrue(accepts_requests(health, 4_000))
 
+    def test_longest_time_that_a_server_may_ask_for_is_bounded(self) -> None:
+        for retry_after_ms in (10 * MAX_REFUSAL_MS, math.inf):
+            health = ServerHealth()
+            record_refusal(health, 1_000, retry_after_ms)
+            self.assertEqual(compute_refusal_ms(health, 1_000), MAX_REFUSAL_MS)
+
+    def test_part_of_a_millisecond_counts_as_a_whole_one(self) -> None:
+        health = ServerHealth()
+        record_refusal(health, 1_000, 0.2)
+        self.assertEqual(compute_refusal_ms(health, 1_000), 1)
+
+    def test_acceptance_is_known_in_advance(self) -> None:
+        health = ServerHealth()
+        self.assertEqual(find_acceptance_ms(health), 0)
+        record_refusal(health, 1_000, 3_000)
+        self.assertEqual(find_acceptance_ms(health), 4_000)
+        record_leaving(health)
+        self.assertEqual(find_acceptance_ms(health), math.inf)
+
+    def test_copy_tells_what_the_original_had_said(self) -> None:
+        health, copy = ServerHealth(), ServerHealth()
+        record_refusal(health, 1_000, 3_000)
+        record_silence(health, 1_000)
+        copy_notices(health, copy)
+        self.assertEqual(compute_refusal_ms(copy, 1_000), 3_000)
+        self.assertIsNone(copy.silent_since_ms)
+
     def test_leaving_server_accepts_nothing(self) -> None:
         health = ServerHealth()
         record_leaving(health)
         self.assertFalse(accepts_requests(health, 0))
+
+
+class TrialTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.health = ServerHealth()
+        record_refusal(self.health, 0, 1_000)
+
+    def test_request_after_a_refusal_is_a_trial_until_it_is_answered(self) -> None:
+        self.assertFalse(is_on_trial(self.health, 1_000))
+        record_request(self.health, 1_000)
+        self.assertTrue(is_on_trial(self.health, 1_001))
+        record_acceptance(self.health, 1_100)
+        self.assertFalse(is_on_trial(self.health, 1_100))
+        record_request(self.health, 1_200)
+        self.assertFalse(is_on_trial(self.health, 1_201))
+
+    def test_trial_without_an_answer_ends(self) -> None:
+        record_request(self.health, 1_000)
+        self.assertFalse(is_on_trial(self.health, 1_000 + TRIAL_TIMEOUT_MS))
+
+    def test_answer_to_a_request_from_before_the_refusal_is_no_acceptance(
+        self,
+    ) -> None:
+        record_acceptance(self.health, 500)
+        record_request(self.health, 1_000)
+        self.assertTrue(is_on_trial(self.health, 1_001))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -91,6 +91,31 @@
             headers = [(b"server-leaving", value) for value in values]
             self.assertTrue(DIALECT.read_response(200, headers).is_leaving, values)
 
+    def test_retry_after_of_a_refusal_is_decoded_as_seconds(self) -> None:
+        for value, seconds in ((b"3", 3.0), (b"0.25", 0.25), (b" 2 ", 2.0), (b"0", 0)):
+            metadata = DIALECT.read_response(503, [(b"retry-after", value)])
+            self.assertEqual(metadata.retry_after_s, seconds)
+            self.assertIsNone(metadata.malformed_retry_after)
+
+    def test_retry_after_beside_another_status_is_left_to_the_caller(self) -> None:
+        for status in (200, 301, 429, 502):
+            metadata = DIALECT.read_response(status, [(b"retry-after", b"x")])
+            self.assertIsNone(metadata.retry_after_s)
+            self.assertIsNone(metadata.malformed_retry_after)
+
+    def test_malformed_retry_after_is_ignored_and_named(self) -> None:
+        date = b"Fri, 04 Dec 2026 10:00:00 GMT"
+        for value in (date, b"", b"-1", b"soon", b"nan", b"inf", b"1e9", b"3, 5"):
+            metadata = DIALECT.read_response(503, [(b"retry-after", value)])
+            self.assertIsNone(metadata.retry_after_s, value)
+            self.assertEqual(metadata.malformed_retry_after, value.decode())
+
+    def test_longest_of_several_times_counts(self) -> None:
+        headers = [(b"retry-after", value) for value in (b"2", b"x", b"5", b"3")]
+        metadata = DIALECT.read_response(503, headers)
+        self.assertEqual(metadata.retry_after_s, 5.0)
+        self.assertEqual(metadata.malformed_retry_after, "x")
+
     def test_malformed_load_counts_as_missing(self) -> None:
         metadata = DIALECT.read_response(200, [(b"yuccareach-runner-load", b"1,x")])
         self.assertIsNone(metadata.running_requests)
--- a/tests/platform/test_refusing_servers.py
+++ b/tests/platform/test_refusing_servers.py
@@ -5,6 +5,9 @@
 import asyncio
 
 from tests.platform.deployment import Answer, DeploymentTestCase
+from tests.platform.examples import MODEL
+from yuccareach.gateway.chains import MAX_STARTING_STREAMS
+from yuccareach.health.servers import record_refusal
 from yuccareach.platform.standin import Runner
 
 RETRY_AFTER_S = 2.0
@@ -25,6 +28,11 @@
     events = 0
     runners: list[Runner]
 
+    async def wait_until_all_known(self) -> None:
+        """Wait until the gateway does not expect further members."""
+        await self.wait_until_known(*(runner.name for runner in self.runners))
+        await self.wait_until(lambda: not self.gateway.gateway.is_awaiting_members)
+
     async def apply_load(self, duration_s: float) -> list[Answer]:
         """Send requests at a steady rate and return their answers."""
         tasks = []
@@ -60,7 +68,7 @@
         await super().asyncSetUp()
         names = [f"p{number}" for number in range(3)]
         self.runners = [await self.add_runner(name) for name in names]
-        await self.wait_until_known(*names)
+        await self.wait_until_all_known()
 
     async def test_calls_are_served_by_the_others_while_one_refuses(self) -> None:
         refusing = self.runners[0]
@@ -129,7 +137,7 @@
         self.near_runners = await self.add_pipeline("z1")
         self.far_runners = await self.add_pipeline("z2")
         self.runners = [*self.near_runners, *self.far_runners]
-        await self.wait_until_known(*(runner.name for runner in self.runners))
+        await self.wait_until_all_known()
 
     async def test_streams_go_over_other_chains_while_a_first_stage_refuses(
         self,
@@ -165,3 +173,25 @@
         self.assertEqual(unreachable, [])
         orders = [order for runner in self.runners for order in runner.received_orders]
         self.assertEqual(orders, [])
+
+    async def test_waiting_stream_is_refused_once_every_first_stage_refuses(
+        self,
+    ) -> None:
+        gateway = self.gateway.gateway
+        backends = [
+            gateway.fleet.backend_by_name[item.name]
+            for item in (self.near_runners[0], self.far_runners[0])
+        ]
+        for backend in backends:
+            backend.starting_streams = MAX_STARTING_STREAMS
+        request = asyncio.create_task(
+            self.send_request(self.path, "r1", events=self.events)
+        )
+        queue = gateway.get_queue(MODEL)
+        await self.wait_until(lambda: queue.waiting_by_number)
+        for backend in backends:
+            record_refusal(backend.health, gateway.now_ms(), 1000 * RETRY_AFTER_S)
+        async with asyncio.timeout(PROMPT_REFUSAL_S):
+            answer = await request
+        self.check_refusals([answer])
+        self.assertEqual(self.group.arrivals, [])
