--- a/src/yuccareach/gateway/availability.py
+++ b/src/yuccareach/gateway/availability.py
@@ -5,7 +5,7 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.chains import build_graph
-from yuccareach.health.servers import find_acceptance_ms, has_ended
+from yuccareach.health.servers import find_acceptance_ms
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Iterable
@@ -15,13 +15,13 @@
 
 
 def can_take_part(backend: Backend, now_s: float) -> bool:
-    """Return whether a server accepts connections and new requests."""
-    return backend.is_connectable and backend.accepts_requests(now_s)
+    """Return whether a server is there, as is presumed, and accepts new requests."""
+    return can_continue(backend, now_s) and backend.accepts_requests(now_s)
 
 
-def can_continue(backend: Backend) -> bool:
+def can_continue(backend: Backend, now_s: float) -> bool:
     """Return whether a server may go on with a stream that it runs."""
-    return backend.is_connectable and not has_ended(backend.health)
+    return not backend.is_unreachable(now_s)
 
 
 def find_for_chain(
@@ -36,11 +36,13 @@
         backend
         for backend in backends
         if can_take_part(backend, now_s)
-        or (backend in current_backends and can_continue(backend))
+        or (backend in current_backends and can_continue(backend, now_s))
     ]
 
 
-def count_uncovered_layers(backends: Iterable[Backend], model: ModelProfile) -> int:
+def count_uncovered_layers(
+    backends: Iterable[Backend], model: ModelProfile, now_s: float
+) -> int:
     """Return the number of layers that no server keeps.
 
     A server that refuses requests for a time keeps its layers.
@@ -49,21 +51,23 @@
         (
             backend
             for backend in backends
-            if can_continue(backend) and not backend.health.is_leaving
+            if can_continue(backend, now_s) and not backend.health.is_leaving
         ),
         model,
     ).uncovered_layers
 
 
 def find_layers_acceptance_ms(
-    backends: Iterable[Backend], model: ModelProfile
+    backends: Iterable[Backend], model: ModelProfile, now_s: float
 ) -> float:
     """Return from when on each loaded layer has a server that accepts requests.
 
-    Infinity if all servers that have loaded some layer are leaving. Servers that accept
-    no connections are left out.
+    Infinity if all servers that have loaded some layer are leaving. Servers that are
+    presumed to be lost are left out.
     """
-    graph = build_graph(filter(can_continue, backends), model)
+    graph = build_graph(
+        (backend for backend in backends if can_continue(backend, now_s)), model
+    )
     return max(
         (
             min(find_acceptance_ms(backend.health) for backend in at_boundary)
--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -6,7 +6,7 @@
 
 from yuccareach.gateway.http_client import Ending, Exchange, encode_request
 from yuccareach.gateway.server_notices import build_response_reader
-from yuccareach.health.servers import record_request
+from yuccareach.health.servers import record_contact, record_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -62,7 +62,8 @@
         try:
             connection = await pool.connect()
         except (OSError, TimeoutError) as error:
-            backend.record_connect_failure(gateway.now())
+            refused = isinstance(error, ConnectionRefusedError)
+            backend.record_connect_failure(gateway.now(), refused=refused)
             gateway.log(
                 "connect_failed",
                 request=admitted.request_id,
@@ -71,8 +72,17 @@
                 reason=type(error).__name__,
             )
             return None
+        backend.record_connect_success()
+
+    def _handle_data(data: bytes) -> None:
+        record_contact(backend.health)
+        if on_data is not None:
+            on_data(data)
+
     exchange = Exchange(
-        admitted.metadata.request_id, build_response_reader(gateway, backend), on_data
+        admitted.metadata.request_id,
+        build_response_reader(gateway, backend),
+        _handle_data if on_data is not None else None,
     )
     request = admitted.request
     headers = [
--- a/src/yuccareach/gateway/server_notices.py
+++ b/src/yuccareach/gateway/server_notices.py
@@ -7,6 +7,7 @@
 from yuccareach.health.servers import (
     compute_refusal_ms,
     record_acceptance,
+    record_contact,
     record_leaving,
     record_refusal,
 )
@@ -29,6 +30,7 @@
 
     def _read_response(status: int, headers: Headers) -> ResponseMetadata:
         metadata = gateway.dialect.read_response(status, headers)
+        record_contact(backend.health)
         record_notices(gateway, backend, metadata)
         return metadata
 
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -74,7 +74,7 @@
     # Number of layers that no server keeps.
     uncovered_layers: int
     # Versions of the members and of the routing table, and of each server that was
-    # left out its name, whether it accepts connections, and when it accepts requests.
+    # left out its name, whether it is presumed lost, and when it accepts requests.
     cache_key: tuple[int, int, frozenset[tuple[str, bool, float]]]
 
 
@@ -206,9 +206,10 @@
     ) -> LayerGraph:
         """Return the graph of a service's layers, rebuilt when members change.
 
-        Servers that accept no connections or no requests are left out: a request sent
-        to one would only fail, and its retry would use up the retry budget. Those where
-        a stream runs already are kept for it, if it names them as current_backends.
+        Servers that are presumed to be lost or accept no requests are left out: a
+        request sent to one would only fail, and its retry would use up the retry
+        budget. Those where a stream runs already are kept for it, if it names them as
+        current_backends.
         """
         now_s = self.now()
         if all(item.accepts_requests(now_s) for item in current_backends):
@@ -223,7 +224,7 @@
         assert self.table is not None and service.model is not None
         now_s = self.now()
         left_out = frozenset(
-            (item.name, item.is_connectable, find_acceptance_ms(item.health))
+            (item.name, item.is_unreachable(now_s), find_acceptance_ms(item.health))
             for item in self.fleet.backend_by_name.values()
             if not can_take_part(item, now_s)
         )
@@ -233,8 +234,8 @@
             members = self.fleet.find_by_service(service.name)
             cached = self.graph_by_service[service.name] = CachedGraph(
                 build_graph(find_for_chain(members, now_s, ()), service.model),
-                find_layers_acceptance_ms(members, service.model),
-                count_uncovered_layers(members, service.model),
+                find_layers_acceptance_ms(members, service.model, now_s),
+                count_uncovered_layers(members, service.model, now_s),
                 cache_key,
             )
         return cached
--- a/tests/gateway/test_availability.py
+++ b/tests/gateway/test_availability.py
@@ -19,10 +19,12 @@
 from yuccareach.gateway.state import Gateway, GatewaySettings
 from yuccareach.gateway.table import Service
 from yuccareach.health.servers import (
+    PRESUMED_LOST_SILENCE_MS,
     EndProof,
     record_end,
     record_leaving,
     record_refusal,
+    record_silence,
 )
 from yuccareach.platform.headers import DIALECT
 
@@ -42,11 +44,12 @@
         self.assertEqual(find_for_chain(self.backends, 0.0, [leaving]), self.backends)
 
     def test_lost_server_takes_no_part_in_a_stream_that_ran_there(self) -> None:
-        ended, unconnectable = self.backends[:2]
+        ended, silent = self.backends[:2]
         record_end(ended.health, EndProof.REPORTED)
-        unconnectable.is_connectable = False
+        record_silence(silent.health, 0)
+        now_s = PRESUMED_LOST_SILENCE_MS / 1000
         self.assertEqual(
-            find_for_chain(self.backends, 0.0, self.backends), self.backends[2:]
+            find_for_chain(self.backends, now_s, self.backends), self.backends[2:]
         )
 
 
@@ -55,7 +58,7 @@
         self.backends = build_two_zones()
 
     def find_acceptance_ms(self) -> float:
-        return find_layers_acceptance_ms(self.backends, MODEL)
+        return find_layers_acceptance_ms(self.backends, MODEL, 0.0)
 
     def test_layers_with_an_accepting_server_are_available(self) -> None:
         # Each zone holds all layers.
@@ -83,20 +86,20 @@
     def test_refusing_servers_keep_their_layers(self) -> None:
         for backend in self.backends:
             record_refusal(backend.health, 0, 3_000)
-        self.assertEqual(count_uncovered_layers(self.backends, MODEL), 0)
+        self.assertEqual(count_uncovered_layers(self.backends, MODEL, 0.0), 0)
         for backend in self.backends[:4]:
             record_leaving(backend.health)
         # a1 to a4 held layers 62 to 80 with b3 only.
         record_leaving(self.backends[6].health)
-        self.assertEqual(count_uncovered_layers(self.backends, MODEL), 80 - 62)
+        self.assertEqual(count_uncovered_layers(self.backends, MODEL, 0.0), 80 - 62)
 
-    def test_server_without_connections_does_not_count(self) -> None:
+    def test_ended_server_does_not_count(self) -> None:
         record_leaving(self.backends[0].health)
-        self.backends[4].is_connectable = False
+        record_end(self.backends[4].health, EndProof.REFUSED)
         self.assertEqual(self.find_acceptance_ms(), math.inf)
 
     def test_layers_without_any_server_are_left_out(self) -> None:
-        self.assertEqual(find_layers_acceptance_ms([], MODEL), 0)
+        self.assertEqual(find_layers_acceptance_ms([], MODEL, 0.0), 0)
 
 
 class CachedGraphTests(unittest.IsolatedAsyncioTestCase):
