Send no calls to a plain service that refuses with Retry-After until its time is over

Callers of an entry kept being sent to a service that had answered 503 with Retry-After, beside others that serve; the header did not reach them.

Cause: the agent dropped Retry-After, and the entry took no notice of a service's 503.

The agent hands the header on. The entry records it in the server's health for that incarnation, leaves the server out of its choice until then, and while all servers of the service refuse, refuses calls at once with the time at which the first wants calls again. The 503 itself still goes to its caller, since the service may have run the call. The adapter and the entry decode the value by the same function.

--- a/src/yuccareach/agent/service_client.py
+++ b/src/yuccareach/agent/service_client.py
@@ -16,7 +16,13 @@
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_REPLY_BYTES = 8 << 20
-_FORWARDED_HEADERS = ("content-type", "cache-control", "etag", "location")
+_FORWARDED_HEADERS = (
+    "content-type",
+    "cache-control",
+    "etag",
+    "location",
+    "retry-after",
+)
 
 
 class ServiceClient:
--- a/src/yuccareach/entry/calls.py
+++ b/src/yuccareach/entry/calls.py
@@ -9,7 +9,7 @@
 
 from typing import TYPE_CHECKING, Any
 
-from yuccareach.entry import fleet, quarantine
+from yuccareach.entry import fleet, quarantine, refusals
 from yuccareach.entry.events import (
     AcquirePermit,
     CallRequested,
@@ -63,7 +63,9 @@
     )
     if server is None:
         text = "no backend server of this service is available"
-        refusal = Refusal(503, "no_backend_server", text, retry_after_s=RETRY_AFTER_S)
+        name = call.event.service.name
+        retry_s = refusals.compute_retry_after_s(state, name, now) or RETRY_AFTER_S
+        refusal = Refusal(503, "no_backend_server", text, retry_after_s=retry_s)
         return _refuse_or_query_permit(state, call, refusal)
     if call.event.idempotent:
         return _send(state, call, server, now)
@@ -193,6 +195,7 @@
         return [IncrementCounter("late_replies", "unknown_call")]
     if message.outcome == pb.RAN:
         effects = quarantine.record_answer(state, call.tracked_attempt, now)
+        effects += refusals.record_reply(state, call.server, message, now)
         return effects + _return_reply(state, call, message, now)
     if message.outcome == pb.NOT_RUN:
         call.may_have_run = False
--- a/src/yuccareach/entry/fleet.py
+++ b/src/yuccareach/entry/fleet.py
@@ -7,6 +7,7 @@
 import xxhash
 
 from yuccareach.entry.state import BackendServer
+from yuccareach.health.servers import accepts_requests
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
 from yuccareach.quarantine.table import ISOLATION_LOSS_THRESHOLD
 from yuccareach.route.choice import (
@@ -299,8 +300,9 @@
 ) -> cpb.Member | None:
     """Choose a backend server of a plain service that was not tried before, or None.
 
-    Preferred are servers that are not suspected, then those with the fewest running
-    requests, then those in the entry's availability zone.
+    Those that have asked for no calls are left out. Preferred are servers that are not
+    suspected, then those with the fewest running requests, then those in the entry's
+    availability zone.
     """
     servers = [
         state.server_by_name[name]
@@ -309,7 +311,9 @@
     usable = [
         server
         for server in servers
-        if not server.draining and server.member.incarnation not in tried_incarnations
+        if not server.draining
+        and server.member.incarnation not in tried_incarnations
+        and accepts_requests(server.health, now)
     ]
     state.choice_count += 1
     best = min(
--- a/src/yuccareach/entry/state.py
+++ b/src/yuccareach/entry/state.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
+from yuccareach.health.servers import ServerHealth
 from yuccareach.quarantine.table import NO_LOSSES, QuarantineTable, TrackedAttempt
 from yuccareach.settings.store import RequestClass, SettingsStore, Workspace
 
@@ -45,6 +46,8 @@
         # Until this time, the backend server is avoided where others are available.
         self.avoided_until_ms = 0
         self.draining = False
+        # What this entry knows of the incarnation, and by what proof.
+        self.health = ServerHealth()
 
 
 class Request:
--- a/src/yuccareach/platform/headers.py
+++ b/src/yuccareach/platform/headers.py
@@ -2,8 +2,6 @@
 
 from __future__ import annotations
 
-import re
-
 import msgspec
 
 from yuccareach.gateway.dialect import (
@@ -14,6 +12,7 @@
     ResponseMetadata,
     Stage,
 )
+from yuccareach.health.retry_after import parse_retry_after_s
 from yuccareach.platform.orders import ORDER_PATH
 
 REQUEST_ID = b"yuccareach-request-id"
@@ -37,7 +36,6 @@
 # Seconds, which may have a fraction, for which a refusing runner wants no requests.
 RETRY_AFTER = b"retry-after"
 REFUSED_STATUS = 503
-_SECONDS = re.compile(rb"\d+(\.\d+)?")
 # Scheme of the Authorization header, in lower case.
 KEY_SCHEME = b"token "
 
@@ -184,12 +182,11 @@
     """
     if status != REFUSED_STATUS:
         return None, None
-    values = [value.strip() for name, value in headers if name == RETRY_AFTER]
-    times_s = [float(value) for value in values if _SECONDS.fullmatch(value)]
-    malformed = [value for value in values if not _SECONDS.fullmatch(value)]
+    values = [value.decode("latin-1") for name, value in headers if name == RETRY_AFTER]
+    times_s = [parse_retry_after_s(value) for value in values]
     return (
-        max(times_s, default=None),
-        malformed[0].decode("latin-1") if malformed else None,
+        max((time_s for time_s in times_s if time_s is not None), default=None),
+        next((value for value in values if parse_retry_after_s(value) is None), None),
     )
 
 
