--- a/src/yuccareach/gateway/probes.py
+++ b/src/yuccareach/gateway/probes.py
@@ -13,6 +13,7 @@
 from yuccareach.gateway.backends import ProbeResult
 from yuccareach.gateway.http_client import call_backend
 from yuccareach.gateway.losses import confirm_crash
+from yuccareach.gateway.server_notices import build_response_reader
 from yuccareach.health.servers import record_contact
 
 if TYPE_CHECKING:
@@ -152,7 +153,14 @@
 async def _recontact(gateway: Gateway, backend: Backend) -> None:
     """Request a report from a silent server, and wait for the end of its silence."""
     path = gateway.dialect.report_path
-    report = await call_backend(backend.pool, b"GET", path, b"", RECONTACT_TIMEOUT_S)
+    report = await call_backend(
+        backend.pool,
+        b"GET",
+        path,
+        b"",
+        RECONTACT_TIMEOUT_S,
+        read_response=build_response_reader(gateway, backend),
+    )
     backend.is_recontacted = False
     if report is not None:
         record_contact(backend.health)
--- a/src/yuccareach/gateway/reroutes.py
+++ b/src/yuccareach/gateway/reroutes.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.http_client import call_backend
+from yuccareach.gateway.server_notices import build_response_reader
 from yuccareach.gateway.stream_run import StreamRun, format_chain, to_dialect_stages
 
 if TYPE_CHECKING:
@@ -62,6 +63,7 @@
             body,
             timeout_s,
             new_connection=attempt > 0,
+            read_response=build_response_reader(gateway, first_backend),
         )
         if answer is not None:
             return RerouteAnswer(
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -27,6 +27,7 @@
     is_suspiciously_idle,
 )
 from yuccareach.gateway.reroutes import log_reroute, send_reroute_order
+from yuccareach.gateway.server_notices import build_response_reader
 from yuccareach.gateway.slowdowns import find_due_for_recheck, query_slowdowns
 from yuccareach.gateway.stream_run import StreamRun
 from yuccareach.health.servers import Silence, record_contact, record_silence
@@ -198,7 +199,14 @@
         return None
     path = gateway.dialect.report_path
     started_s = gateway.now()
-    report = await call_backend(first_backend.pool, b"GET", path, b"", REPORT_TIMEOUT_S)
+    report = await call_backend(
+        first_backend.pool,
+        b"GET",
+        path,
+        b"",
+        REPORT_TIMEOUT_S,
+        read_response=build_response_reader(gateway, first_backend),
+    )
     if report is not None:
         record_contact(first_backend.health)
         return gateway.dialect.read_stalled_requests(report.body)
