Test the bounds on what a backend server sends to a gateway

Callers saw 504 at their deadline where a server sent a head, a body, a failure or an event without end, and 200 with 16,777,108 of 20,000,000 bytes where its body was large. Stand-in runners can now send such answers, and count what is taken of them.

The heads, bodies and reports are read up to the 64 MiB after which the stand-in stops.

--- a/src/yuccareach/platform/standin.py
+++ b/src/yuccareach/platform/standin.py
@@ -17,6 +17,7 @@
 from aiohttp import web
 
 from yuccareach.placement.assignments import NO_LAYERS, LayerRange
+from yuccareach.platform.standin_bytes import RawAnswer, send_raw_answer
 from yuccareach.platform.standin_faults import (
     REFUSED_STATUS,
     RunnerArrival,
@@ -214,7 +215,13 @@
         if self.faults.announces_leaving:
             response.headers["Server-Leaving"] = "1"
 
+    async def _send_raw(self, request: web.Request, kind: RawAnswer) -> web.Response:
+        await send_raw_answer(request, kind, self.name, self.faults.sent_answers)
+        return web.Response()
+
     async def _handle_report(self, request: web.Request) -> web.Response:
+        if self.faults.raw_report is not None:
+            return await self._send_raw(request, self.faults.raw_report)
         await self.faults.wait_while_silent()
         stalled = [
             {"id": request_id, "address": address}
@@ -223,6 +230,8 @@
         return web.json_response({"stalled": stalled, "pace": self.slowdown})
 
     async def _handle_order(self, request: web.Request) -> web.Response:
+        if self.faults.raw_report is not None:
+            return await self._send_raw(request, self.faults.raw_report)
         await self.faults.wait_while_silent()
         order = await request.json()
         self.received_orders.append(order)
@@ -272,6 +281,9 @@
         )
         self.faults.begin_silence(self.faults.silence_on_arrival_s)
         await self.faults.wait_while_silent()
+        if self.faults.raw_answer is not None:
+            self.group.executed_request_ids.append(request_id)
+            return await self._send_raw(request, self.faults.raw_answer)
         echo = {"Yuccareach-Request-Id": request_id}
         target = request.headers.get("Yuccareach-Target-Runner")
         if target != self.name:
--- a/src/yuccareach/platform/standin_faults.py
+++ b/src/yuccareach/platform/standin_faults.py
@@ -3,7 +3,10 @@
 from __future__ import annotations
 
 import asyncio
-from typing import NamedTuple
+from typing import TYPE_CHECKING, NamedTuple
+
+if TYPE_CHECKING:
+    from yuccareach.platform.standin_bytes import RawAnswer, SentAnswer
 
 REFUSED_STATUS = 503
 
@@ -33,6 +36,11 @@
         self.announces_leaving = False
         # Refuses requests for this long, and says so; None to serve them.
         self.retry_after_s: float | None = None
+        # Sends this in place of its answers to requests, or to calls for its report and
+        # orders.
+        self.raw_answer: RawAnswer | None = None
+        self.raw_report: RawAnswer | None = None
+        self.sent_answers: list[SentAnswer] = []
 
     def begin_silence(self, duration_s: float) -> None:
         """Be silent for a time from now on, unless it is silent already."""
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -7,7 +7,13 @@
 import struct
 import unittest
 
-from yuccareach.gateway.http_client import ConnectionPool, Ending, Exchange
+from yuccareach.gateway.http_client import (
+    BackendConnection,
+    ConnectionPool,
+    Ending,
+    Exchange,
+    call_backend,
+)
 from yuccareach.platform.headers import DIALECT
 
 REQUEST_ID_HEADER = b"Yuccareach-Request-Id: %b\r\n"
@@ -132,3 +138,158 @@
         await self.exchange_request()
         now_s = asyncio.get_running_loop().time()
         self.assertIsNone(self.pool.take(now_s + 2.5, 60))
+
+
+MAX_HEAD_BYTES = 64 << 10
+MAX_BODY_BYTES = 16 << 20
+MAX_REPORT_BYTES = 1 << 20
+BLOCK_BYTES = 64 << 10
+# An endless response of a test stops here.
+MAX_FED_BYTES = 64 << 20
+FILLER = b"x" * BLOCK_BYTES
+OK_LINE = b"HTTP/1.1 200 OK\r\n"
+OK = OK_LINE + REQUEST_ID_HEADER % b"r1"
+CHUNKED = OK + b"Transfer-Encoding: chunked\r\n\r\n"
+CHUNK = b"%x\r\n%b\r\n" % (BLOCK_BYTES, FILLER)
+INTERIM = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n"
+
+
+class StubTransport:
+    def __init__(self) -> None:
+        self.closing = False
+
+    def write(self, data: bytes) -> None:
+        pass
+
+    def abort(self) -> None:
+        self.closing = True
+
+    close = abort
+
+    def is_closing(self) -> bool:
+        return self.closing
+
+
+class SizeLimitTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.connection = BackendConnection()
+        self.connection.connection_made(StubTransport())
+        self.exchange = Exchange(b"r1", DIALECT.read_response)
+        self.connection.send(self.exchange, REQUEST)
+
+    def feed(self, start: bytes, block: bytes) -> int:
+        """Feed an endless response until it is closed; return the bytes it took."""
+        self.connection.data_received(start)
+        fed_bytes = len(start)
+        while not self.connection.transport.is_closing() and fed_bytes < MAX_FED_BYTES:
+            self.connection.data_received(block)
+            fed_bytes += len(block)
+        return fed_bytes
+
+    async def receive(self, *parts: bytes) -> Ending:
+        for part in parts:
+            self.connection.data_received(part)
+        return await asyncio.wait_for(self.exchange.ended, 1)
+
+    async def test_endless_head_is_closed_at_its_limit(self) -> None:
+        for name, start, block in (
+            ("status line", b"HTTP/1.1 200 ", FILLER),
+            ("header lines", OK, b"A: b\r\n" * 1000),
+            ("header name", OK, FILLER),
+            ("header value", OK + b"A: ", FILLER),
+            ("interim answers", b"", INTERIM * 100),
+            ("late head", OK_LINE + REQUEST_ID_HEADER % b"r0" + b"A: ", FILLER),
+        ):
+            with self.subTest(name):
+                await self.asyncSetUp()
+                fed_bytes = self.feed(start, block)
+                self.assertLessEqual(fed_bytes, MAX_HEAD_BYTES + 2 * BLOCK_BYTES)
+                self.assertEqual(str(await self.receive()), "too_large")
+
+    async def test_endless_body_is_closed_at_its_limit(self) -> None:
+        late = OK_LINE + REQUEST_ID_HEADER % b"r0" + b"Content-Length: 65536\r\n\r\n"
+        for name, start, block in (
+            ("chunks", CHUNKED, CHUNK),
+            ("no length", OK + b"\r\n", FILLER),
+            ("small chunks", CHUNKED, b"1\r\nx\r\n" * 10_000),
+            ("chunk extension", CHUNKED + b"2;x=", FILLER),
+            ("trailer", CHUNKED + b"2\r\nok\r\n0\r\n", b"A: b\r\n" * 10_000),
+            ("trailer value", CHUNKED + b"2\r\nok\r\n0\r\nA: ", FILLER),
+            ("late answers", b"", late + FILLER),
+        ):
+            with self.subTest(name):
+                await self.asyncSetUp()
+                fed_bytes = self.feed(start, block)
+                self.assertLessEqual(
+                    fed_bytes, MAX_HEAD_BYTES + MAX_BODY_BYTES + 2 * BLOCK_BYTES
+                )
+                self.assertEqual(str(await self.receive()), "too_large")
+                self.assertLessEqual(sum(map(len, self.exchange.body)), MAX_BODY_BYTES)
+
+    async def test_body_with_a_length_over_the_limit_is_refused_by_its_head(
+        self,
+    ) -> None:
+        head = OK + b"Content-Length: %d\r\n\r\n" % (MAX_BODY_BYTES + 1)
+        ending = await self.receive(head)
+        self.assertEqual(str(ending), "too_large")
+        self.assertTrue(self.connection.transport.is_closing())
+
+    async def test_largest_body_arrives_whole(self) -> None:
+        head = OK + b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES
+        body = [FILLER] * (MAX_BODY_BYTES // BLOCK_BYTES)
+        self.assertIs(await self.receive(head, *body), Ending.COMPLETE)
+        self.assertEqual(sum(map(len, self.exchange.body)), MAX_BODY_BYTES)
+
+    async def test_head_below_the_limit_is_accepted_with_its_body(self) -> None:
+        head = OK + b"A: %b\r\nContent-Length: %d\r\n\r\n"
+        value = b"x" * (MAX_HEAD_BYTES - 200)
+        data = head % (value, BLOCK_BYTES) + FILLER
+        self.assertIs(await self.receive(data), Ending.COMPLETE)
+        self.assertEqual(self.exchange.body_bytes, BLOCK_BYTES)
+
+    async def test_large_late_response_is_discarded(self) -> None:
+        late = OK_LINE + REQUEST_ID_HEADER % b"r0" + b"Content-Length: %d\r\n\r\n"
+        body = [FILLER] * 32
+        data = late % (32 * BLOCK_BYTES)
+        ending = await self.receive(data, *body, COMPLETE_RESPONSE % (b"r1", b"ok"))
+        self.assertIs(ending, Ending.COMPLETE)
+        self.assertEqual(b"".join(self.exchange.body), b"ok")
+
+    async def test_trailer_adds_no_headers_to_the_response(self) -> None:
+        data = CHUNKED + b"2\r\nok\r\n0\r\nContent-Encoding: gzip\r\n\r\n"
+        self.assertIs(await self.receive(data), Ending.COMPLETE)
+        head = self.exchange.head.result()
+        assert head is not None
+        self.assertNotIn(b"content-encoding", dict(head.headers))
+
+
+class EndlessReportTests(unittest.IsolatedAsyncioTestCase):
+    async def test_endless_report_is_closed_early(self) -> None:
+        sent_bytes = 0
+        closed = asyncio.Event()
+
+        async def _serve(
+            reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        ) -> None:
+            nonlocal sent_bytes
+            await reader.readuntil(b"\r\n\r\n")
+            writer.write(OK_LINE + b"\r\n")
+            try:
+                while sent_bytes < MAX_FED_BYTES:
+                    writer.write(FILLER)
+                    sent_bytes += BLOCK_BYTES
+                    await writer.drain()
+                await reader.read()
+            except ConnectionError:
+                pass
+            closed.set()
+            writer.close()
+
+        server = await asyncio.start_server(_serve, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        pool = ConnectionPool("127.0.0.1:%d" % server.sockets[0].getsockname()[1])
+        self.addCleanup(pool.close)
+        self.assertIsNone(await call_backend(pool, b"GET", "/", b"", 5))
+        await asyncio.wait_for(closed.wait(), 5)
+        # What the sockets may hold is sent too.
+        self.assertLess(sent_bytes, MAX_REPORT_BYTES + (8 << 20))
