Close what a backend server sends as soon as it exceeds a limit

Callers waited until their deadline for a head, a body, a failure or an event without end, and got 504; a body of 20,000,000 bytes with its length was answered 200 with 16,777,108 of them.

Cause: nothing counted what arrived before the body (the head, interim responses, late responses), nor an event or a failure of a stream. Of a plain body only the buffer was bounded: the rest was dropped, and the exchange counted as complete all the same. The failure of a stream was joined anew with each of its parts.

A connection now counts what it reads and fails the exchange as too_large once a limit is exceeded: 64 KiB for all that precedes the body, 16 MiB for the body with its framing, 1 MiB for one event and for reports and answers to orders. Only bodies of late responses are exempt from the first. A length over the limit is refused by the head. too_large counts as an answer that may have run and did not arrive: the server is avoided, the attempt counts, the caller gets another server's answer or 502.

The test of simultaneous answers measured bytes sent, which does not show what is held; it measures traced memory instead, and the bytes of each answer.

--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -43,12 +43,12 @@
     admitted: AdmittedRequest,
     backend: Backend,
     metadata: ForwardMetadata,
-    on_data: Callable[[bytes], None] | None = None,
+    on_data: Callable[[bytes], int] | None = None,
 ) -> BackendRequest | None:
     """Send a request; return None if no connection could be opened.
 
-    In that case the request has not run. Otherwise on_data receives the body as it
-    arrives.
+    In that case the request has not run. Otherwise on_data receives the body of a
+    signed success as it arrives, and returns how many bytes it buffers.
     """
     pool = backend.pool
     max_idle_s = (
@@ -69,7 +69,9 @@
             )
             return None
     exchange = Exchange(
-        admitted.metadata.request_id, gateway.dialect.read_response, on_data
+        admitted.metadata.request_id,
+        gateway.dialect.read_response,
+        on_data,
     )
     request = admitted.request
     headers = [
--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -8,15 +8,17 @@
 from __future__ import annotations
 
 import asyncio
-from enum import StrEnum
-from typing import TYPE_CHECKING, Any, NamedTuple
+from typing import Any, NamedTuple
 
 import httptools
 
 from yuccareach.gateway.dialect import Headers, ResponseMetadata
-
-if TYPE_CHECKING:
-    from collections.abc import Callable
+from yuccareach.gateway.exchanges import (
+    REPORT_LIMITS,
+    Ending,
+    Exchange,
+    ResponseHead,
+)
 
 CONNECT_TIMEOUT_S = 0.4
 # A connection is reused for this much less than the keep-alive timeout that a backend
@@ -24,73 +26,6 @@
 KEEP_ALIVE_MARGIN_S = 1.0
 # For backend servers that state no keep-alive timeout.
 DEFAULT_KEEP_ALIVE_S = 4.0
-MAX_RESPONSE_BYTES = 16 << 20
-
-
-class Ending(StrEnum):
-    """How an exchange with a backend server ended."""
-
-    COMPLETE = "complete"
-    # No byte of the request was written.
-    NOT_SENT = "not_sent"
-    # The connection was lost or aborted after the request was written. Whether the
-    # request has run is not known.
-    BROKEN = "broken"
-    # What was read is not an HTTP response.
-    MALFORMED = "garbled"
-    # No complete response arrived within the timeout.
-    TIMED_OUT = "timed_out"
-
-
-class ResponseHead(NamedTuple):
-    """Status and headers of a response; header names are in lower case."""
-
-    status: int
-    headers: Headers
-    metadata: ResponseMetadata
-
-
-class Exchange:
-    """One request on one connection, and its response as it arrives."""
-
-    def __init__(
-        self,
-        request_id: bytes,
-        read_response: Callable[[int, Headers], ResponseMetadata],
-        on_data: Callable[[bytes], None] | None = None,
-    ) -> None:
-        self.request_id = request_id
-        self.read_response = read_response
-        self.on_data = on_data
-        loop = asyncio.get_running_loop()
-        self.head: asyncio.Future[ResponseHead | None] = loop.create_future()
-        self.ended: asyncio.Future[Ending] = loop.create_future()
-        self.body: list[bytes] = []
-        self.body_bytes = 0
-
-    def set_head(self, head: ResponseHead) -> None:
-        """Set the status and the headers of the response."""
-        if not self.head.done():
-            self.head.set_result(head)
-
-    def receive_data(self, data: bytes) -> None:
-        """Forward a part of the body to on_data, if set, or else buffer it.
-
-        Buffered parts beyond MAX_RESPONSE_BYTES are dropped.
-        """
-        if self.on_data is not None:
-            self.on_data(data)
-            return
-        self.body_bytes += len(data)
-        if self.body_bytes <= MAX_RESPONSE_BYTES:
-            self.body.append(data)
-
-    def set_ending(self, ending: Ending) -> None:
-        """Set how the exchange ended, unless that is already set."""
-        if not self.ended.done():
-            self.ended.set_result(ending)
-        if not self.head.done():
-            self.head.set_result(None)
 
 
 class BackendConnection(asyncio.Protocol):
@@ -108,6 +43,11 @@
     def _reset(self) -> None:
         self.parser = httptools.HttpResponseParser(self)
         self.headers: Headers = []
+        self.is_awaiting_head = True
+        # Bytes received before the end of the head, without bodies of late responses.
+        self.head_bytes = 0
+        # All bytes received since the request was sent.
+        self.received_bytes = 0
         # Whether the response is to an earlier request and is discarded.
         self.is_skipping = False
         # Whether the body has neither a length nor chunks.
@@ -138,14 +78,37 @@
 
     def data_received(self, data: bytes) -> None:
         """Parse a response; abort the connection if no request is in flight."""
-        if self.exchange is None:
+        exchange = self.exchange
+        if exchange is None:
             self.must_close = True
             self.transport.abort()
             return
+        limits = exchange.limits
+        self.received_bytes += len(data)
         try:
-            self.parser.feed_data(data)
+            if self.is_awaiting_head:
+                data = self._parse_head(data, limits.head_bytes)
+            if self.exchange is not None:
+                self.parser.feed_data(data)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(Ending.MALFORMED)
+        if self.received_bytes > limits.head_bytes + limits.body_bytes:
+            self._fail(Ending.TOO_LARGE)
+
+    def _parse_head(self, data: bytes, max_bytes: int) -> bytes:
+        """Parse data up to the end of the head, and return data that is left.
+
+        Fails the exchange if the head exceeds the maximum.
+        """
+        while data and self.is_awaiting_head and self.exchange is not None:
+            remaining_bytes = max_bytes - self.head_bytes
+            if remaining_bytes <= 0:
+                self._fail(Ending.TOO_LARGE)
+                return b""
+            self.head_bytes += min(len(data), remaining_bytes)
+            self.parser.feed_data(data[:remaining_bytes])
+            data = data[remaining_bytes:]
+        return data
 
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
@@ -196,7 +159,11 @@
             b"close" in value_by_name.get(b"connection", b"").lower()
         )
         self._update_reuse_deadline(value_by_name.get(b"keep-alive", b""))
+        self.is_awaiting_head = False
         exchange.set_head(ResponseHead(status, self.headers, metadata))
+        length = value_by_name.get(b"content-length", b"")
+        if length.isdigit() and int(length) > exchange.limits.body_bytes:
+            self._fail(Ending.TOO_LARGE)
 
     def _update_reuse_deadline(self, value: bytes) -> None:
         seconds = DEFAULT_KEEP_ALIVE_S
@@ -209,8 +176,12 @@
 
     def on_body(self, data: bytes) -> None:
         """Forward a part of the body to the exchange."""
-        if self.exchange is not None and not self.is_skipping and not self.is_complete:
-            self.exchange.receive_data(data)
+        if self.exchange is None or self.is_complete:
+            return
+        if self.is_skipping:
+            self.head_bytes -= len(data)
+        elif not self.exchange.receive_data(data):
+            self._fail(Ending.TOO_LARGE)
 
     def on_message_complete(self) -> None:
         """End the exchange, or discard a response to an earlier request."""
@@ -341,7 +312,7 @@
     if body:
         headers.append((b"Content-Type", b"application/json"))
     now_s = asyncio.get_running_loop().time()
-    exchange = Exchange(b"", _accept_any_response)
+    exchange = Exchange(b"", _accept_any_response, limits=REPORT_LIMITS)
     connection: BackendConnection | None = None
     try:
         async with asyncio.timeout(timeout_s):
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -85,10 +85,14 @@
         metadata = self.admitted.metadata
         return metadata.prompt_tokens + metadata.expected_answer_tokens
 
-    def deliver_data(self, data: bytes) -> None:
-        """Deliver the events that these bytes complete."""
+    def deliver_data(self, data: bytes) -> int:
+        """Deliver the events that these bytes complete.
+
+        Returns the number of bytes of an incomplete event.
+        """
         for event in self.splitter.feed(data):
             self._deliver_event(event)
+        return self.splitter.buffered_bytes
 
     def _deliver_event(self, event: bytes) -> None:
         now_s = self.gateway.now()
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -37,8 +37,6 @@
 from yuccareach.gateway.stream_run import StreamRun, format_chain, to_dialect_stages
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from yuccareach.gateway.http_server import Reply
     from yuccareach.gateway.state import Gateway
 
@@ -276,7 +274,7 @@
     _log_attempt(run, chain)
     try:
         run.backend_request = await send_request(
-            gateway, admitted, first_backend, metadata, _build_data_handler(run)
+            gateway, admitted, first_backend, metadata, run.deliver_data
         )
         if run.backend_request is None:
             run.excluded_incarnations.add(first_backend.announcement.incarnation)
@@ -291,22 +289,6 @@
         run.backend_request = None
 
 
-def _build_data_handler(run: StreamRun) -> Callable[[bytes], None]:
-    """Return a handler of body data, which delivers events or collects a failure."""
-    failure: list[bytes] = []
-
-    def _handle_data(data: bytes) -> None:
-        backend_request = run.backend_request
-        head = backend_request.exchange.head.result() if backend_request else None
-        if head is not None and head.status == 200 and head.metadata.is_signed:
-            run.deliver_data(data)
-        else:
-            failure.append(data)
-            run.failure_body = b"".join(failure)
-
-    return _handle_data
-
-
 async def _await_end(
     run: StreamRun, backend_request: BackendRequest, remaining_s: float
 ) -> AttemptResult:
@@ -359,6 +341,7 @@
         and head.metadata.is_signed
     ):
         run.failure_head = head
+        run.failure_body = b"".join(backend_request.exchange.body)
         return AttemptResult.FAILED
     backend_request.backend.record_failure(now_s)
     run.excluded_incarnations.add(backend_request.backend.announcement.incarnation)
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -3,8 +3,11 @@
 from __future__ import annotations
 
 import asyncio
+import tracemalloc
 
 from tests.platform.deployment import Answer, DeploymentTestCase, read_event_ids
+from tests.platform.examples import MODEL, PLAIN
+from yuccareach.gateway.budget import RetryBudgetLimits
 from yuccareach.platform.standin_bytes import (
     LARGE_BODY_BYTES,
     UNFRAMED_EVENTS,
@@ -19,6 +22,8 @@
 MAX_REPORT_BYTES = 1 << 20
 # What the sockets between a runner and the gateway may hold.
 SOCKET_BYTES = 8 << 20
+# A part of an instance's 300 MB, with what the stand-in itself buffers.
+MAX_TRACED_BYTES = 128 << 20
 DEADLINE_S = 4.0
 # An answer that passes a bound is closed well before the deadline.
 MAX_DURATION_S = DEADLINE_S / 2
@@ -42,6 +47,12 @@
 
 
 class EndlessBytesTestCase(DeploymentTestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        for service in (MODEL, PLAIN):
+            budget = self.gateway.gateway.get_retry_budget(service)
+            budget.limits = RetryBudgetLimits(1.0, 100_000.0, 10.0)
+
     async def wait_for_close(self, sent_answers: list[SentAnswer]) -> None:
         await self.wait_until(
             lambda: all(item.duration_s is not None for item in sent_answers)
@@ -109,15 +120,18 @@
 
     async def test_simultaneous_endless_answers_do_not_exhaust_the_memory(self) -> None:
         self.runner.faults.raw_answer = RawAnswer.SIGNED_BODY
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
         answers = await asyncio.gather(
             *(self.send_request("/claim/1", f"r{number}") for number in range(16))
         )
+        _, peak_bytes = tracemalloc.get_traced_memory()
         self.assertEqual([answer.status for answer in answers], [502] * 16)
+        self.assertLess(peak_bytes, MAX_TRACED_BYTES)
         sent_answers = self.runner.faults.sent_answers
         await self.wait_for_close(sent_answers)
-        # The gateway's share of an instance's 300 MB, with what the sockets hold.
-        max_total_bytes = 128 << 20
-        self.assertLess(sum(item.sent_bytes for item in sent_answers), max_total_bytes)
+        for sent in sent_answers:
+            self.check_closed_early(sent, MAX_BODY_BYTES)
 
 
 class PlainCallFailoverTests(EndlessBytesTestCase):
