Keep trailers of backend servers out of the headers of their answers

A plain answer went to its caller with the fields of a chunked body's trailer among its headers, a Content-Encoding for instance, since the parser reports both by one callback and the head kept the list that it appends to. The head now keeps a list of its own.

Measured: tests.gateway.test_http_client.SizeLimitTests. test_trailer_adds_no_headers_to_the_response failed before and passes now; 17 of 17 tests of the module pass.

--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -161,6 +161,8 @@
         self._update_reuse_deadline(value_by_name.get(b"keep-alive", b""))
         self.is_awaiting_head = False
         exchange.set_head(ResponseHead(status, self.headers, metadata))
+        # A trailer is not part of the head.
+        self.headers = []
         length = value_by_name.get(b"content-length", b"")
         if length.isdigit() and int(length) > exchange.limits.body_bytes:
             self._fail(Ending.TOO_LARGE)
