Bound what a gateway buffers of all responses at a time

A server that sends bodies without end to many callers at a time could make a gateway buffer 16 MiB for each of them, where the instance has 300 MB.

All bodies and incomplete events that a gateway buffers now count towards one limit of 64 MiB. Once it is exceeded, the largest is closed and its exchange fails as buffers_full, so that small answers of other servers arrive meanwhile. A body counts until its request has it.

--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -31,11 +31,15 @@
         self.exchange = exchange
 
     def release(self) -> None:
-        """Keep the connection for reuse if the response is complete, else close it."""
+        """Keep the connection for reuse if the response is complete, else close it.
+
+        The body counts no longer as buffered, since its caller gets it now.
+        """
         if self.exchange.ended.done() and self.connection.exchange is None:
             self.backend.pool.release(self.connection)
         else:
             self.connection.abort()
+        self.exchange.release_buffers()
 
 
 async def send_request(
@@ -72,6 +76,7 @@
         admitted.metadata.request_id,
         gateway.dialect.read_response,
         on_data,
+        buffers=gateway.response_buffers,
     )
     request = admitted.request
     headers = [
--- a/src/yuccareach/gateway/exchanges.py
+++ b/src/yuccareach/gateway/exchanges.py
@@ -26,6 +26,9 @@
 CALLER_RESPONSE_LIMITS = ResponseLimits(64 << 10, 16 << 20, 1 << 20)
 # Reports and answers to orders.
 REPORT_LIMITS = ResponseLimits(64 << 10, 1 << 20, 0)
+# A gateway has some 200 of the 300 MB of the smallest instance to itself, and a body is
+# copied twice on its way to the caller.
+MAX_BUFFERED_BYTES = 64 << 20
 
 
 class Ending(StrEnum):
@@ -41,6 +44,8 @@
     MALFORMED = "garbled"
     # The response exceeds its limits.
     TOO_LARGE = "too_large"
+    # All open responses together exceed the limit, and this one was the largest.
+    BUFFERS_FULL = "buffers_full"
     # No complete response arrived within the timeout.
     TIMED_OUT = "timed_out"
 
@@ -67,6 +72,7 @@
         read_response: Callable[[int, Headers], ResponseMetadata],
         on_data: Callable[[bytes], int] | None = None,
         limits: ResponseLimits = CALLER_RESPONSE_LIMITS,
+        buffers: ResponseBuffers | None = None,
     ) -> None:
         """Start an exchange.
 
@@ -77,11 +83,16 @@
         self.read_response = read_response
         self.on_data = on_data
         self.limits = limits
+        self.buffers = buffers
         loop = asyncio.get_running_loop()
         self.head: asyncio.Future[ResponseHead | None] = loop.create_future()
         self.ended: asyncio.Future[Ending] = loop.create_future()
         self.body: list[bytes] = []
         self.body_bytes = 0
+        # Bytes of the body that are buffered now.
+        self.buffered_bytes = 0
+        # Ends the exchange and closes its connection.
+        self.fail: Callable[[Ending], None] = self.set_ending
 
     def set_head(self, head: ResponseHead) -> None:
         """Set the status and the headers of the response."""
@@ -99,8 +110,19 @@
             self.body_bytes += len(data)
             buffered_bytes = self.body_bytes
             max_bytes = self.limits.body_bytes
+        self._set_buffered(buffered_bytes)
         return buffered_bytes <= max_bytes
 
+    def _set_buffered(self, buffered_bytes: int) -> None:
+        added_bytes = buffered_bytes - self.buffered_bytes
+        self.buffered_bytes = buffered_bytes
+        if self.buffers is not None and added_bytes:
+            self.buffers.record(self, added_bytes)
+
+    def release_buffers(self) -> None:
+        """Count the body no longer as buffered."""
+        self._set_buffered(0)
+
     def set_ending(self, ending: Ending) -> None:
         """Set how the exchange ended, unless that is already set.
 
@@ -110,15 +132,43 @@
             self.ended.set_result(ending)
             if ending is not Ending.COMPLETE:
                 self.body.clear()
+                self.release_buffers()
         if not self.head.done():
             self.head.set_result(None)
 
 
+class ResponseBuffers:
+    """The bodies that one process buffers, whose total is bounded."""
+
+    def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
+        self.max_bytes = max_bytes
+        self.total_bytes = 0
+        # Exchanges with buffered bytes.
+        self.exchanges: set[Exchange] = set()
+
+    def record(self, exchange: Exchange, added_bytes: int) -> None:
+        """Record a change of what an exchange buffers.
+
+        If the total exceeds the limit, the exchange that buffers most is failed, so
+        that small responses arrive while others have no end.
+        """
+        self.total_bytes += added_bytes
+        if exchange.buffered_bytes:
+            self.exchanges.add(exchange)
+        else:
+            self.exchanges.discard(exchange)
+        if self.total_bytes > self.max_bytes:
+            largest = max(self.exchanges, key=lambda item: item.buffered_bytes)
+            largest.fail(Ending.BUFFERS_FULL)
+
+
 __all__ = [
     "CALLER_RESPONSE_LIMITS",
+    "MAX_BUFFERED_BYTES",
     "REPORT_LIMITS",
     "Ending",
     "Exchange",
+    "ResponseBuffers",
     "ResponseHead",
     "ResponseLimits",
 ]
--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -68,6 +68,7 @@
         """Send the bytes of a request and start its exchange."""
         self._reset()
         self.exchange = exchange
+        exchange.fail = self._fail
         self.transport.write(data)
 
     # Transport callbacks.
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -13,6 +13,7 @@
 from yuccareach.gateway.backends import Fleet
 from yuccareach.gateway.budget import RetryBudget, RetryBudgetLimits
 from yuccareach.gateway.chains import Chain, LayerGraph, build_graph
+from yuccareach.gateway.exchanges import ResponseBuffers
 from yuccareach.gateway.table import Limits
 from yuccareach.metrics.registry import Registry
 from yuccareach.quarantine.reporting import LossReporter
@@ -79,6 +80,7 @@
         self.dialect = dialect
         self.table: RoutingTable | None = None
         self.fleet = Fleet()
+        self.response_buffers = ResponseBuffers()
         # Gateways that share the retry budget, this one included; 0 if unknown.
         self.entry_count = 0
         # Loop time and number of gateways of recent views, oldest first.
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -118,19 +118,25 @@
         answer = await self.send_request("/claim/1", "r1")
         self.assertEqual((answer.status, answer.body), (502, b""))
 
-    async def test_simultaneous_endless_answers_do_not_exhaust_the_memory(self) -> None:
+    async def send_simultaneous_calls(self) -> None:
+        """Send calls that all get a signed body without end."""
         self.runner.faults.raw_answer = RawAnswer.SIGNED_BODY
-        tracemalloc.start()
-        self.addCleanup(tracemalloc.stop)
         answers = await asyncio.gather(
             *(self.send_request("/claim/1", f"r{number}") for number in range(16))
         )
-        _, peak_bytes = tracemalloc.get_traced_memory()
         self.assertEqual([answer.status for answer in answers], [502] * 16)
+        await self.wait_for_close(self.runner.faults.sent_answers)
+
+    async def test_simultaneous_endless_answers_do_not_exhaust_the_memory(self) -> None:
+        tracemalloc.start()
+        self.addCleanup(tracemalloc.stop)
+        await self.send_simultaneous_calls()
+        _, peak_bytes = tracemalloc.get_traced_memory()
         self.assertLess(peak_bytes, MAX_TRACED_BYTES)
-        sent_answers = self.runner.faults.sent_answers
-        await self.wait_for_close(sent_answers)
-        for sent in sent_answers:
+
+    async def test_simultaneous_endless_answers_are_closed_early(self) -> None:
+        await self.send_simultaneous_calls()
+        for sent in self.runner.faults.sent_answers:
             self.check_closed_early(sent, MAX_BODY_BYTES)
 
 
