Read the whole reply of a plain service, or refuse it

Callers of a plain service at an entry got the first part of a reply that came in several, complete to the eye, with the service's status; so they did of a truncated or endless one.

Cause: StreamReader.read(n) of aiohttp returns what has arrived, up to n bytes, and not n bytes or the end. The agent took its first result for the whole body, so that its limit of 8 MiB was never reached either.

The agent now reads to the end, refuses a length over the limit by the head, and closes a body that exceeds the limit while it is read. A body that ends before its length makes aiohttp raise, which is an unknown outcome.

The tests' servers, here, for reports and for control, now let their peer read between two writes: without that, what the kernel buffers (up to 32 MB here) counted as read by the peer, and one run exceeded its bound by 65,536 bytes. The bounds are unchanged.

--- a/src/yuccareach/agent/service_client.py
+++ b/src/yuccareach/agent/service_client.py
@@ -66,8 +66,8 @@
                 timeout=timeout,
                 allow_redirects=False,
             ) as response:
-                body = await response.content.read(MAX_REPLY_BYTES + 1)
-                if len(body) > MAX_REPLY_BYTES:
+                body = await _read_body(response)
+                if body is None:
                     return pb.Reply(outcome=pb.UNKNOWN, reason="reply_too_large")
                 return pb.Reply(
                     outcome=pb.RAN,
@@ -110,4 +110,19 @@
             await self.session.close()
 
 
+async def _read_body(response: aiohttp.ClientResponse) -> bytes | None:
+    """Return the whole body, or None once it exceeds MAX_REPLY_BYTES.
+
+    Raises aiohttp.ClientError if the body is truncated.
+    """
+    if (response.content_length or 0) > MAX_REPLY_BYTES:
+        return None
+    body = bytearray()
+    async for data in response.content.iter_any():
+        body += data
+        if len(body) > MAX_REPLY_BYTES:
+            return None
+    return bytes(body)
+
+
 __all__ = ["ServiceClient"]
--- a/tests/agent/test_service_client.py
+++ b/tests/agent/test_service_client.py
@@ -26,6 +26,8 @@
         self.closes_after_parts = False
         server = await asyncio.start_server(self.serve, "127.0.0.1", 0)
         self.addCleanup(server.close)
+        # The handlers end after the client has closed its connections.
+        self.addAsyncCleanup(asyncio.sleep, 0.1)
         port = server.sockets[0].getsockname()[1]
         self.replies: asyncio.Queue[pb.Reply] = asyncio.Queue()
         self.client = ServiceClient(
@@ -47,9 +49,11 @@
                 writer.write(self.block)
                 self.sent_bytes += len(self.block)
                 await writer.drain()
+                # Lets the agent read before more is sent.
+                await asyncio.sleep(0)
             if not self.closes_after_parts:
                 await reader.read()
-        except ConnectionError:
+        except (ConnectionError, asyncio.IncompleteReadError):
             pass
         writer.close()
 
@@ -80,29 +84,28 @@
         self.assertEqual((reply.outcome, reply.reason), (pb.UNKNOWN, "reply_too_large"))
         self.assertLess(self.duration_s, TIMEOUT_S / 2)
 
+    async def check_closed_early(
+        self, start: bytes, block: bytes, max_bytes: int
+    ) -> None:
+        self.parts, self.block, self.sent_bytes = [start], block, 0
+        reply = await self.call()
+        self.assertEqual(reply.outcome, pb.UNKNOWN)
+        self.assertLess(self.duration_s, TIMEOUT_S / 2)
+        self.assertLess(self.sent_bytes, max_bytes + SOCKET_BYTES)
+
     async def test_endless_reply_is_closed_early(self) -> None:
         ok = b"HTTP/1.1 200 OK\r\n"
+        chunked = ok + b"Transfer-Encoding: chunked\r\n\r\n"
         chunk = b"%x\r\n%b\r\n" % (len(BLOCK), BLOCK)
         for name, start, block, max_bytes in (
             ("body", ok + b"\r\n", BLOCK, MAX_REPLY_BYTES),
-            (
-                "chunks",
-                ok + b"Transfer-Encoding: chunked\r\n\r\n",
-                chunk,
-                MAX_REPLY_BYTES,
-            ),
+            ("chunks", chunked, chunk, MAX_REPLY_BYTES),
             ("header value", ok + b"A: ", BLOCK, MAX_HEAD_BYTES),
             ("header lines", ok, b"A: b\r\n" * 10_000, MAX_HEAD_BYTES),
-            (
-                "interim answers",
-                b"",
-                b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 1000,
-                MAX_HEAD_BYTES,
-            ),
         ):
             with self.subTest(name):
-                self.parts, self.block, self.sent_bytes = [start], block, 0
-                reply = await self.call()
-                self.assertEqual(reply.outcome, pb.UNKNOWN)
-                self.assertLess(self.duration_s, TIMEOUT_S / 2)
-                self.assertLess(self.sent_bytes, max_bytes + SOCKET_BYTES)
+                await self.check_closed_early(start, block, max_bytes)
+
+    async def test_endless_interim_answers_are_closed_early(self) -> None:
+        interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n" * 1000
+        await self.check_closed_early(b"", interim, MAX_HEAD_BYTES)
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -279,6 +279,8 @@
                     writer.write(FILLER)
                     sent_bytes += BLOCK_BYTES
                     await writer.drain()
+                    # Lets the client read before more is sent.
+                    await asyncio.sleep(0)
                 await reader.read()
             except ConnectionError:
                 pass
--- a/tests/platform/test_control_bodies.py
+++ b/tests/platform/test_control_bodies.py
@@ -31,6 +31,8 @@
                     writer.write(block)
                     sent_bytes += len(block)
                     await writer.drain()
+                    # Lets control read before more is sent.
+                    await asyncio.sleep(0)
                 return await answer, sent_bytes
         except (ConnectionError, TimeoutError) as error:
             return type(error).__name__.encode(), sent_bytes
