Bound the heartbeats and departures that control reads

A runner, or whatever else reaches control's address, could send a body without end, and control kept all of it.

Both calls are read up to 64 KiB now. Beyond that the answer is 413, control logs announcement_too_large, and the connection is closed, since uvicorn would otherwise read and drop the rest without end.

Measured: both tests of tests.platform.test_control_bodies failed before (64 MiB taken and no answer; a body of 16 MiB read whole) and pass.

--- a/src/yuccareach/platform/control_app.py
+++ b/src/yuccareach/platform/control_app.py
@@ -25,6 +25,8 @@
 if TYPE_CHECKING:
     from yuccareach.control.run import ControlProcess
 
+# What a runner says of itself takes less than a thousand bytes.
+MAX_ANNOUNCEMENT_BYTES = 64 << 10
 _log = logger("platform")
 
 
@@ -49,6 +51,19 @@
         raise falcon.HTTPServiceUnavailable(title=str(error)) from error
 
 
+async def _read_announcement(request: Any) -> bytes:
+    """Return the body of a runner's call.
+
+    Raises falcon.HTTPContentTooLarge once it exceeds MAX_ANNOUNCEMENT_BYTES. The
+    connection is closed then, since the rest of the body would be read otherwise.
+    """
+    body: bytes = await request.stream.read(MAX_ANNOUNCEMENT_BYTES + 1)
+    if len(body) > MAX_ANNOUNCEMENT_BYTES:
+        _note("announcement_too_large", logging.WARNING, path=request.path[:200])
+        raise falcon.HTTPContentTooLarge(headers={"Connection": "close"})
+    return body
+
+
 class _ConfigPut:
     """POST /-/config/put"""
 
@@ -107,7 +122,7 @@
     async def on_post(self, request: Any, response: Any, name: str) -> None:
         """Record a runner's heartbeat."""
         try:
-            member = decode_heartbeat(name, await request.stream.read())
+            member = decode_heartbeat(name, await _read_announcement(request))
         except InvalidAnnouncement as error:
             _note("heartbeat_refused", backend_server=name, reason=str(error)[:200])
             raise falcon.HTTPBadRequest(title=str(error)) from error
@@ -124,7 +139,7 @@
     async def on_post(self, request: Any, response: Any, name: str) -> None:
         """Remove a departing runner from the members."""
         try:
-            started_ms = decode_departure(await request.stream.read())
+            started_ms = decode_departure(await _read_announcement(request))
         except InvalidAnnouncement as error:
             _note("departure_refused", backend_server=name, reason=str(error)[:200])
             raise falcon.HTTPBadRequest(title=str(error)) from error
