--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -14,6 +14,7 @@
     Exchange,
     call_backend,
 )
+from yuccareach.gateway.sse import EventSplitter
 from yuccareach.platform.headers import DIALECT
 
 REQUEST_ID_HEADER = b"Yuccareach-Request-Id: %b\r\n"
@@ -143,6 +144,7 @@
 MAX_HEAD_BYTES = 64 << 10
 MAX_BODY_BYTES = 16 << 20
 MAX_REPORT_BYTES = 1 << 20
+MAX_EVENT_BYTES = 1 << 20
 BLOCK_BYTES = 64 << 10
 # An endless response of a test stops here.
 MAX_FED_BYTES = 64 << 20
@@ -263,6 +265,42 @@
         self.assertNotIn(b"content-encoding", dict(head.headers))
 
 
+class StreamLimitTests(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.connection = BackendConnection()
+        self.connection.connection_made(StubTransport())
+        self.splitter = EventSplitter()
+        self.event_bytes = 0
+        self.exchange = Exchange(b"r1", DIALECT.read_response, self.split)
+        self.connection.send(self.exchange, REQUEST)
+        self.connection.data_received(
+            OK + b"Yuccareach-Runner-Signature: s\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n"
+        )
+
+    def split(self, data: bytes) -> int:
+        self.event_bytes += sum(map(len, self.splitter.feed(data)))
+        return self.splitter.buffered_bytes
+
+    def feed(self, data: bytes) -> None:
+        while not self.exchange.ended.done() and self.event_bytes < MAX_FED_BYTES:
+            self.connection.data_received(b"%x\r\n%b\r\n" % (len(data), data))
+
+    async def test_event_without_end_is_closed_at_its_limit(self) -> None:
+        self.feed(FILLER)
+        self.assertIs(self.exchange.ended.result(), Ending.TOO_LARGE)
+        self.assertLessEqual(
+            self.splitter.buffered_bytes, MAX_EVENT_BYTES + BLOCK_BYTES
+        )
+        self.assertTrue(self.connection.transport.is_closing())
+
+    async def test_events_without_end_are_closed_at_the_limit_of_a_body(self) -> None:
+        self.feed(b"data: a\n\n" * 1000)
+        self.assertIs(self.exchange.ended.result(), Ending.TOO_LARGE)
+        self.assertLessEqual(self.event_bytes, MAX_HEAD_BYTES + MAX_BODY_BYTES)
+        self.assertTrue(self.connection.transport.is_closing())
+
+
 class EndlessReportTests(unittest.IsolatedAsyncioTestCase):
     async def test_endless_report_is_closed_early(self) -> None:
         sent_bytes = 0
