Close connections to our HTTP servers whose request head has no end

Whatever reaches control, an entry or an agent could send a request head, a chunk extension or a trailer without end, and the process kept it: uvicorn bounds heads with h11 only, not with httptools.

The server counts what it receives between the parts of a request that make progress (the end of a head, a part of a body, the end of a request), and closes the connection beyond 64 KiB, with 400 unless an answer is under way.

Measured: tests.runtime.test_http.EndlessRequestTests. test_request_without_progress_is_closed_early fails without the change (all five kinds take 64 MiB and stay open) and passes with it, in four runs; a head of almost 64 KiB with a body of 4 MiB is read whole before and after.

--- a/src/yuccareach/runtime/http.py
+++ b/src/yuccareach/runtime/http.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
+from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
 from yuccareach.errors import UsageError
 
@@ -16,6 +17,43 @@
 
 SHUTDOWN_TIMEOUT_S = 30
 LISTEN_BACKLOG = 2048
+# Limit on a request's head, and on what precedes or follows each part of its body.
+MAX_HEAD_BYTES = 64 << 10
+
+
+class _BoundedProtocol(HttpToolsProtocol):  # type: ignore[misc]
+    """Closes a connection that sends neither the end of a head nor any body."""
+
+    # Bytes received since the last end of a head, part of a body or end of a request.
+    pending_bytes = 0
+
+    def data_received(self, data: bytes) -> None:
+        """Parse data, and reject the request if it exceeds the limit."""
+        self.pending_bytes += len(data)
+        super().data_received(data)
+        if self.pending_bytes <= MAX_HEAD_BYTES or self.transport.is_closing():
+            return
+        self.logger.warning("HTTP head too large.")
+        if self.cycle is None or self.cycle.response_complete:
+            self.send_400_response("HTTP head too large.")
+        else:
+            # A second answer must not follow the part of one that is under way.
+            self.transport.abort()
+
+    def on_headers_complete(self) -> None:
+        """Start a request."""
+        self.pending_bytes = 0
+        super().on_headers_complete()
+
+    def on_body(self, body: bytes) -> None:
+        """Take a part of a body."""
+        self.pending_bytes = 0
+        super().on_body(body)
+
+    def on_message_complete(self) -> None:
+        """End a request."""
+        self.pending_bytes = 0
+        super().on_message_complete()
 
 
 class _Server(uvicorn.Server):  # type: ignore[misc]
@@ -37,7 +75,7 @@
             uvicorn.Config(
                 app,
                 log_config=None,
-                http="httptools",
+                http=_BoundedProtocol,
                 access_log=False,
                 server_header=False,
                 lifespan="off",
