--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -33,11 +33,15 @@
         self.exchange = exchange
 
     def release(self) -> None:
-        """Keep the connection for reuse if the response is complete, else close it."""
+        """Keep the connection for reuse if the response is complete, else close it.
+
+        The body counts no longer as buffered, since its caller gets it now.
+        """
         if self.exchange.ended.done() and self.connection.exchange is None:
             self.backend.pool.release(self.connection)
         else:
             self.connection.abort()
+        self.exchange.release_buffers()
 
 
 async def send_request(
@@ -45,12 +49,12 @@
     admitted: AdmittedRequest,
     backend: Backend,
     metadata: ForwardMetadata,
-    on_data: Callable[[bytes], None] | None = None,
+    on_data: Callable[[bytes], int] | None = None,
 ) -> BackendRequest | None:
     """Send a request; return None if no connection could be opened.
 
-    In that case the request has not run. Otherwise on_data receives the body as it
-    arrives.
+    In that case the request has not run. Otherwise on_data receives the body of a
+    signed success as it arrives, and returns how many bytes it buffers.
     """
     record_request(backend.health, gateway.now_ms())
     pool = backend.pool
@@ -74,15 +78,15 @@
             return None
         backend.record_connect_success()
 
-    def _handle_data(data: bytes) -> None:
+    def _handle_data(data: bytes) -> int:
         record_contact(backend.health)
-        if on_data is not None:
-            on_data(data)
+        return on_data(data) if on_data is not None else 0
 
     exchange = Exchange(
         admitted.metadata.request_id,
         build_response_reader(gateway, backend),
         _handle_data if on_data is not None else None,
+        buffers=gateway.response_buffers,
     )
     request = admitted.request
     headers = [
