Wait at entries for silent servers, and take no departure for an end

Callers of entries could get 502 failed_repeatedly or lost, or a request could be moved needlessly, while sound backend servers were silent or their heartbeats were late.

Cause: a probe without a reply for 400 ms, or a departure, was taken for the loss of a stage; the attempt was cancelled before it was known that another chain existed; the seventh recovery failed the request, also after losses that were proven; a departure failed calls whose server was still at work, and confirmed pending losses for the quarantine.

Now only these prove an end: the agent's report (engine_lost, service_lost), a link that the address refuses (LinkLost.refused, told from gRPC's error), and a later incarnation under the name or at the address. A stalled request leaves a server without that proof six times at most, and only if a chain without it is there; else it waits for its open attempt until its deadline (request_waits). Proven ends do not count, for calls neither. After the loss of a link one message is sent to the address, which shows whether anything listens there; a pending loss counts by that or by a later incarnation. An attempt that has itself ended (a failure reported, a link lost) and may not be repeated fails as before.

--- a/src/yuccareach/entry/calls.py
+++ b/src/yuccareach/entry/calls.py
@@ -32,6 +32,7 @@
     from yuccareach.entry.state import EntryState
 
 Effects = list[Any]
+# Attempts of a call, beside those whose backend servers have provably ended.
 MAX_ATTEMPTS = 4
 # How often a call with a permit is sent again until a reply arrives.
 RESEND_INTERVAL_MS = 500
@@ -206,10 +207,14 @@
     return effects + _fail(state, call, refusal)
 
 
-def _record_loss(state: EntryState, call: PlainCall, reason: str, now: int) -> Effects:
+def _record_loss(
+    state: EntryState, call: PlainCall, reason: str, now: int, *, refused: bool = False
+) -> Effects:
     """Count the loss of a call's backend server, now or once it is gone."""
     assert call.server is not None
-    loss = Loss(reason, call.server.incarnation, accepted=True)
+    if reason in quarantine.CRASH_REASONS:
+        call.ended_attempt_count += 1
+    loss = Loss(reason, call.server.incarnation, True, call.server, refused)
     return quarantine.record_loss(state, call.tracked_attempt, loss, now)
 
 
@@ -218,7 +223,7 @@
     quarantine_refusal = quarantine.check(state, call.fingerprint, now)
     if quarantine_refusal is not None:
         return _refuse_or_query_permit(state, call, quarantine_refusal)
-    if call.attempt_count < MAX_ATTEMPTS:
+    if call.attempt_count - call.ended_attempt_count < MAX_ATTEMPTS:
         return [
             IncrementCounter("call_retries", reason),
             *_start_attempt(state, call, now),
@@ -267,17 +272,21 @@
     )
 
 
-def handle_lost_link(state: EntryState, address: str, now: int) -> Effects:
+def handle_lost_link(
+    state: EntryState, address: str, refused: bool, now: int
+) -> Effects:
     """Retry or resend the calls sent over a lost link.
 
-    A call with a permit is sent again to the same agent, since no other may run it.
+    A call with a permit is sent again to the same agent, since no other may run it. A
+    refused connection proves that the agent has ended.
     """
     effects: Effects = []
     for call in list(state.call_by_id.values()):
         if call.server is None or call.server.address != address:
             continue
-        effects += _record_loss(state, call, "link_lost", now)
+        effects += _record_loss(state, call, "link_lost", now, refused=refused)
         if call.event.idempotent:
+            call.ended_attempt_count += refused
             fleet.mark_suspected(state, call.server.backend_server, now)
             effects += _retry(state, call, "link_lost", now)
         else:
@@ -286,12 +295,16 @@
 
 
 def handle_members_change(state: EntryState, now: int) -> Effects:
-    """Retry or fail the calls whose backend server is gone."""
+    """Retry or fail the calls whose backend server has ended.
+
+    One that has only departed may still reply.
+    """
     effects: Effects = []
     for call in list(state.call_by_id.values()):
-        if call.server is None or fleet.is_present(state, call.server):
+        if call.server is None or not fleet.has_successor(state, call.server):
             continue
         if call.event.idempotent:
+            call.ended_attempt_count += 1
             effects += _retry(state, call, "member_gone", now)
         else:
             text = "the backend server that may have run this call is gone"
--- a/src/yuccareach/entry/fleet.py
+++ b/src/yuccareach/entry/fleet.py
@@ -68,6 +68,7 @@
     server.other_entries_request_count = max(
         0, member.load.running - server.own_request_count
     )
+    state.server_name_by_address[member.address] = name
     if member.pipeline:
         state.server_names_by_pipeline.setdefault(member.pipeline, {})[name] = None
     if member.service:
@@ -81,6 +82,8 @@
 
 
 def _remove_from_index(state: EntryState, member: cpb.Member) -> None:
+    if state.server_name_by_address.get(member.address) == member.backend_server:
+        del state.server_name_by_address[member.address]
     for index, key in (
         (state.server_names_by_pipeline, member.pipeline),
         (state.server_names_by_service, member.service),
@@ -139,6 +142,22 @@
     return server is not None and server.member.incarnation == member.incarnation
 
 
+def has_successor(state: EntryState, member: cpb.Member) -> bool:
+    """Return whether a later incarnation has a backend server's name or address.
+
+    Control drops a backend server also if only its heartbeats are late, so that a
+    departure by itself does not show that it has ended.
+    """
+    names = (member.backend_server, state.server_name_by_address.get(member.address))
+    servers = (state.server_by_name.get(name) for name in names if name is not None)
+    return any(
+        server is not None
+        and server.member.incarnation != member.incarnation
+        and server.member.started_ms >= member.started_ms
+        for server in servers
+    )
+
+
 def choose_chain_for(
     state: EntryState, request: Request, now: int
 ) -> tuple[cpb.Member, ...] | None:
@@ -366,6 +385,7 @@
     "adjust_running_counts",
     "choose_chain_for",
     "choose_service_server",
+    "has_successor",
     "clear_suspicion",
     "is_present",
     "mark_suspected",
--- a/src/yuccareach/entry/quarantine.py
+++ b/src/yuccareach/entry/quarantine.py
@@ -1,7 +1,8 @@
 """Counting the losses of backend servers against the entry's requests and calls.
 
 The loss of an engine or a service counts as soon as its agent reports it. The loss of a
-link counts only once control no longer lists the backend server behind it.
+link counts only once the backend server behind it refuses connections, or a later
+incarnation is in its place.
 """
 
 from __future__ import annotations
@@ -9,10 +10,13 @@
 import math
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from yuccareach.entry import fleet
 from yuccareach.entry.events import Refusal, ReportLosses
+from yuccareach.proto import data_pb2 as pb
 from yuccareach.quarantine import reporting, table
 from yuccareach.quarantine.fingerprints import compute_fingerprint
 from yuccareach.quarantine.table import LossCount, TrackedAttempt
+from yuccareach.runtime.links import Send
 
 if TYPE_CHECKING:
     from yuccareach.entry.events import CallRequested
@@ -22,18 +26,23 @@
     from yuccareach.settings.store import Workspace
 
 # Reasons by which an agent reports that its engine or service has crashed.
-_CRASH_REASONS = frozenset(("engine_lost", "service_lost"))
+CRASH_REASONS = frozenset(("engine_lost", "service_lost"))
+# Reasons after which a connection attempt shows whether the backend server has ended.
+_LINK_REASONS = frozenset(("link_lost", "stage_lost"))
 
 
 class Loss(NamedTuple):
     """A failure of an attempt that may come from the loss of a backend server.
 
-    accepted says whether the backend server had accepted the attempt.
+    accepted says whether the backend server had accepted the attempt. member is None if
+    the backend server is not known. refused says whether it refuses connections.
     """
 
     reason: str
     incarnation: str
     accepted: bool
+    member: cpb.Member | None = None
+    refused: bool = False
 
 
 def identify_request(workspace: Workspace, pipeline: str, prompt: str) -> bytes:
@@ -101,13 +110,55 @@
 def record_loss(
     state: EntryState, attempt: TrackedAttempt, loss: Loss, now: int
 ) -> list[Any]:
-    """Count a loss against an attempt, now or once the backend server is gone."""
-    if loss.reason in _CRASH_REASONS:
+    """Count a loss against an attempt, now or once the backend server proves lost.
+
+    After the loss of a link, a message is sent that shows whether anything listens at
+    the address.
+    """
+    if _is_crash(state, loss):
         change = table.record_loss(state.quarantine, attempt, loss.incarnation, now)
         return _report([change] if change is not None else [])
-    if loss.accepted:
-        table.add_pending_loss(state.quarantine, attempt, loss.incarnation, now)
-    return []
+    if not loss.accepted or loss.refused:
+        return []
+    table.add_pending_loss(state.quarantine, attempt, loss.incarnation, now)
+    if loss.member is None or loss.incarnation in state.suspect_by_incarnation:
+        return []
+    state.suspect_by_incarnation[loss.incarnation] = loss.member
+    if loss.reason not in _LINK_REASONS:
+        return []
+    return [Send(loss.member.address, pb.Probe())]
+
+
+def _is_crash(state: EntryState, loss: Loss) -> bool:
+    """Return whether a backend server has crashed under an attempt.
+
+    One that was leaving as announced has not.
+    """
+    if loss.refused and loss.accepted and loss.member is not None:
+        return not _is_draining(state, loss.member)
+    return loss.reason in CRASH_REASONS
+
+
+def confirm_ends(state: EntryState, address: str, now: int) -> list[Any]:
+    """Count the pending losses of the backend servers that have ended at an address.
+
+    Those of backend servers that were leaving as announced do not count.
+    """
+    effects: list[Any] = []
+    for incarnation, member in list(state.suspect_by_incarnation.items()):
+        if member.address == address and not _is_draining(state, member):
+            del state.suspect_by_incarnation[incarnation]
+            effects += _report(table.confirm_losses(state.quarantine, incarnation, now))
+    return effects
+
+
+def _is_draining(state: EntryState, member: cpb.Member) -> bool:
+    server = state.server_by_name.get(member.backend_server)
+    return member.draining or (
+        server is not None
+        and server.draining
+        and server.member.incarnation == member.incarnation
+    )
 
 
 def record_answer(state: EntryState, attempt: TrackedAttempt, now: int) -> list[Any]:
@@ -117,14 +168,26 @@
 
 
 def resolve_pending_losses(state: EntryState, now: int) -> list[Any]:
-    """Count the pending losses of backend servers that are gone; expire old ones."""
+    """Count the pending losses of backend servers whose later incarnation is known.
+
+    Old ones expire.
+    """
+    pending = state.quarantine.pending_by_incarnation
+    suspects = state.suspect_by_incarnation
+    replaced = {
+        incarnation
+        for incarnation, member in suspects.items()
+        if fleet.has_successor(state, member)
+    }
     servers = state.server_by_name.values()
     changes = table.resolve_pending_losses(
         state.quarantine,
-        {server.member.incarnation for server in servers},
+        pending.keys() - replaced,
         {server.member.incarnation for server in servers if server.draining},
         now,
     )
+    for incarnation in suspects.keys() - pending.keys():
+        del suspects[incarnation]
     return _report(changes)
 
 
@@ -140,9 +203,11 @@
 
 
 __all__ = [
+    "CRASH_REASONS",
     "Loss",
     "admit",
     "check",
+    "confirm_ends",
     "get_count",
     "identify_call",
     "identify_request",
--- a/src/yuccareach/entry/recovery.py
+++ b/src/yuccareach/entry/recovery.py
@@ -15,15 +15,16 @@
     open_attempt,
 )
 from yuccareach.outcome import Outcome
-from yuccareach.proto import data_pb2 as pb
+from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
 from yuccareach.runtime.logs import Log
 
 if TYPE_CHECKING:
     from yuccareach.entry.state import EntryState, Request
 
 Effects = list[Any]
-# How often a request may be recovered after a failed attempt, a loss or a stall.
-MAX_FAILURES = 6
+# How often a request may be recovered from backend servers that may still run it, as
+# there is no proof that they have ended.
+MAX_UNPROVEN_RECOVERIES = 6
 # How often backend servers may refuse a request's attempts without running them.
 MAX_REROUTES = 20
 
@@ -40,7 +41,11 @@
     else:
         # The stages cannot resume from their state, so all of them run from the start.
         request.can_resume = False
-    loss = Loss(message.reason, message.incarnation, message.accepted)
+    member = next(
+        (item for item in request.chain if item.incarnation == message.incarnation),
+        None,
+    )
+    loss = Loss(message.reason, message.incarnation, message.accepted, member)
     return _handle_loss(state, request, loss, now)
 
 
@@ -52,7 +57,10 @@
     if quarantine_refusal is not None:
         refusal = quarantine_refusal._replace(outcome=Outcome.UNKNOWN)
         return effects + fail_request(state, request, refusal, now)
-    return effects + recover(state, request, loss.reason, now)
+    is_proven = loss.refused or loss.reason in quarantine.CRASH_REASONS
+    left = loss.member or next(iter(request.chain), None)
+    left = None if is_proven else left
+    return effects + recover(state, request, loss.reason, now, left)
 
 
 def _reroute(
@@ -76,16 +84,33 @@
     return open_attempt(state, request, now)
 
 
-def recover(state: EntryState, request: Request, reason: str, now: int) -> Effects:
-    """Continue a request in a new epoch after a failed attempt, a loss or a stall."""
-    request.failure_count += 1
+def can_leave(request: Request) -> bool:
+    """Return whether a request may leave another server that may still run it."""
+    return len(request.left_members) < MAX_UNPROVEN_RECOVERIES
+
+
+def recover(
+    state: EntryState,
+    request: Request,
+    reason: str,
+    now: int,
+    left: cpb.Member | None = None,
+) -> Effects:
+    """Continue a request in a new epoch after a failed attempt, a loss or a stall.
+
+    left is the backend server that is left and may still run the request; None if it is
+    proven to have ended. An attempt that may go on must not be given up unless
+    can_leave allows it.
+    """
     request.interrupted_ms = request.interrupted_ms or now
-    if request.failure_count > MAX_FAILURES:
-        text = f"the request failed {request.failure_count} times, last by {reason}"
+    if left is not None and not can_leave(request):
+        text = f"the request failed {len(request.left_members)} times, last by {reason}"
         refusal = Refusal(
             502, "failed_repeatedly", text, Outcome.UNKNOWN, RETRY_AFTER_S
         )
         return fail_request(state, request, refusal, now)
+    if left is not None:
+        request.left_members.append(left)
     fields = build_log_fields(request) | {
         "reason": reason,
         "chain": join_server_names(request.chain),
@@ -97,28 +122,51 @@
     ]
 
 
-def handle_lost_link(state: EntryState, address: str, now: int) -> Effects:
-    """Recover the requests whose first stage lost its link to this entry."""
+def handle_lost_link(
+    state: EntryState, address: str, refused: bool, now: int
+) -> Effects:
+    """Recover the requests whose first stage lost its link to this entry.
+
+    The first stage ends an attempt whose link is lost. A refused connection proves that
+    the backend server has ended.
+    """
     effects: Effects = []
+    if refused:
+        effects += quarantine.confirm_ends(state, address, now)
+        for request in state.request_by_id.values():
+            request.left_members = [
+                member for member in request.left_members if member.address != address
+            ]
     for request in list(state.request_by_id.values()):
         if request.chain and request.chain[0].address == address:
             fleet.mark_suspected(state, request.chain[0].backend_server, now)
-            first_incarnation = request.chain[0].incarnation
-            loss = Loss("link_lost", first_incarnation, request.accepted_by_first_stage)
+            first = request.chain[0]
+            accepted = request.accepted_by_first_stage
+            loss = Loss("link_lost", first.incarnation, accepted, first, refused)
             effects += _handle_loss(state, request, loss, now)
     return effects
 
 
 def handle_members_change(state: EntryState, now: int) -> Effects:
-    """Recover the requests whose chain contains a backend server that is gone."""
+    """Recover the requests whose chain contains a backend server that has ended.
+
+    One that has only departed may go on, and is left if the request stalls.
+    """
     effects: Effects = []
     for request in list(state.request_by_id.values()):
-        if not all(fleet.is_present(state, member) for member in request.chain):
+        request.left_members = [
+            member
+            for member in request.left_members
+            if not fleet.has_successor(state, member)
+        ]
+        if any(fleet.has_successor(state, member) for member in request.chain):
             effects += recover(state, request, "member_gone", now)
     return effects
 
 
 __all__ = [
+    "MAX_UNPROVEN_RECOVERIES",
+    "can_leave",
     "handle_failed_attempt",
     "handle_lost_link",
     "handle_members_change",
--- a/src/yuccareach/entry/reducer.py
+++ b/src/yuccareach/entry/reducer.py
@@ -41,10 +41,9 @@
             return calls.handle_permit_answer(state, event, now)
         case CallerDisconnected(request=request):
             return requests.cancel(state, request, now) + calls.cancel(state, request)
-        case LinkLost(peer=peer):
-            return recovery.handle_lost_link(state, peer, now) + calls.handle_lost_link(
-                state, peer, now
-            )
+        case LinkLost(peer=peer, refused=refused):
+            effects = recovery.handle_lost_link(state, peer, refused, now)
+            return effects + calls.handle_lost_link(state, peer, refused, now)
         case WatchUpdated(update=update):
             return _apply_update(state, update, now)
         case Tick():
--- a/src/yuccareach/entry/requests.py
+++ b/src/yuccareach/entry/requests.py
@@ -148,7 +148,7 @@
     request.probe_sent_ms = 0
     request.previous_probe_reply_by_stage = {}
     request.was_sent = True
-    request.accepted_by_first_stage = False
+    request.accepted_by_first_stage = request.wait_logged = False
     request.tracked_attempt = quarantine.start_request_attempt(state, request, now)
     request.counted_as_suspect = request.loss_count > 0
     fleet.adjust_running_counts(state, chain, 1, is_suspect=request.counted_as_suspect)
--- a/src/yuccareach/entry/stalls.py
+++ b/src/yuccareach/entry/stalls.py
@@ -11,8 +11,10 @@
 from typing import TYPE_CHECKING, Any
 
 from yuccareach.entry import fleet, recovery
-from yuccareach.proto import data_pb2 as pb
+from yuccareach.entry.requests import build_log_fields
+from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
 from yuccareach.runtime.links import Send
+from yuccareach.runtime.logs import Log
 
 if TYPE_CHECKING:
     from yuccareach.entry.state import EntryState, Request
@@ -72,18 +74,56 @@
 
 
 def _recover_or_probe_again(state: EntryState, request: Request, now: int) -> Effects:
-    """Recover the request if a stalled stage is found, otherwise probe again."""
+    """Recover the request if a stalled stage is found, otherwise probe again.
+
+    The attempt may still go on. It is given up only if another one is possible now.
+    """
+    effects: Effects = []
     stalled_stage = _find_stalled_stage(request, now)
-    if stalled_stage is None and _has_no_progress(request, now):
-        # Every stage waits for a message that was lost, so none may resume from the
-        # state that it holds.
-        request.can_resume = False
-        return recovery.recover(state, request, "stalled", now)
-    if stalled_stage is None:
-        request.previous_probe_reply_by_stage = request.probe_reply_by_stage
-        return _probe_stages(request, now)
-    fleet.mark_suspected(state, request.chain[stalled_stage].backend_server, now)
-    return recovery.recover(state, request, "stalled", now)
+    if stalled_stage is not None:
+        stalled = request.chain[stalled_stage]
+        _suspect_once(state, request, stalled, now)
+        if _can_replace(state, request, stalled, now):
+            return recovery.recover(state, request, "stalled", now, stalled)
+        effects += _log_wait(request)
+    elif _has_no_progress(request, now):
+        if recovery.can_leave(request):
+            # Every stage waits for a message that was lost, so none may resume from the
+            # state that it holds.
+            request.can_resume = False
+            return recovery.recover(state, request, "stalled", now, request.chain[0])
+        effects += _log_wait(request)
+    request.previous_probe_reply_by_stage = request.probe_reply_by_stage
+    return effects + _probe_stages(request, now)
+
+
+def _suspect_once(
+    state: EntryState, request: Request, stalled: cpb.Member, now: int
+) -> None:
+    """Suspect a stalled backend server, unless this stall has made it suspected."""
+    server = state.server_by_name.get(stalled.backend_server)
+    if server is not None and server.last_suspected_ms <= request.last_progress_ms:
+        fleet.mark_suspected(state, stalled.backend_server, now)
+
+
+def _can_replace(
+    state: EntryState, request: Request, stalled: cpb.Member, now: int
+) -> bool:
+    """Return whether the request can be continued without a stalled backend server."""
+    if not recovery.can_leave(request):
+        return False
+    chain = fleet.choose_chain_for(state, request, now)
+    return chain is not None and all(
+        member.incarnation != stalled.incarnation for member in chain
+    )
+
+
+def _log_wait(request: Request) -> Effects:
+    """Log once for each attempt that it is waited for."""
+    if request.wait_logged:
+        return []
+    request.wait_logged = True
+    return [Log("request_waits", build_log_fields(request) | {"reason": "stalled"})]
 
 
 def _has_no_progress(request: Request, now: int) -> bool:
--- a/src/yuccareach/entry/state.py
+++ b/src/yuccareach/entry/state.py
@@ -74,7 +74,8 @@
         self.delivered_tokens: list[int] = []
         # Length of the prompt; 0 until the first token has arrived.
         self.prompt_tokens = 0
-        self.failure_count = 0
+        # Backend servers that the request has left and that may still run it.
+        self.left_members: list[cpb.Member] = []
         self.reroute_count = 0
         # Incarnations that refused this request and so hold none of its state.
         self.refused_by_incarnations: set[str] = set()
@@ -106,6 +107,8 @@
         self.probe_sent_ms = 0
         self.probe_reply_by_stage: dict[int, pb.ProbeReply] = {}
         self.previous_probe_reply_by_stage: dict[int, pb.ProbeReply] = {}
+        # Whether the log tells that the current attempt is waited for.
+        self.wait_logged = False
         # When the request was interrupted; 0 once a token has followed.
         self.interrupted_ms = 0
         # When to choose a chain again; 0 if no retry is scheduled.
@@ -123,6 +126,8 @@
         self.started_ms = now
         self.deadline_ms = now + event.service.timeout_ms
         self.attempt_count = 0
+        # Attempts that ended with their service or agent.
+        self.ended_attempt_count = 0
         self.server: cpb.Member | None = None
         # Number of the permit in use; 0 for none.
         self.permit = 0
@@ -160,6 +165,7 @@
         self.options = options
         self.settings = SettingsStore()
         self.server_by_name: dict[str, BackendServer] = {}
+        self.server_name_by_address: dict[str, str] = {}
         # Dictionaries serve as ordered sets, so that a replay of the events iterates
         # in the same order.
         self.server_names_by_pipeline: dict[str, dict[str, None]] = {}
@@ -175,6 +181,8 @@
         self.queue_by_pipeline: dict[str, PipelineQueue] = {}
         # Backend servers lost under each request, as all entries have counted them.
         self.quarantine = QuarantineTable()
+        # Backend servers under which an attempt has failed, perhaps by their crash.
+        self.suspect_by_incarnation: dict[str, cpb.Member] = {}
 
 
 __all__ = [
--- a/src/yuccareach/runtime/links.py
+++ b/src/yuccareach/runtime/links.py
@@ -54,9 +54,13 @@
 
 
 class LinkLost(NamedTuple):
-    """The stream to or from a peer ended; messages queued for it may be lost."""
+    """The stream to or from a peer ended; messages queued for it may be lost.
+
+    refused says whether nothing listened at the peer's address.
+    """
 
     peer: str
+    refused: bool = False
 
 
 class NewerSettingsReported(NamedTuple):
@@ -146,6 +150,7 @@
 
     async def _run_stream(self, address: str, outbox: Outbox) -> None:
         """Run one outgoing stream until it ends, then dispatch LinkLost."""
+        refused = False
         try:
             async with grpc.aio.insecure_channel(
                 address, options=CHANNEL_OPTIONS
@@ -155,10 +160,10 @@
                 )
                 async for frame in stream:
                     self._dispatch_frame(address, frame)
-        except grpc.RpcError:
-            pass
+        except grpc.RpcError as error:
+            refused = _is_connection_refused(error)
         finally:
-            self._remove_stream(address, outbox)
+            self._remove_stream(address, outbox, refused=refused)
 
     async def Attach(
         self, request_iterator: AsyncIterator[pb.Frame], context: Any
@@ -203,20 +208,28 @@
             if kind is not None:
                 self.dispatch(Received(peer, getattr(message, kind)))
 
-    def _remove_stream(self, peer: str, outbox: Outbox) -> None:
+    def _remove_stream(
+        self, peer: str, outbox: Outbox, *, refused: bool = False
+    ) -> None:
         """Remove a stream and dispatch LinkLost, unless a newer one has replaced it."""
         outbox.close()
         if self.outbox_by_peer.get(peer) is not outbox:
             return
         del self.outbox_by_peer[peer]
         self.task_by_address.pop(peer, None)
-        self.dispatch(LinkLost(peer))
+        self.dispatch(LinkLost(peer, refused))
 
     async def close(self) -> None:
         """End every outgoing stream."""
         await cancel_tasks(self.task_by_address.values())
 
 
+def _is_connection_refused(error: grpc.RpcError) -> bool:
+    """Return whether nothing listened at the address; gRPC says so in words only."""
+    is_unavailable = error.code() is grpc.StatusCode.UNAVAILABLE
+    return is_unavailable and "Connection refused" in (error.details() or "")
+
+
 __all__ = [
     "CHANNEL_OPTIONS",
     "SERVER_OPTIONS",
--- a/tests/system.py
+++ b/tests/system.py
@@ -138,6 +138,8 @@
         self.run_count_by_key: Counter[str] = Counter()
         self.record_by_request: dict[str, RequestRecord] = {}
         self.drained_at: dict[str, int] = {}
+        # Processes whose messages, in both directions, are held up.
+        self.silent_addresses: set[str] = set()
         self.entries = {name: EntryNode(name, resume=resume) for name in ("e1", "e2")}
         self.agents = [
             AgentNode(self, number, False) for number in range(len(LAYER_RANGES))
@@ -205,7 +207,7 @@
         if connection is None:
             target = self.node_by_address.get(effect.peer)
             if target is None or target in self.entries.values() or not target.is_up:
-                self._postpone(node, LinkLost(effect.peer))
+                self._postpone(node, LinkLost(effect.peer, refused=True))
                 return
             connection = Connection(node.address, effect.peer)
             self.connections.append(connection)
@@ -277,6 +279,7 @@
             for connection in self.connections
             for receiver, queue in connection.queue_by_receiver.items()
             if queue
+            and not self.silent_addresses & {connection.opener, connection.target}
         ]
         if deliverable:
             self.deliver(*random.choice(deliverable))
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -9,9 +9,12 @@
 
 from tests.system import System, run_seeded_history
 from yuccareach.agent import events as agent_events
+from yuccareach.control.client import WatchUpdated
 from yuccareach.entry import events as entry_events
-from yuccareach.proto import data_pb2 as pb
-from yuccareach.quarantine.table import QUARANTINE_LOSS_THRESHOLD
+from yuccareach.entry.recovery import MAX_UNPROVEN_RECOVERIES
+from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
+from yuccareach.quarantine.table import QUARANTINE_LOSS_THRESHOLD, get_count
+from yuccareach.runtime.links import LinkLost
 
 
 class SeededHistoryTests(unittest.TestCase):
@@ -35,7 +38,7 @@
         self.run_histories(resume=False)
 
 
-class RecoveryTests(unittest.TestCase):
+class RecoveryTestCase(unittest.TestCase):
     def setUp(self) -> None:
         self.random = Random(1)
         self.system = System()
@@ -66,6 +69,8 @@
     def count_positions_run(self) -> int:
         return sum(engine.executions.total for engine in self.system.engines)
 
+
+class RecoveryTests(RecoveryTestCase):
     def test_after_loss_of_a_stage_only_that_stage_runs_positions_again(self) -> None:
         for stage in (0, 1):
             with self.subTest(stage=stage):
@@ -141,6 +146,107 @@
         self.assertEqual(ran, {request})
 
 
+class SilenceTests(RecoveryTestCase):
+    """Backend servers that are silent, or whose heartbeats are late, but go on."""
+
+    # "A second or so", in rounds of 5 ms.
+    SILENCE_ROUNDS = 260
+
+    def be_silent(self, name: str) -> None:
+        """Let a backend server be silent for a time, and go on."""
+        self.system.silent_addresses.add(self.system.agents[int(name[1:])].address)
+        self.run_for(self.SILENCE_ROUNDS)
+        self.system.silent_addresses.clear()
+
+    def depart(self, *names: str) -> None:
+        """Let control drop backend servers whose heartbeats are late."""
+        update = cpb.WatchUpdate(departed=names)
+        for entry in self.system.entries.values():
+            self.system.handle_entry_event(entry, WatchUpdated(update))
+        self.system.run_postponed()
+
+    def get_epoch(self, request: str) -> int:
+        entry = self.system.entries[self.system.record_by_request[request].entry]
+        return entry.state.request_by_id[request].epoch
+
+    def assert_finishes(self, request: str) -> None:
+        self.run_for(400)
+        result = self.system.record_by_request[request].result
+        self.assertIsInstance(result, entry_events.FinishAnswer)
+
+    def test_request_without_another_chain_keeps_its_attempt(self) -> None:
+        for number in (1, 3, 4, 5):
+            self.system.kill_agent(self.system.agents[number])
+        self.system.publish_members()
+        request = self.system.request_completion("e1", "four words of prompt")
+        self.run_until_delivered(request, 1)
+        for name in ("s0", "s2"):
+            self.be_silent(name)
+            self.assertEqual(self.get_epoch(request), 1)
+        self.assert_finishes(request)
+
+    def test_request_whose_servers_are_often_silent_does_not_fail(self) -> None:
+        request = self.system.request_completion("e1", "four words of prompt")
+        self.run_until_delivered(request, 1)
+        for _ in range(10 * self.SILENCE_ROUNDS):
+            self.system.silent_addresses = {
+                self.system.agents[int(name[1:])].address
+                for name in self.find_chain(request)
+            }
+            self.run_for(1)
+            self.assertIsNone(self.system.record_by_request[request].result)
+        self.assertLessEqual(self.get_epoch(request), 1 + MAX_UNPROVEN_RECOVERIES)
+        self.system.silent_addresses.clear()
+        self.assert_finishes(request)
+
+    def test_request_outlives_the_membership_of_its_servers(self) -> None:
+        request = self.system.request_completion("e1", "four words of prompt")
+        self.run_until_delivered(request, 1)
+        self.depart(*self.find_chain(request))
+        self.assertEqual(self.get_epoch(request), 1)
+        self.assert_finishes(request)
+
+    def test_request_leaves_a_server_whose_later_incarnation_is_known(self) -> None:
+        request = self.system.request_completion("e1", "four words of prompt")
+        self.run_until_delivered(request, 1)
+        node = self.system.agents[int(self.find_chain(request)[0][1:])]
+        self.system.silent_addresses.add(node.address)
+        node.is_up = False
+        self.system.restart_agent(node)
+        self.system.publish_members()
+        self.assertEqual(self.get_epoch(request), 2)
+
+    def test_departure_alone_accuses_no_request(self) -> None:
+        request = self.system.request_completion("e1", "four words of prompt")
+        self.run_until_delivered(request, 1)
+        entry = self.system.entries["e1"]
+        left = entry.state.request_by_id[request].chain[0]
+        fingerprint = entry.state.request_by_id[request].fingerprint
+        (connection,) = (
+            item
+            for item in self.system.connections
+            if (item.opener, item.target) == ("e1", left.address)
+        )
+        self.system.break_connection(connection)
+        self.depart(left.backend_server)
+        count = get_count(entry.state.quarantine, fingerprint, self.system.now_ms)
+        self.assertEqual(count.losses, 0)
+        event = LinkLost(left.address, refused=True)
+        self.system.handle_entry_event(entry, event)
+        count = get_count(entry.state.quarantine, fingerprint, self.system.now_ms)
+        self.assertEqual(count.losses, 1)
+
+    def test_call_outlives_the_membership_of_its_server(self) -> None:
+        request = self.system.request_payout("e1", "key-1")
+        while not any(node.calls for node in self.system.agents if node.is_service):
+            self.system.answer_permit(self.system.entries["e1"])
+            self.system.deliver_random(self.random)
+        self.depart(*(f"s{node.number}" for node in self.system.agents))
+        self.run_for(50)
+        result = self.system.record_by_request[request].result
+        self.assertIsInstance(result, entry_events.ReturnReply)
+
+
 class PayoutTests(unittest.TestCase):
     def setUp(self) -> None:
         self.random = Random(1)
