Leave an attempt alone that goes on while its repair is decided

A repair asks for a report (0.4 s) and probes (0.08 s) before it gives up an attempt. If the server went on meanwhile, its stream was interrupted or moved all the same, and counted.

Now an attempt that has had events since its repair began is neither interrupted nor moved around a stage that it no longer waits for.

--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -122,6 +122,7 @@
     for group in stalled_by_backend.values():
         for run in group:
             run.repair_in_progress = True
+            run.events_before_repair = run.attempt_events
         gateway.start_background_task(_repair_streams(gateway, group))
 
 
@@ -269,6 +270,8 @@
         run.later_stage_lost = True
         await record_broken_attempt(gateway, run.tracked_attempt, [blocking_backend])
     has_ended = await seek_end_proof(gateway, blocking_backend)
+    if run.attempt_events > run.events_before_repair:
+        return
     if not compute_refusal_s(gateway, run.admitted.fingerprint):
         await _reroute(gateway, run, blocking_backend)
     elif has_ended:
@@ -304,7 +307,12 @@
 
 
 def _switch_or_wait(gateway: Gateway, run: StreamRun, reason: str) -> None:
-    """Interrupt an open attempt if another one is certain; wait for it otherwise."""
+    """Interrupt an open attempt if another one is certain; wait for it otherwise.
+
+    An attempt that has gone on since it stalled is left alone.
+    """
+    if run.attempt_events > run.events_before_repair:
+        return
     if reserve_switch(run):
         run.has_left_open_attempt = True
         _interrupt(gateway, run, reason)
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -60,8 +60,10 @@
         self.first_event_s: float | None = None
         # Events of the current attempt, including those the caller already has.
         self.attempt_events = 0
-        # Whether a task is repairing this stream after a stall.
+        # Whether a task is repairing this stream after a stall, and the events of the
+        # attempt when it began.
         self.repair_in_progress = False
+        self.events_before_repair = 0
         self.interrupted = asyncio.Event()
         # Whether an attempt was given up that might have gone on.
         self.has_left_open_attempt = False
--- a/tests/gateway/test_stalls.py
+++ b/tests/gateway/test_stalls.py
@@ -7,12 +7,37 @@
 from unittest import mock
 
 from tests.gateway.fleet import MODEL, build_backend
+from yuccareach.gateway import stalls
 from yuccareach.gateway.chain_choice import choose_detour
 from yuccareach.gateway.chains import Chain, ChainRequirements, ChainStage, build_graph
 
 SMALL_MODEL = MODEL._replace(layer_mb=100.0)
 
 
+class SwitchTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.gateway: Any = mock.Mock()
+        self.run: Any = mock.Mock(events_before_repair=4, wait_logged=False)
+
+    def switch(self, *, is_possible: bool) -> None:
+        with mock.patch.object(stalls, "reserve_switch", return_value=is_possible):
+            stalls._switch_or_wait(self.gateway, self.run, "first_stage_silent")
+
+    def test_stalled_attempt_is_interrupted_only_if_another_is_certain(self) -> None:
+        self.run.attempt_events = 4
+        self.switch(is_possible=False)
+        self.run.interrupted.set.assert_not_called()
+        self.switch(is_possible=True)
+        self.run.interrupted.set.assert_called_once()
+
+    def test_attempt_that_goes_on_during_its_repair_is_not_interrupted(self) -> None:
+        # Guards against cut answers: a server was found to be silent while it sent the
+        # next event.
+        self.run.attempt_events = 5
+        self.switch(is_possible=True)
+        self.run.interrupted.set.assert_not_called()
+
+
 class ChooseDetourTests(unittest.TestCase):
     """A stream whose first stage runs layers 0 to 20 and whose next stage is lost."""
 
