Test that a prompt part that crashes backend servers is not sent on

The quarantine knows whole requests only, and no two of these are alike.

The tests play sound and crashing streams through two or more gateways: the part first, in the middle and third of four, one that was sound before, most servers down, restarts, gateways cut off from control. Bounds are those of the platform's rules: 3 more arrivals from 3 s after the fifth crash, sound requests begin half as often as before from 6 s after it.

--- /dev/null
+++ b/tests/platform/test_crashing_parts.py
@@ -0,0 +1,317 @@
+"""Tests of prompt parts that crash the runners that begin to answer on them."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+from typing import TYPE_CHECKING, NamedTuple
+
+import aiohttp
+
+from tests.platform.deployment import Answer, DeploymentTestCase
+from yuccareach.platform.run_control import PlatformControl
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from yuccareach.gateway.run import GatewayProcess
+    from yuccareach.platform.standin import Runner
+
+CRASHING_PART = "bad0"
+# The platform's bounds: from CONTACT_S after MAX_CRASHES crashes under a part, at most
+# MAX_LATE_ARRIVALS more requests with it may reach runners. From 2 * CONTACT_S after
+# them, sound requests begin at least MIN_SOUND_RATIO times as often as before.
+MAX_CRASHES = 5
+CONTACT_S = 3.0
+MAX_LATE_ARRIVALS = 3
+MIN_SOUND_RATIO = 0.5
+# Requests that the platform needs to judge how often sound ones begin.
+MIN_SOUND_REQUESTS = 20
+# A refusal for want of a runner asks for a retry within a few seconds.
+MIN_QUARANTINE_RETRY_AFTER_S = 10.0
+MAX_REFUSAL_S = 0.5
+SOUND_INTERVAL_S = 0.06
+CRASHING_INTERVAL_S = 0.12
+STREAM_EVENTS = 20
+PIPELINES = 6
+
+
+class SentRequest(NamedTuple):
+    """A request of the test, and whether its answer began."""
+
+    sent_s: float
+    has_begun: bool
+    status: int
+
+
+class CrashingPartTestCase(DeploymentTestCase):
+    revocation_ms = 60_000
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.group.crashing_part = CRASHING_PART
+        self.request_numbers = itertools.count(1)
+        self.gateways = [self.gateway, await self.add_gateway("second")]
+        self.runners: list[Runner] = []
+        for number in range(PIPELINES):
+            await self.add_pipeline_of_two(f"z1-{number}")
+        await self.wait_until_all_known()
+        self.sound_requests: list[SentRequest] = []
+        self.crashing_requests: list[SentRequest] = []
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    async def asyncTearDown(self) -> None:
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await super().asyncTearDown()
+
+    async def add_pipeline_of_two(self, name: str) -> None:
+        for stage, first in enumerate((0, 40)):
+            runner = await self.add_runner(
+                f"{name}{stage}", "a100", first, first + 40, "z1"
+            )
+            runner.event_interval_s = 0.01
+            self.runners.append(runner)
+
+    async def wait_until_all_known(self) -> None:
+        for gateway in self.gateways:
+            await self.wait_until_known(
+                *(runner.name for runner in self.runners), gateway=gateway
+            )
+
+    def now(self) -> float:
+        return asyncio.get_running_loop().time()
+
+    async def send_parts(self, parts: str, gateway: GatewayProcess) -> Answer | None:
+        """Send a stream whose prompt has these parts and one of its own."""
+        number = next(self.request_numbers)
+        prefix = ",".join(f"{part}:40" for part in (*parts.split(), f"{number:x}"))
+        headers = {"Yuccareach_Prompt_Prefix": prefix, "Yuccareach_Model": "m"}
+        try:
+            return await self.send_request(
+                "/draft/1",
+                f"p{number}",
+                events=STREAM_EVENTS,
+                body=f"body {number}".encode(),
+                gateway=gateway,
+                **headers,
+            )
+        except aiohttp.ClientError:
+            return None
+
+    def send_repeatedly(
+        self,
+        interval_s: float,
+        choose_parts: Callable[[int], str],
+        sent_requests: list[SentRequest],
+    ) -> asyncio.Task[None]:
+        """Send requests through the gateways in turn until the task is cancelled."""
+
+        async def _send(parts: str, gateway: GatewayProcess) -> None:
+            sent_s = self.now()
+            answer = await self.send_parts(parts, gateway)
+            status = answer.status if answer else 0
+            has_begun = bool(answer and answer.body) and status == 200
+            sent_requests.append(SentRequest(sent_s, has_begun, status))
+
+        async def _send_all() -> None:
+            for number in itertools.count():
+                gateway = self.gateways[number % len(self.gateways)]
+                self.start_task(_send(choose_parts(number), gateway))
+                await asyncio.sleep(interval_s)
+
+        return self.start_task(_send_all())
+
+    def start_task(self, coroutine: Awaitable[None]) -> asyncio.Task[None]:
+        task: asyncio.Task[None] = asyncio.ensure_future(coroutine)
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+        return task
+
+    def start_sound_traffic(self, first: str = "c0") -> asyncio.Task[None]:
+        return self.send_repeatedly(
+            SOUND_INTERVAL_S,
+            lambda number: f"{first} d{number % 3}",
+            self.sound_requests,
+        )
+
+    def start_crashing_traffic(self, parts: str) -> asyncio.Task[None]:
+        return self.send_repeatedly(
+            CRASHING_INTERVAL_S, lambda _: parts, self.crashing_requests
+        )
+
+    async def wait_for_crashes(self, number: int = MAX_CRASHES) -> float:
+        """Wait for this many crashes, or until there are no more; return the last."""
+        quiet_s = self.now() + 2 * CONTACT_S
+        while len(self.group.crash_times_s) < number and self.now() < quiet_s:
+            await asyncio.sleep(0.02)
+            if self.group.crash_times_s:
+                quiet_s = self.group.crash_times_s[-1] + 2 * CONTACT_S
+        self.assertTrue(self.group.crash_times_s)
+        return self.group.crash_times_s[:number][-1]
+
+    def compute_sound_share(self, start_s: float, end_s: float) -> float:
+        selected = [
+            request.has_begun
+            for request in self.sound_requests
+            if start_s <= request.sent_s < end_s
+        ]
+        self.assertGreaterEqual(len(selected), MIN_SOUND_REQUESTS)
+        return sum(selected) / len(selected)
+
+    def count_arrivals(self, start_s: float) -> int:
+        """Count requests with the crashing part that reached runners from a time on."""
+        return sum(
+            CRASHING_PART in arrival.prompt_parts
+            for arrival in self.group.arrivals
+            if arrival.arrived_s >= start_s
+        )
+
+    async def play_crashes(self, parts: str) -> None:
+        """Send sound and crashing requests, and check the platform's bounds."""
+        started_s = self.now()
+        self.start_sound_traffic()
+        await asyncio.sleep(2)
+        crashing_s = self.now()
+        self.start_crashing_traffic(parts)
+        bound_s = await self.wait_for_crashes()
+        await asyncio.sleep(bound_s + 2 * CONTACT_S + 2 - self.now())
+        self.assert_bounds(started_s, crashing_s, bound_s)
+
+    def assert_bounds(
+        self, started_s: float, crashing_s: float, bound_s: float
+    ) -> None:
+        self.assertLessEqual(
+            self.count_arrivals(bound_s + CONTACT_S), MAX_LATE_ARRIVALS
+        )
+        before = self.compute_sound_share(started_s, crashing_s)
+        after = self.compute_sound_share(bound_s + 2 * CONTACT_S, self.now() - 0.5)
+        self.assertGreaterEqual(after, MIN_SOUND_RATIO * before)
+
+    async def assert_refused(self, parts: str, gateway: GatewayProcess) -> None:
+        """Assert that a crashing request is refused at once, with a late retry."""
+        arrivals = self.count_arrivals(0)
+        sent_s = self.now()
+        answer = await self.send_parts(parts, gateway)
+        assert answer is not None
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(
+            float(answer.headers["Retry-After"]), MIN_QUARANTINE_RETRY_AFTER_S
+        )
+        self.assertLess(self.now() - sent_s, MAX_REFUSAL_S)
+        self.assertEqual(self.count_arrivals(0), arrivals)
+
+    async def assert_served(self, parts: str, gateway: GatewayProcess) -> None:
+        """Assert that a sound request is served within a few attempts."""
+        for _ in range(20):
+            answer = await self.send_parts(parts, gateway)
+            if answer is not None and answer.status == 200:
+                return
+            await asyncio.sleep(0.2)
+        self.fail("no sound stream was served")
+
+    async def restart_control(self) -> None:
+        await self.stop_control()
+        self.control = PlatformControl(self.write_and_load_settings("control"))
+        await self.control.start()
+        await self.wait_until(lambda: self.is_leader())
+
+
+class PositionTests(CrashingPartTestCase):
+    async def test_first_part_that_crashes_servers_is_not_sent_on(self) -> None:
+        parts = f"{CRASHING_PART} d0"
+        await self.play_crashes(parts)
+        for gateway in self.gateways:
+            await self.assert_refused(parts, gateway)
+
+    async def test_middle_part_that_crashes_servers_is_not_sent_on(self) -> None:
+        parts = f"c0 {CRASHING_PART}"
+        await self.play_crashes(parts)
+        for gateway in self.gateways:
+            await self.assert_refused(parts, gateway)
+
+    async def test_third_part_that_crashes_servers_is_not_sent_on(self) -> None:
+        parts = f"c0 d0 {CRASHING_PART}"
+        await self.play_crashes(parts)
+        for gateway in self.gateways:
+            await self.assert_refused(parts, gateway)
+
+    async def test_part_that_was_sound_before_is_not_sent_on(self) -> None:
+        self.group.crashing_part = None
+        parts = f"c0 {CRASHING_PART}"
+        for gateway in self.gateways * 3:
+            await self.assert_served(parts, gateway)
+        self.group.crashing_part = CRASHING_PART
+        await self.play_crashes(parts)
+        await self.assert_refused(parts, self.gateway)
+
+
+class DeploymentTests(CrashingPartTestCase):
+    async def test_crashing_part_is_not_sent_on_by_many_gateways(self) -> None:
+        for number in range(4):
+            self.gateways.append(await self.add_gateway(f"more{number}"))
+        await self.wait_until_all_known()
+        await self.play_crashes(f"c0 {CRASHING_PART}")
+
+    async def test_sound_requests_are_served_while_most_servers_are_down(self) -> None:
+        for runner in self.runners:
+            runner.restart_delay_s = 2.5
+        for runner in self.runners[2 * (PIPELINES - 2) :]:
+            await self.stop_runner(runner)
+        await self.play_crashes(f"c0 {CRASHING_PART}")
+
+    async def stop_runner(self, runner: Runner) -> None:
+        runner.heartbeat_task.cancel()  # type: ignore[attr-defined]
+        await runner.stop()
+
+    async def test_quarantine_of_a_part_outlives_restarts(self) -> None:
+        parts = f"c0 {CRASHING_PART}"
+        await self.play_crashes(parts)
+        await self.restart_control()
+        fresh = await self.add_gateway("fresh")
+        await self.wait_until_known(
+            *(runner.name for runner in self.runners), gateway=fresh
+        )
+        for gateway in (*self.gateways, fresh):
+            await self.assert_refused(parts, gateway)
+            await self.assert_served("c0 d0", gateway)
+
+    async def test_gateways_that_are_cut_off_quarantine_a_part_alone(self) -> None:
+        # Without control, servers that crash come back without layers.
+        for number in range(PIPELINES, 2 * PIPELINES):
+            await self.add_pipeline_of_two(f"z1-{number}")
+        await self.wait_until_all_known()
+        await self.stop_control()
+        parts = f"c0 {CRASHING_PART}"
+        await self.play_crashes(parts)
+        for gateway in self.gateways:
+            await self.assert_refused(parts, gateway)
+
+
+class OrdinaryCrashTests(CrashingPartTestCase):
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.group.crashing_part = None
+
+    async def assert_nobody_refused_after(self) -> None:
+        ended_s = self.now()
+        await asyncio.sleep(CONTACT_S)
+        self.assertEqual(self.compute_sound_share(ended_s + 1, self.now() - 0.5), 1)
+
+    async def test_successive_crashes_accuse_no_part(self) -> None:
+        self.start_sound_traffic()
+        await asyncio.sleep(0.5)
+        for number in range(7):
+            self.runners[2 * (number % PIPELINES)].crash()
+            await asyncio.sleep(0.6)
+        await self.assert_nobody_refused_after()
+
+    async def test_crashes_at_one_moment_accuse_no_part(self) -> None:
+        self.start_sound_traffic()
+        await asyncio.sleep(0.1)
+        for _ in range(3):
+            for runner in self.runners[: 2 * (PIPELINES - 1)]:
+                runner.crash()
+            await asyncio.sleep(1.5)
+        await self.assert_nobody_refused_after()
