Name the prompt parts in the logs of streams and lost backend servers

The adapter decodes the model and the ids of the prompt's parts; stream_sent and loss_noted give the fingerprint of each part but the last, which is the request's own. A part's fingerprint has no workspace, since callers share parts.

No decision reads the parts yet.

--- a/src/yuccareach/gateway/admitted_requests.py
+++ b/src/yuccareach/gateway/admitted_requests.py
@@ -39,6 +39,8 @@
     deadline_s: float
     # The same when the caller sends the request again, under another id.
     fingerprint: bytes
+    # Of the parts of its prompt that other requests may share, in order.
+    part_fingerprints: tuple[bytes, ...]
 
     @property
     def request_id(self) -> str:
--- a/src/yuccareach/gateway/dialect.py
+++ b/src/yuccareach/gateway/dialect.py
@@ -20,6 +20,10 @@
     expected_answer_tokens: int
     # Id of the last event that the caller has; None at the start of a stream.
     last_event_id: int | None
+    # Name of the model that the request asks for; empty if it states none.
+    model: str
+    # Ids of the parts of the prompt, in order. Requests share parts, except the last.
+    prompt_parts: tuple[bytes, ...]
     # Headers to forward, without those that concern only the caller's connection and
     # those that the gateway sets.
     forwarded_headers: Headers
--- a/src/yuccareach/gateway/handler.py
+++ b/src/yuccareach/gateway/handler.py
@@ -15,7 +15,11 @@
 from yuccareach.gateway.calls import serve_call
 from yuccareach.gateway.streams import serve_stream
 from yuccareach.gateway.table import RouteKind
-from yuccareach.quarantine.fingerprints import compute_fingerprint, format_fingerprint
+from yuccareach.quarantine.fingerprints import (
+    compute_fingerprint,
+    compute_part_fingerprints,
+    format_fingerprint,
+)
 
 if TYPE_CHECKING:
     from yuccareach.gateway.dialect import RequestMetadata
@@ -100,6 +104,7 @@
         workspace,
         request.received_s + deadline_ms / 1000,
         fingerprint,
+        compute_part_fingerprints(metadata.model, metadata.prompt_parts),
     )
 
 
--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -24,6 +24,7 @@
         table.get_count(gateway.quarantine, admitted.fingerprint, gateway.now_ms()),
         admitted.request_id,
         admitted.workspace.name if admitted.workspace else "",
+        admitted.part_fingerprints,
     )
 
 
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -35,6 +35,7 @@
 from yuccareach.gateway.probes import probe_backend
 from yuccareach.gateway.sse import EventSplitter
 from yuccareach.gateway.stream_run import StreamRun, format_chain, to_dialect_stages
+from yuccareach.quarantine.fingerprints import format_fingerprints
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -392,6 +393,7 @@
         token_ms=round(chain.token_ms, 2),
         members=run.gateway.fleet.version,
         after_event=run.last_event_id,
+        parts=format_fingerprints(run.admitted.part_fingerprints),
     )
 
 
--- a/src/yuccareach/platform/headers.py
+++ b/src/yuccareach/platform/headers.py
@@ -22,6 +22,9 @@
 # Expected tokens of the answer.
 LENGTH_HINT = b"yuccareach-length-hint"
 LAST_EVENT_ID = b"last-event-id"
+MODEL = b"yuccareach-model"
+# "ID:TOKENS" of each part of the prompt, in order, separated by commas.
+PROMPT_PARTS = b"yuccareach-prompt-prefix"
 # Present on an answer that the runner itself produced, as callers require of a success.
 SIGNATURE = b"yuccareach-runner-signature"
 # Present if the request has not run and will not.
@@ -84,6 +87,8 @@
         max_answer_tokens=max_tokens,
         expected_answer_tokens=min(expected_tokens or max_tokens, max_tokens),
         last_event_id=_parse_number(value_by_name.get(LAST_EVENT_ID)),
+        model=value_by_name.get(MODEL, b"").decode("latin-1"),
+        prompt_parts=_parse_prompt_parts(value_by_name.get(PROMPT_PARTS, b"")),
         forwarded_headers=[item for item in headers if item[0] not in dropped_names],
     )
 
@@ -107,6 +112,11 @@
     return _parse_number(prompt.strip()) or 0, _parse_number(maximum.strip()) or 0
 
 
+def _parse_prompt_parts(value: bytes) -> tuple[bytes, ...]:
+    entries = (entry.partition(b":")[0].strip() for entry in value.split(b","))
+    return tuple(part for part in entries if part)
+
+
 def _parse_api_key(value: bytes | None) -> str | None:
     if value is None or value[: len(KEY_SCHEME)].lower() != KEY_SCHEME:
         return None
--- a/src/yuccareach/quarantine/fingerprints.py
+++ b/src/yuccareach/quarantine/fingerprints.py
@@ -3,10 +3,16 @@
 from __future__ import annotations
 
 import hashlib
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
 
 FINGERPRINT_BYTES = 16
 # Hexadecimal digits of a fingerprint in log lines.
 LOGGED_DIGITS = 8
+# Parts of one prompt that get a fingerprint, the first ones.
+MAX_PARTS = 32
 
 
 def compute_fingerprint(key: str, *parts: bytes) -> bytes:
@@ -21,9 +27,34 @@
     return digest.digest()
 
 
+def compute_part_fingerprints(
+    model: str, part_ids: Sequence[bytes]
+) -> tuple[bytes, ...]:
+    """Return a hash of each prompt part but the last, whoever sends it.
+
+    The last part is the request's own, and covered by the request's fingerprint.
+    """
+    shared_ids = dict.fromkeys(part_ids[:-1][:MAX_PARTS])
+    return tuple(
+        compute_fingerprint("", b"part", model.encode(), part_id)
+        for part_id in shared_ids
+    )
+
+
 def format_fingerprint(fingerprint: bytes) -> str:
     """Return a fingerprint as log lines give it."""
     return fingerprint.hex()[:LOGGED_DIGITS]
 
 
-__all__ = ["compute_fingerprint", "format_fingerprint"]
+def format_fingerprints(fingerprints: Iterable[bytes]) -> str:
+    """Return several fingerprints as log lines give them, in order."""
+    return ",".join(map(format_fingerprint, fingerprints))
+
+
+__all__ = [
+    "MAX_PARTS",
+    "compute_fingerprint",
+    "compute_part_fingerprints",
+    "format_fingerprint",
+    "format_fingerprints",
+]
--- a/src/yuccareach/quarantine/reporting.py
+++ b/src/yuccareach/quarantine/reporting.py
@@ -8,7 +8,7 @@
 
 from yuccareach.control.errors import ControlUnavailable
 from yuccareach.proto import control_pb2 as cpb
-from yuccareach.quarantine.fingerprints import format_fingerprint
+from yuccareach.quarantine.fingerprints import format_fingerprint, format_fingerprints
 from yuccareach.quarantine.table import (
     MAX_FINGERPRINTS,
     LossCount,
@@ -121,7 +121,10 @@
     }
     if not change.incarnation:
         return Log("losses_reset", fields)
-    return Log("loss_noted", fields | {"incarnation": change.incarnation})
+    parts = format_fingerprints(change.parts)
+    return Log(
+        "loss_noted", fields | {"incarnation": change.incarnation, "parts": parts}
+    )
 
 
 __all__ = ["LossReporter", "build_command", "build_log", "merge_records"]
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -56,6 +56,8 @@
     # Request id and workspace, for logs.
     request: str
     workspace: str
+    # Fingerprints of the parts of its prompt.
+    parts: tuple[bytes, ...] = ()
 
 
 class CountChange(NamedTuple):
@@ -68,6 +70,8 @@
     workspace: str
     # Incarnation of the backend server that was lost; empty for an answer.
     incarnation: str
+    # Fingerprints of the parts of its prompt.
+    parts: tuple[bytes, ...] = ()
 
 
 class Record(NamedTuple):
@@ -181,7 +185,12 @@
     if not merge_count(table, attempt.fingerprint, count, retention_ms, now_ms):
         return None
     return CountChange(
-        attempt.fingerprint, count, attempt.request, attempt.workspace, incarnation
+        attempt.fingerprint,
+        count,
+        attempt.request,
+        attempt.workspace,
+        incarnation,
+        attempt.parts,
     )
 
 
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -45,6 +45,19 @@
         forwarded = dict(DIALECT.read_request(headers).forwarded_headers)
         self.assertEqual(set(forwarded), {b"host", b"x-own", b"yuccareach-model"})
 
+    def test_model_and_ids_of_prompt_parts_are_decoded_in_order(self) -> None:
+        metadata = DIALECT.read_request(
+            [
+                (b"yuccareach-model", b"m"),
+                (b"yuccareach-prompt-prefix", b"5c1e:800, 91bd:410,,e440:250"),
+            ]
+        )
+        self.assertEqual(metadata.model, "m")
+        self.assertEqual(metadata.prompt_parts, (b"5c1e", b"91bd", b"e440"))
+
+    def test_request_without_prompt_has_no_parts(self) -> None:
+        self.assertEqual(DIALECT.read_request([]).prompt_parts, ())
+
     def test_malformed_numbers_count_as_missing(self) -> None:
         metadata = DIALECT.read_request(
             [(b"yuccareach-deadline-ms", b"soon"), (b"yuccareach-token-usage", b",")]
--- a/tests/quarantine/test_reporting.py
+++ b/tests/quarantine/test_reporting.py
@@ -7,7 +7,7 @@
 
 from yuccareach.control.errors import ControlUnavailable
 from yuccareach.proto import control_pb2 as cpb
-from yuccareach.quarantine.reporting import LossReporter, merge_records
+from yuccareach.quarantine.reporting import LossReporter, build_log, merge_records
 from yuccareach.quarantine.table import (
     QUARANTINE_LOSS_THRESHOLD,
     QUARANTINE_MS,
@@ -38,6 +38,14 @@
     return CountChange(fingerprint, LossCount(0, losses), "r1", "w", "i")
 
 
+class LogTests(unittest.TestCase):
+    def test_loss_names_the_parts_of_the_prompt_on_the_lost_server(self) -> None:
+        change = make_change(b"a", 1)._replace(parts=(b"\1" * 16, b"\2" * 16))
+        line = build_log(change)
+        self.assertEqual(line.event, "loss_noted")
+        self.assertEqual(line.fields["parts"], "01010101,02020202")
+
+
 class LossReporterTests(unittest.IsolatedAsyncioTestCase):
     async def asyncSetUp(self) -> None:
         self.commands: list[cpb.Command] = []
