Count no loss against a stream that made progress before it

Every request on a crashed server was charged alike.

What crashes servers does so at its start, or always at the same event: a resumed attempt then brings nothing new, and a fresh one gets no further. So a loss after new events counts only for a fresh start that was lost no later than an earlier attempt, by a bounded memory of positions at each gateway.

test_stream_that_made_progress_before_each_crash_is_not_refused failed before (the second stream is cut at event 41 of 60) and passes now.

--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -224,7 +224,7 @@
         for stage in (run.chain.stages if run.chain else ())
         if stage.backend.announcement.address == lost_backend.announcement.address
     ]
-    await record_broken_attempt(gateway, run.tracked_attempt, lost_incarnations)
+    await record_broken_attempt(gateway, run.lost_attempt, lost_incarnations)
     if compute_refusal_s(gateway, run.admitted):
         _interrupt(gateway, run, QUARANTINED)
         return
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -19,6 +19,7 @@
     end_trial,
     is_suspect_run,
 )
+from yuccareach.quarantine.progress import Progress
 
 if TYPE_CHECKING:
     from yuccareach.gateway.admission import AdmissionQueue
@@ -27,6 +28,7 @@
     from yuccareach.gateway.http_client import ResponseHead
     from yuccareach.gateway.http_server import Reply
     from yuccareach.gateway.state import Gateway
+    from yuccareach.quarantine.table import TrackedAttempt
 
 # Weight of the newest pause between events in the typical one, a moving average.
 PAUSE_WEIGHT = 0.2
@@ -75,6 +77,8 @@
         self.excluded_incarnations: set[str] = set()
         # What the loss of a stage of the current chain is counted by.
         self.tracked_attempt = start_attempt(gateway, admitted)
+        # Events that the caller had when it started.
+        self.first_event = self.position
         # Whether the current attempt has shown that the parts of its prompt are
         # harmless.
         self.has_proven_parts = False
@@ -101,6 +105,26 @@
         metadata = self.admitted.metadata
         return metadata.prompt_tokens + metadata.expected_answer_tokens
 
+    @property
+    def position(self) -> int:
+        """The last event that the caller has, by its id or else its number."""
+        if self.last_event_id is not None:
+            return self.last_event_id
+        return self.delivered_events
+
+    def start_tracking(self) -> None:
+        """Note what the loss of a stage of the current chain is counted by."""
+        self.tracked_attempt = start_attempt(
+            self.gateway, self.admitted, has_proven_parts=self.has_proven_parts
+        )
+        self.first_event = self.position
+
+    @property
+    def lost_attempt(self) -> TrackedAttempt:
+        """What the loss of a stage now is counted by."""
+        progress = Progress(self.first_event, self.position)
+        return self.tracked_attempt._replace(progress=progress)
+
     def deliver_data(self, data: bytes) -> None:
         """Deliver the events that these bytes complete."""
         for event in self.splitter.feed(data):
@@ -207,9 +231,7 @@
     def move_to_chain(self, chain: Chain) -> None:
         """Move the reservation to the chain over which the request continues."""
         self.release_chain()
-        self.tracked_attempt = start_attempt(
-            self.gateway, self.admitted, has_proven_parts=self.has_proven_parts
-        )
+        self.start_tracking()
         self.queue.record_move(self.workspace, self.tokens)
         self._reserve_at(chain)
 
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -31,7 +31,6 @@
     compute_refusal_s,
     log_refusal,
     record_answer,
-    start_attempt,
 )
 from yuccareach.gateway.probes import probe_backend
 from yuccareach.gateway.sse import EventSplitter
@@ -149,9 +148,9 @@
                 run.prove_parts()
     elif result in (AttemptResult.BROKEN, AttemptResult.TIMED_OUT):
         backends = [stage.backend for stage in run.last_chain.stages]
-        add_pending_losses(run.gateway, run.tracked_attempt, backends)
+        add_pending_losses(run.gateway, run.lost_attempt, backends)
         if result is AttemptResult.BROKEN:
-            await record_broken_attempt(run.gateway, run.tracked_attempt, backends[:1])
+            await record_broken_attempt(run.gateway, run.lost_attempt, backends[:1])
 
 
 def _choose_chain(run: StreamRun) -> Chain | None:
@@ -284,7 +283,7 @@
     run.splitter = EventSplitter()
     run.interrupted.clear()
     run.first_stage_lost = run.later_stage_lost = False
-    run.tracked_attempt = start_attempt(gateway, admitted)
+    run.start_tracking()
     run.last_progress_s = gateway.now()
     _log_attempt(run, chain)
     try:
--- a/src/yuccareach/platform/standin.py
+++ b/src/yuccareach/platform/standin.py
@@ -49,6 +49,8 @@
         # of each chain that runs it, or the one runner that runs it as a plain call.
         self.crashing_prefix: bytes | None = None
         self.crashing_stage = 0
+        # Events that such a stream has before it crashes the runner.
+        self.crashing_after_events = 0
         # So does a stream whose prompt has this part, as it begins to be answered.
         self.crashing_part: str | None = None
         # Loop times at which such requests crashed runners.
@@ -318,7 +320,8 @@
         # The header contains the tokens of the prompt and the maximum to generate.
         last = int(request.headers["Yuccareach-Token-Usage"].split(",")[1])
         for number in range(first, last + 1):
-            await self._crash_stage(request, request_id)
+            if number > self.group.crashing_after_events:
+                await self._crash_stage(request, request_id)
             if number - first == self.faults.silence_after_events:
                 self.faults.begin_silence(self.faults.silence_after_events_s)
             await self.faults.wait_while_silent()
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -38,6 +38,7 @@
     record_proof,
     select_accused,
 )
+from yuccareach.quarantine.progress import LostPositions, Progress, counts_as_loss
 
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable, Iterator
@@ -70,6 +71,7 @@
     parts: tuple[TrackedPart, ...] = ()
     # Whether the attempt has shown that the parts are harmless.
     has_proven_parts: bool = False
+    progress: Progress = Progress()
 
 
 class CountChange(NamedTuple):
@@ -112,6 +114,7 @@
         self.pending_by_incarnation: dict[str, deque[PendingLoss]] = {}
         self.trial_end_ms_by_fingerprint: dict[bytes, int] = {}
         self.part_history = PartHistory()
+        self.lost_positions = LostPositions()
 
 
 def get_count(table: QuarantineTable, fingerprint: bytes, now_ms: int) -> LossCount:
@@ -189,6 +192,10 @@
 ) -> CountChange | None:
     """Count a loss against an attempt's request; return the new count if any."""
     known = attempt.known_count
+    if not counts_as_loss(
+        table.lost_positions, attempt.fingerprint, attempt.request, attempt.progress
+    ):
+        return None
     count = LossCount(known.generation, known.losses + 1)
     return _change_count(
         table, attempt, attempt.fingerprint, count, incarnation, now_ms
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -198,6 +198,43 @@
         await self.assert_refused("/draft/1", self.gateways[1])
         await self.check_other_stream()
 
+    async def test_stream_that_crashes_servers_at_a_later_event_is_not_sent_on(
+        self,
+    ) -> None:
+        self.group.crashing_after_events = 3
+        self.assertLessEqual(
+            await self.resend_until_bound("/draft/1"), MAX_LATE_RETRIES
+        )
+        await self.assert_refused("/draft/1", self.gateways[1])
+        await self.check_other_stream()
+
+    async def test_stream_that_made_progress_before_each_crash_is_not_refused(
+        self,
+    ) -> None:
+        # Guards against a quarantine of sound streams that ran beside a harmful one.
+        crash_positions = [40, 20, 10]
+        for runner in self.runners:
+            runner.event_interval_s = 0.01
+
+        async def _crash_first_stage(received: bytes) -> None:
+            if crash_positions and received.count(b"\n\n") > crash_positions[-1]:
+                crash_positions.pop()
+                name = self.group.arrivals[-1].runner
+                next(item for item in self.runners if item.name == name).crash()
+
+        for _ in range(2):
+            answer = await self.send_request(
+                "/draft/1",
+                f"s{next(self.request_numbers)}",
+                events=60,
+                body=b"sound",
+                on_event=_crash_first_stage,
+            )
+            self.assertEqual(answer.status, 200)
+        self.assertEqual(crash_positions, [])
+        self.assertEqual(read_event_ids(answer), list(range(1, 61)))
+        await self.check_other_stream()
+
     async def test_stream_that_crashed_three_later_stages_is_not_sent_on(self) -> None:
         self.group.crashing_stage = 1
         self.assertLessEqual(
