Try out a prompt part alone once it has crashed several servers at once

A round of crashes at one moment is one loss in a row, so that the part was not suspect before the next round, in which as many streams could start at once. Where five servers or more go in the first round, the platform's bound begins about when they are back, and allows three arrivals.

A part is suspect now from three lost servers on, too. With a burst of 24 streams over six first stages that are back after 2.5 s, 6 servers are lost at first, and one or two after that; no arrival is late.

--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -5,7 +5,6 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.quarantine import parts, reporting, table
-from yuccareach.quarantine.counts import ISOLATION_LOSS_THRESHOLD
 from yuccareach.quarantine.fingerprints import format_fingerprint
 from yuccareach.quarantine.table import TrackedAttempt, TrackedPart
 
@@ -89,8 +88,7 @@
 
 def is_suspect(gateway: Gateway, fingerprint: bytes) -> bool:
     """Return whether requests with a prompt part should run apart from others."""
-    count = table.get_count(gateway.quarantine, fingerprint, gateway.now_ms())
-    return count.losses >= ISOLATION_LOSS_THRESHOLD
+    return table.get_count(gateway.quarantine, fingerprint, gateway.now_ms()).is_suspect
 
 
 def record_answer(gateway: Gateway, attempt: TrackedAttempt) -> None:
--- a/src/yuccareach/quarantine/counts.py
+++ b/src/yuccareach/quarantine/counts.py
@@ -15,6 +15,9 @@
 
 ISOLATION_LOSS_THRESHOLD = 2
 QUARANTINE_LOSS_THRESHOLD = 3
+# Servers lost under a prompt part from which it is suspect after one loss in a row: all
+# may have been lost at one moment, and the next ones would be too.
+MIN_SUSPECT_SERVERS = 3
 # How long a count below the threshold is kept after its last change, and how long the
 # first quarantine of a fingerprint lasts.
 QUARANTINE_MS = 600_000
@@ -40,6 +43,14 @@
         """Whether new requests are refused, or admitted one at a time as a trial."""
         return self.losses >= QUARANTINE_LOSS_THRESHOLD
 
+    @property
+    def is_suspect(self) -> bool:
+        """Whether requests with the prompt part should run apart from others."""
+        return (
+            self.losses >= ISOLATION_LOSS_THRESHOLD
+            or len(self.lost_servers) >= MIN_SUSPECT_SERVERS
+        )
+
 
 NO_LOSSES = LossCount(0, 0)
 
@@ -101,6 +112,7 @@
     "ISOLATION_LOSS_THRESHOLD",
     "MAX_FINGERPRINTS",
     "MAX_LOST_SERVERS",
+    "MIN_SUSPECT_SERVERS",
     "NO_LOSSES",
     "QUARANTINE_LOSS_THRESHOLD",
     "QUARANTINE_MS",
