--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -94,8 +94,8 @@
         # The last probe, which may still be in progress.
         self.probe: asyncio.Future[ProbeResult] | None = None
         self.last_probe_s = -1.0
-        # A query that waits for the end of a silence.
-        self.recontact: asyncio.Task[None] | None = None
+        # Whether a request for a report waits for the end of a silence.
+        self.is_recontacted = False
         # Multiple of the server's expected times, and when it was last queried.
         self.slowdown = 1.0
         self.last_slowdown_query_s = -10.0
@@ -160,9 +160,7 @@
     def is_avoided(self, now_s: float) -> bool:
         """Return whether other servers are to be preferred to this one."""
         until_s = max(self.avoid_until_s, self.full_until_s)
-        return (
-            has_ended(self.health) or self.health.silence is not None or now_s < until_s
-        )
+        return has_ended(self.health) or bool(self.health.silences) or now_s < until_s
 
 
 class Fleet:
@@ -247,7 +245,7 @@
         return [
             backend
             for backend in self.backend_by_name.values()
-            if backend.health.silence is Silence.ANSWER
+            if Silence.ANSWER in backend.health.silences
         ]
 
     def find_unreachable(self, now_s: float) -> list[Backend]:
