--- a/src/yuccareach/entry/quarantine.py
+++ b/src/yuccareach/entry/quarantine.py
@@ -14,8 +14,9 @@
 from yuccareach.entry.events import Refusal, ReportLosses
 from yuccareach.proto import data_pb2 as pb
 from yuccareach.quarantine import reporting, table
+from yuccareach.quarantine.counts import LossCount
 from yuccareach.quarantine.fingerprints import compute_fingerprint
-from yuccareach.quarantine.table import LossCount, TrackedAttempt
+from yuccareach.quarantine.table import TrackedAttempt
 from yuccareach.runtime.links import Send
 
 if TYPE_CHECKING:
--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -30,6 +30,7 @@
 from yuccareach.gateway.losses import (
     add_pending_losses,
     compute_refusal_s,
+    prove_parts,
     record_answer,
     start_attempt,
 )
@@ -147,7 +148,7 @@
         if backend is None and gateway.is_awaiting_members:
             await asyncio.sleep(MEMBERS_CHECK_INTERVAL_S)
             continue
-        if run.attempts and compute_refusal_s(gateway, admitted.fingerprint):
+        if run.attempts and compute_refusal_s(gateway, admitted):
             return
         if backend is None or not _reserve_retry(gateway, admitted, run):
             if not run.has_left_open_attempt:
@@ -163,6 +164,8 @@
         _log_attempt(gateway, admitted, backend, last_attempt)
         if last_attempt.is_answered:
             record_answer(gateway, tracked_attempt)
+            if last_attempt.is_success:
+                prove_parts(gateway, tracked_attempt)
         elif last_attempt.ending is Ending.TIMED_OUT:
             add_pending_losses(gateway, tracked_attempt, [backend])
         elif last_attempt.ending is Ending.BROKEN:
@@ -226,7 +229,7 @@
     """
     if not _can_retry(gateway, admitted, run, open_backend):
         return False
-    if compute_refusal_s(gateway, admitted.fingerprint):
+    if compute_refusal_s(gateway, admitted):
         return False
     backend = choose_backend(
         gateway.fleet.find_by_service(admitted.service.name),
@@ -351,7 +354,7 @@
             last_attempt.body,
         )
         return Outcome(last_attempt.head.status, "answered")
-    refusal_s = compute_refusal_s(gateway, admitted.fingerprint)
+    refusal_s = compute_refusal_s(gateway, admitted)
     if not may_have_run:
         reason = QUARANTINED if refusal_s else "not_run"
         retry_s = refusal_s or _estimate_retry_after_s(gateway, admitted.service)
--- a/src/yuccareach/gateway/chain_choice.py
+++ b/src/yuccareach/gateway/chain_choice.py
@@ -65,7 +65,7 @@
     remaining_s = admitted.deadline_s - gateway.now()
     if remaining_s < MIN_REMAINING_S or not run.can_retry(first_backend):
         return False
-    if compute_refusal_s(gateway, admitted.fingerprint):
+    if compute_refusal_s(gateway, admitted):
         return False
     chain = _find_preferred_chain(run, _exclude_backend(run, first_backend))
     if chain is None or any(
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -276,11 +276,11 @@
     if blocking_backend.announcement.incarnation not in run.suspected_incarnations:
         run.suspected_incarnations.add(blocking_backend.announcement.incarnation)
         run.later_stage_lost = True
-        await record_broken_attempt(gateway, run.tracked_attempt, [blocking_backend])
+        await record_broken_attempt(gateway, run.lost_attempt, [blocking_backend])
     has_ended = await seek_end_proof(gateway, blocking_backend)
     if run.attempt_events > run.events_before_repair:
         return
-    if not compute_refusal_s(gateway, run.admitted.fingerprint):
+    if not compute_refusal_s(gateway, run.admitted):
         await _reroute(gateway, run, blocking_backend)
     elif has_ended:
         _interrupt(gateway, run, QUARANTINED)
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -31,12 +31,14 @@
 from yuccareach.gateway.losses import (
     add_pending_losses,
     compute_refusal_s,
+    log_refusal,
     record_answer,
-    start_attempt,
 )
 from yuccareach.gateway.probes import probe_backend
 from yuccareach.gateway.sse import EventSplitter
 from yuccareach.gateway.stream_run import StreamRun, format_chain, to_dialect_stages
+from yuccareach.gateway.suspects import must_wait_apart
+from yuccareach.quarantine.fingerprints import format_fingerprints
 
 if TYPE_CHECKING:
     from yuccareach.gateway.http_server import Reply
@@ -100,7 +102,7 @@
     while True:
         if run.admitted.deadline_s - run.gateway.now() < MIN_REMAINING_S:
             return _end_unserved(run, may_have_run, 504, "deadline")
-        if run.attempts and compute_refusal_s(run.gateway, run.admitted.fingerprint):
+        if run.attempts and compute_refusal_s(run.gateway, run.admitted):
             return _end_unserved(run, may_have_run, 502, QUARANTINED)
         if run.attempts and not run.reserve_retry():
             if run.has_left_open_attempt:
@@ -111,7 +113,9 @@
         if chain is None and run.has_left_open_attempt:
             continue
         if chain is None:
-            return _end_unserved(run, may_have_run, 502, "no_room")
+            is_refused = compute_refusal_s(run.gateway, run.admitted) > 0
+            reason = QUARANTINED if is_refused else "no_room"
+            return _end_unserved(run, may_have_run, 502, reason)
         run.attempts += 1
         run.retry_reserved = False
         result = await _run_attempt(run, chain)
@@ -147,11 +151,13 @@
     if result in (AttemptResult.DONE, AttemptResult.FAILED):
         if not run.later_stage_lost:
             record_answer(run.gateway, run.tracked_attempt)
+            if result is AttemptResult.DONE:
+                run.prove_parts()
     elif result in (AttemptResult.BROKEN, AttemptResult.TIMED_OUT):
         backends = [stage.backend for stage in run.last_chain.stages]
-        add_pending_losses(run.gateway, run.tracked_attempt, backends)
+        add_pending_losses(run.gateway, run.lost_attempt, backends)
         if result is AttemptResult.BROKEN:
-            await record_broken_attempt(run.gateway, run.tracked_attempt, backends[:1])
+            await record_broken_attempt(run.gateway, run.lost_attempt, backends[:1])
 
 
 async def _wait_for_chain(run: StreamRun) -> Chain | None:
@@ -160,7 +166,8 @@
     Return None if no chain is likely to be free before the caller gives up, or if none
     was free in time.
     """
-    chain = None if run.queue.waiting_by_number else choose_chain(run)
+    must_queue = run.queue.waiting_by_number or must_wait_apart(run)
+    chain = None if must_queue else choose_chain(run)
     if chain is not None:
         run.reserve(chain)
         return chain
@@ -182,7 +189,7 @@
             closed=is_closed,
         )
         return None
-    granted: asyncio.Future[Chain | None] = asyncio.get_running_loop().create_future()
+    run.granted = granted = asyncio.get_running_loop().create_future()
 
     def _reserve_capacity() -> Chain | None:
         found_chain = choose_chain(run)
@@ -192,11 +199,14 @@
             granted.set_result(None)
         return found_chain
 
-    run.queue.add(WaitingRequest(ticket, _reserve_capacity, granted))
+    run.queue.add(
+        WaitingRequest(ticket, _reserve_capacity, granted, lambda: must_wait_apart(run))
+    )
     try:
         run.queue.grant_capacity(now_s)
         return await granted
     finally:
+        run.granted = None
         run.queue.remove(ticket)
 
 
@@ -245,7 +255,9 @@
     reply = run.reply
     if reply.has_started:
         return send_failure(reply, status, reason)
-    refusal_s = compute_refusal_s(run.gateway, run.admitted.fingerprint)
+    refusal_s = compute_refusal_s(run.gateway, run.admitted)
+    if refusal_s and (reason == QUARANTINED or not may_have_run):
+        log_refusal(run.gateway, run.admitted)
     if not may_have_run and refusal_s:
         return send_refusal(reply, refusal_s, QUARANTINED)
     if not may_have_run:
@@ -291,7 +303,7 @@
     run.later_stage_lost = run.wait_logged = False
     run.suspected_incarnations.clear()
     run.next_repair_s = 0.0
-    run.tracked_attempt = start_attempt(gateway, admitted)
+    run.start_tracking()
     run.last_progress_s = gateway.now()
     _log_attempt(run, chain)
     try:
@@ -400,6 +412,7 @@
         token_ms=round(chain.token_ms, 2),
         members=run.gateway.fleet.version,
         after_event=run.last_event_id,
+        parts=format_fingerprints(run.admitted.part_fingerprints),
     )
 
 
--- a/tests/test_system.py
+++ b/tests/test_system.py
@@ -13,7 +13,8 @@
 from yuccareach.entry import events as entry_events
 from yuccareach.entry.recovery import MAX_UNPROVEN_RECOVERIES
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
-from yuccareach.quarantine.table import QUARANTINE_LOSS_THRESHOLD, get_count
+from yuccareach.quarantine.counts import QUARANTINE_LOSS_THRESHOLD
+from yuccareach.quarantine.table import get_count
 from yuccareach.runtime.links import LinkLost
 
 
