Split frames between entries and agents before they exceed gRPC's limit

Six replies of 8 MiB, the largest that an agent passes on, broke the stream to their entry when they were sent together, and with it every stream and call on it: all queued messages went into one frame, and gRPC refuses one of over 32 MiB.

Frames with bodies of calls are now split at 16 MiB. Only bodies are counted as messages are queued, so that the messages of tokens cost nothing more.

Measured: tests.runtime.test_links.LargeMessageTests. test_large_replies_sent_together_do_not_break_the_stream failed before with LinkLost, and passes.

--- a/src/yuccareach/runtime/links.py
+++ b/src/yuccareach/runtime/links.py
@@ -14,6 +14,9 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
+MAX_MESSAGE_BYTES = 32 << 20
+# Queued messages are split into frames of this size, or of one larger message.
+MAX_FRAME_BYTES = MAX_MESSAGE_BYTES // 2
 # Keepalive pings detect a peer that no longer responds, also on an idle stream.
 CHANNEL_OPTIONS = (
     ("grpc.keepalive_time_ms", 2_000),
@@ -23,8 +26,8 @@
     ("grpc.http2.min_ping_interval_without_data_ms", 1_000),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1_000),
-    ("grpc.max_send_message_length", 32 << 20),
-    ("grpc.max_receive_message_length", 32 << 20),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.use_local_subchannel_pool", 1),
 )
 SERVER_OPTIONS = (
@@ -33,8 +36,8 @@
     ("grpc.keepalive_time_ms", 2_000),
     ("grpc.keepalive_timeout_ms", 1_500),
     ("grpc.keepalive_permit_without_calls", 1),
-    ("grpc.max_send_message_length", 32 << 20),
-    ("grpc.max_receive_message_length", 32 << 20),
+    ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
+    ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.so_reuseport", 0),
 )
 
@@ -79,18 +82,38 @@
 
 
 class Outbox:
-    """Queue of messages to one peer; all that are queued are sent as one frame."""
+    """Queue of messages to one peer, which are sent in as few frames as possible."""
 
     def __init__(self) -> None:
         self.messages: list[pb.Message] = []
+        # Size of the bodies of queued calls and replies; other messages are small.
+        self.body_bytes = 0
         self.wake_up = asyncio.Event()
         self.closed = False
 
     def put(self, body: Any) -> None:
         """Queue one message."""
+        if isinstance(body, pb.Call | pb.Reply):
+            self.body_bytes += len(body.body)
         self.messages.append(wrap_message(body))
         self.wake_up.set()
 
+    def _take_batches(self) -> list[list[pb.Message]]:
+        """Remove the queued messages and return those of each frame."""
+        messages, self.messages = self.messages, []
+        body_bytes, self.body_bytes = self.body_bytes, 0
+        if body_bytes <= MAX_FRAME_BYTES:
+            return [messages]
+        batches: list[list[pb.Message]] = []
+        frame_bytes = 0
+        for message in messages:
+            frame_bytes += message.ByteSize()
+            if not batches or frame_bytes > MAX_FRAME_BYTES:
+                batches.append([])
+                frame_bytes = message.ByteSize()
+            batches[-1].append(message)
+        return batches
+
     def close(self) -> None:
         """End the generator of frames; messages still queued are lost."""
         self.closed = True
@@ -99,19 +122,19 @@
     async def generate_frames(
         self, source: str, get_settings_revision: Callable[[], int]
     ) -> AsyncIterator[pb.Frame]:
-        """Yield a frame that names the source, then one per batch of messages."""
+        """Yield a frame that names the source, then frames of queued messages."""
         yield pb.Frame(source=source, settings_revision=get_settings_revision())
         while True:
             await self.wake_up.wait()
             self.wake_up.clear()
             if self.closed:
                 return
-            messages, self.messages = self.messages, []
-            yield pb.Frame(
-                source=source,
-                settings_revision=get_settings_revision(),
-                messages=messages,
-            )
+            for messages in self._take_batches():
+                yield pb.Frame(
+                    source=source,
+                    settings_revision=get_settings_revision(),
+                    messages=messages,
+                )
 
 
 class Links(DataServicer):  # type: ignore[misc]
