--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -5,14 +5,15 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.http_client import Ending, Exchange, encode_request
-from yuccareach.health.servers import record_contact
+from yuccareach.gateway.server_notices import build_response_reader
+from yuccareach.health.servers import record_contact, record_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from yuccareach.gateway.admitted_requests import AdmittedRequest
     from yuccareach.gateway.backends import Backend
-    from yuccareach.gateway.dialect import ForwardMetadata, Headers, ResponseMetadata
+    from yuccareach.gateway.dialect import ForwardMetadata
     from yuccareach.gateway.http_client import BackendConnection
     from yuccareach.gateway.state import Gateway
 
@@ -55,6 +56,7 @@
     In that case the request has not run. Otherwise on_data receives the body of a
     signed success as it arrives, and returns how many bytes it buffers.
     """
+    record_request(backend.health, gateway.now_ms())
     pool = backend.pool
     max_idle_s = (
         float("inf") if admitted.route.is_idempotent else MAX_NON_IDEMPOTENT_IDLE_S
@@ -76,17 +78,13 @@
             return None
         backend.record_connect_success()
 
-    def _read_response(status: int, headers: Headers) -> ResponseMetadata:
-        record_contact(backend.health)
-        return gateway.dialect.read_response(status, headers)
-
     def _handle_data(data: bytes) -> int:
         record_contact(backend.health)
         return on_data(data) if on_data is not None else 0
 
     exchange = Exchange(
         admitted.metadata.request_id,
-        _read_response,
+        build_response_reader(gateway, backend),
         _handle_data if on_data is not None else None,
         buffers=gateway.response_buffers,
     )
--- a/src/yuccareach/gateway/dialect.py
+++ b/src/yuccareach/gateway/dialect.py
@@ -61,6 +61,12 @@
     running_requests: int | None
     queued_requests: int | None
     slots: int | None
+    # Whether the backend server states that it is leaving.
+    is_leaving: bool = False
+    # For how many seconds the backend server, which refused, wants no requests.
+    retry_after_s: float | None = None
+    # A value of that time that cannot be read, and is ignored.
+    malformed_retry_after: str | None = None
 
 
 class Dialect(NamedTuple):
--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import Any, NamedTuple
+from typing import TYPE_CHECKING, Any, NamedTuple
 
 import httptools
 
@@ -20,6 +20,9 @@
     ResponseHead,
 )
 
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
 CONNECT_TIMEOUT_S = 0.4
 # A connection is reused for this much less than the keep-alive timeout that a backend
 # server states, since the server may be closing the connection already.
@@ -289,6 +292,9 @@
         self.idle_connections.clear()
 
 
+_NO_METADATA = ResponseMetadata(None, False, False, None, None, None, None)
+
+
 class BackendResponse(NamedTuple):
     """A response to a request of the gateway's own.
 
@@ -308,19 +314,28 @@
     timeout_s: float,
     *,
     new_connection: bool = False,
+    read_response: Callable[[int, Headers], ResponseMetadata] | None = None,
 ) -> BackendResponse | None:
     """Send a request of the gateway's own to a backend server.
 
     Returns None if the server sends neither a complete response within the timeout,
     which includes the time to connect, nor one that is invalid or too large. With
-    `new_connection`, no pooled connection is used.
+    `new_connection`, no pooled connection is used. The head of the response is decoded
+    by `read_response`, if set.
     """
     address = f"{pool.host}:{pool.port}".encode()
     headers: Headers = [(b"Host", address)]
     if body:
         headers.append((b"Content-Type", b"application/json"))
     now_s = asyncio.get_running_loop().time()
-    exchange = Exchange(b"", _accept_any_response, limits=REPORT_LIMITS)
+
+    def _read_response(status: int, response_headers: Headers) -> ResponseMetadata:
+        if read_response is None:
+            return _NO_METADATA
+        # These requests have no id to match.
+        return read_response(status, response_headers)._replace(request_id=None)
+
+    exchange = Exchange(b"", _read_response, limits=REPORT_LIMITS)
     connection: BackendConnection | None = None
     try:
         async with asyncio.timeout(timeout_s):
@@ -346,11 +361,6 @@
     return BackendResponse(ending, head.status, b"".join(exchange.body))
 
 
-def _accept_any_response(status: int, headers: Headers) -> ResponseMetadata:
-    """Accept a response without a request id."""
-    return ResponseMetadata(None, False, False, None, None, None, None)
-
-
 def encode_request(
     method: bytes, target: bytes, headers: Headers, body: bytes
 ) -> bytes:
--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -60,7 +60,8 @@
     for backend in backends:
         is_current = gateway.fleet.is_current(backend)
         has_restarted = gateway.fleet.has_restarted(backend)
-        if backend.announcement.draining or not (is_current or has_restarted):
+        is_leaving = backend.announcement.draining or backend.health.is_leaving
+        if is_leaving or not (is_current or has_restarted):
             continue
         incarnation = backend.announcement.incarnation
         table.add_pending_loss(gateway.quarantine, attempt, incarnation, now_ms)
@@ -88,7 +89,10 @@
     A departure by itself does not count, since the heartbeats may only be late.
     """
     fleet, pending = gateway.fleet, gateway.quarantine.pending_by_incarnation
-    announcements = [backend.announcement for backend in fleet.backend_by_name.values()]
+    backends = (
+        *fleet.backend_by_name.values(),
+        *fleet.suspect_by_incarnation.values(),
+    )
     replaced = {
         incarnation
         for incarnation, backend in fleet.suspect_by_incarnation.items()
@@ -97,7 +101,11 @@
     changes = table.resolve_pending_losses(
         gateway.quarantine,
         pending.keys() - replaced,
-        {item.incarnation for item in announcements if item.draining},
+        {
+            item.announcement.incarnation
+            for item in backends
+            if item.announcement.draining or item.health.is_leaving
+        },
         gateway.now_ms(),
     )
     for incarnation in fleet.suspect_by_incarnation.keys() - pending.keys():
--- a/src/yuccareach/gateway/server_calls.py
+++ b/src/yuccareach/gateway/server_calls.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.http_client import BackendResponse, Ending, call_backend
+from yuccareach.gateway.server_notices import build_response_reader
 from yuccareach.health.servers import record_contact
 
 if TYPE_CHECKING:
@@ -18,7 +19,12 @@
 ) -> BackendResponse | None:
     """Request a server's report; return None if nothing came within the timeout."""
     report = await call_backend(
-        backend.pool, b"GET", gateway.dialect.report_path, b"", timeout_s
+        backend.pool,
+        b"GET",
+        gateway.dialect.report_path,
+        b"",
+        timeout_s,
+        read_response=build_response_reader(gateway, backend),
     )
     return _check_response(gateway, backend, report)
 
@@ -39,6 +45,7 @@
         body,
         timeout_s,
         new_connection=new_connection,
+        read_response=build_response_reader(gateway, backend),
     )
     return _check_response(gateway, backend, answer)
 
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -165,22 +166,20 @@
         return chain
     ticket = _build_ticket(run)
     now_s = run.gateway.now()
-    # A started response cannot be refused any more, and members that have yet to
-    # announce themselves may add capacity.
-    must_wait = (
-        run.reply.has_started
-        or run.has_left_open_attempt
-        or run.gateway.is_awaiting_members
+    service = run.admitted.service
+    is_closed = (
+        run.gateway.estimate_coverage_gap_s(service) > 0
+        or run.gateway.estimate_refusal_s(service) > 0
     )
-    has_coverage_gap = run.gateway.estimate_coverage_gap_s(run.admitted.service) > 0
-    if not must_wait and (has_coverage_gap or not run.queue.should_wait(ticket, now_s)):
+    should_wait = not is_closed and run.queue.should_wait(ticket, now_s)
+    if not should_wait and not _must_wait(run):
         run.gateway.log(
             "refused_for_want_of_room",
             request=run.admitted.request_id,
             tokens=run.tokens,
             ahead=run.queue.count_tokens_ahead(ticket),
             expected_wait_s=run.queue.estimate_wait_s(ticket, now_s),
-            closed=has_coverage_gap,
+            closed=is_closed,
         )
         return None
     granted: asyncio.Future[Chain | None] = asyncio.get_running_loop().create_future()
@@ -189,6 +188,8 @@
         found_chain = choose_chain(run)
         if found_chain is not None:
             run.reserve(found_chain)
+        elif run.gateway.estimate_refusal_s(service) and not _must_wait(run):
+            granted.set_result(None)
         return found_chain
 
     run.queue.add(WaitingRequest(ticket, _reserve_capacity, granted))
@@ -199,6 +200,20 @@
         run.queue.remove(ticket)
 
 
+def _must_wait(run: StreamRun) -> bool:
+    """Return whether a stream waits for capacity even if none is likely in time.
+
+    A started response cannot be refused any more, nor can a stream that may still run
+    at a server that it has left. Members that have yet to announce themselves may add
+    capacity.
+    """
+    return (
+        run.reply.has_started
+        or run.has_left_open_attempt
+        or run.gateway.is_awaiting_members
+    )
+
+
 def _build_ticket(run: StreamRun) -> Ticket:
     route, workspace = run.admitted.route, run.admitted.workspace
     workspace_priority = workspace.priority if workspace else None
@@ -234,11 +249,7 @@
     if not may_have_run and refusal_s:
         return send_refusal(reply, refusal_s, QUARANTINED)
     if not may_have_run:
-        coverage_gap_s = run.gateway.estimate_coverage_gap_s(run.admitted.service)
-        retry_s = run.queue.estimate_retry_after_s(
-            _build_ticket(run), run.gateway.now(), coverage_gap_s
-        )
-        return send_refusal(reply, retry_s, reason)
+        return send_refusal(reply, _estimate_retry_after_s(run), reason)
     if run.failure_head is not None and run.failure_head.metadata.is_signed:
         reply.send(
             run.failure_head.status,
@@ -249,6 +260,19 @@
     return send_failure(reply, status, reason)
 
 
+def _estimate_retry_after_s(run: StreamRun) -> float:
+    """Estimate after how many seconds the same stream is likely to be served."""
+    gateway, service = run.gateway, run.admitted.service
+    refusal_s = gateway.estimate_refusal_s(service)
+    return run.queue.estimate_retry_after_s(
+        _build_ticket(run),
+        gateway.now(),
+        gateway.estimate_coverage_gap_s(service),
+        # Layers of leaving servers only are a coverage gap.
+        refusal_s if math.isfinite(refusal_s) else 0.0,
+    )
+
+
 async def _run_attempt(run: StreamRun, chain: Chain) -> AttemptResult:
     """Run a stream over one chain until it ends, fails or is interrupted."""
     gateway, admitted = run.gateway, run.admitted
--- a/src/yuccareach/health/servers.py
+++ b/src/yuccareach/health/servers.py
@@ -7,8 +7,14 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 
+# A longer time than this, for which a server asks for no requests, counts as this.
+MAX_REFUSAL_MS = 3_600_000
+# A server whose refusal is over gets a single request until it answers, or until so
+# long after that request.
+TRIAL_TIMEOUT_MS = 500
 # "A second or so" of silence is usual of sound servers. One that has been silent for
 # longer is presumed to be lost, and its layers are loaded elsewhere.
 PRESUMED_LOST_SILENCE_MS = 2_000
@@ -46,6 +52,9 @@
         self.is_leaving = False
         # Until then it has asked for no requests.
         self.refuses_until_ms = 0
+        # Whether it has not accepted a request since then.
+        self.needs_trial = False
+        self.on_trial_until_ms = 0
 
 
 def record_contact(health: ServerHealth) -> None:
@@ -87,9 +96,39 @@
     health.is_leaving = True
 
 
-def record_refusal(health: ServerHealth, now_ms: int, retry_after_ms: int) -> None:
+def record_refusal(health: ServerHealth, now_ms: int, retry_after_ms: float) -> None:
     """Record that a server asks for no requests for a time."""
-    health.refuses_until_ms = max(health.refuses_until_ms, now_ms + retry_after_ms)
+    until_ms = now_ms + math.ceil(min(retry_after_ms, MAX_REFUSAL_MS))
+    health.refuses_until_ms = max(health.refuses_until_ms, until_ms)
+    health.needs_trial = True
+
+
+def record_request(health: ServerHealth, now_ms: int) -> None:
+    """Record that a server is sent a request."""
+    if health.needs_trial:
+        health.on_trial_until_ms = now_ms + TRIAL_TIMEOUT_MS
+
+
+def record_acceptance(health: ServerHealth, now_ms: int) -> None:
+    """Record that a server has answered a request without a refusal.
+
+    During the time of a refusal, the answer is to an earlier request.
+    """
+    if not compute_refusal_ms(health, now_ms):
+        health.needs_trial = False
+        health.on_trial_until_ms = 0
+
+
+def is_on_trial(health: ServerHealth, now_ms: int) -> bool:
+    """Return whether a server that has refused has yet to answer the next request."""
+    return now_ms < health.on_trial_until_ms
+
+
+def copy_notices(source: ServerHealth, target: ServerHealth) -> None:
+    """Copy what an incarnation has said of itself to another record of it."""
+    target.is_leaving = source.is_leaving
+    target.refuses_until_ms = source.refuses_until_ms
+    target.needs_trial = source.needs_trial
 
 
 def has_ended(health: ServerHealth) -> bool:
@@ -120,20 +159,25 @@
     return max(0, health.refuses_until_ms - now_ms)
 
 
+def find_acceptance_ms(health: ServerHealth) -> float:
+    """Return from when on a server may be sent new requests; infinity if never."""
+    if health.is_leaving or has_ended(health):
+        return math.inf
+    return health.refuses_until_ms
+
+
 def accepts_requests(health: ServerHealth, now_ms: int) -> bool:
     """Return whether a server may be sent new requests.
 
     A silent one may, as a last resort.
     """
-    return (
-        not health.is_leaving
-        and not has_ended(health)
-        and not compute_refusal_ms(health, now_ms)
-    )
+    return now_ms >= find_acceptance_ms(health)
 
 
 __all__ = [
+    "MAX_REFUSAL_MS",
     "PRESUMED_LOST_SILENCE_MS",
+    "TRIAL_TIMEOUT_MS",
     "EndProof",
     "ServerHealth",
     "Silence",
@@ -141,12 +185,17 @@
     "accepts_requests",
     "compute_refusal_ms",
     "compute_silence_ms",
+    "copy_notices",
+    "find_acceptance_ms",
     "has_ended",
+    "is_on_trial",
     "is_presumed_lost",
+    "record_acceptance",
     "record_connection",
     "record_contact",
     "record_end",
     "record_leaving",
     "record_refusal",
+    "record_request",
     "record_silence",
 ]
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -10,6 +10,7 @@
 from yuccareach.gateway.budget import RetryBudgetLimits
 from yuccareach.gateway.exchanges import Ending
 from yuccareach.gateway.server_calls import request_report, send_order
+from yuccareach.health.servers import record_contact
 from yuccareach.platform.standin_bytes import (
     LARGE_BODY_BYTES,
     UNFRAMED_EVENTS,
@@ -179,7 +180,8 @@
         """Let the gateway prefer the faulty server again."""
         backend = self.gateway.gateway.fleet.backend_by_name[self.faulty.name]
         backend.record_success()
-        backend.avoid_until_s = backend.unreachable_until_s = 0.0
+        backend.avoid_until_s = 0.0
+        record_contact(backend.health)
 
     async def request_stream(self, request_id: str) -> Answer:
         return await self.send_request("/draft/1", request_id, events=20)
