Soak silent, leaving, refusing and endless servers, and a crashing prompt part

Each seed now has at least one of each, drawn after all others, so that earlier seeds keep their faults: servers that are silent for about a second and go on, servers that say in their answers that they leave, servers that refuse with Retry-After, answers without end, and requests with one crashing part in their prompts. All requests name the parts of their prompts.

New checks: servers for each request, answers cut beside silence, late arrivals with a crashing part, sound streams beside it, arrivals at a server that leaves or refuses, bytes read of an endless answer. Each has tests with records that violate it and with records that its exemptions must not cover. On failure observations.txt is kept beside the logs.

Changes of existing checks: - shutdowns: a server that is silent or refuses, or a crashing part, no longer excuses a stream that its gateway interrupted; only the end or a fault of its own servers does. - crashing requests: the bound runs from the third crash, not from the arrival of the request that caused it, since a silent server may run a request later. The bound is the platform's, which counts from the crash. - refusals and single runs: a request that was answered without end counts as run.

--- a/bench/soak/callers.py
+++ b/bench/soak/callers.py
@@ -11,7 +11,15 @@
 import aiohttp
 
 from bench.soak.deployment import FRONT_PORT
-from bench.soak.documents import CRASHING_PREFIX, HOST, KEY, TEMPORARY_KEY, TIMEOUT_MS
+from bench.soak.documents import (
+    CRASHING_PREFIX,
+    HOST,
+    KEY,
+    TEMPORARY_KEY,
+    TIMEOUT_MS,
+    format_prompt_parts,
+    make_prompt_parts,
+)
 
 if TYPE_CHECKING:
     from bench.soak.deployment import Deployment
@@ -26,6 +34,14 @@
 # A crashing request is sent again until this long after it crashed three servers.
 RESEND_DURATION_S = 8.0
 MAX_RESENDS = 75
+# Requests with a crashing part, no two alike, are sent until this long after the part
+# crashed five servers.
+PART_INTERVAL_S = 0.1
+PART_DURATION_S = 12.0
+MAX_PART_DURATION_S = 20.0
+PART_CRASHES = 5
+# Callers give up longer answers.
+MAX_BODY_BYTES = 32 * 2**20
 # A caller waits 1 s longer than the deadline that it sends.
 CALLER_TIMEOUT_S = TIMEOUT_MS / 1000 + 1
 _CLIENT_TIMEOUT = aiohttp.ClientTimeout(total=CALLER_TIMEOUT_S)
@@ -51,6 +67,11 @@
     events: int
     # The body that was sent, where it is not the request's id.
     sent_body: bytes = b""
+    # When the head of the answer was received.
+    answered_s: float = 0.0
+    # The backend server that answered and said that it is leaving.
+    leaving_runner: str = ""
+    prompt_parts: tuple[str, ...] = ()
 
 
 class Callers:
@@ -135,6 +156,29 @@
                 ):
                     return
 
+    async def send_crashing_parts(self, position: int) -> None:
+        """Send different requests with a crashing part through every gateway."""
+        runners = self.deployment.runners
+        started_s = time.monotonic()
+        end_s = started_s + MAX_PART_DURATION_S
+        tasks = []
+        async with aiohttp.ClientSession(timeout=_CLIENT_TIMEOUT) as http:
+            for count in itertools.count():
+                crashes = sorted(
+                    item.part_crash_s for item in runners if item.part_crash_s
+                )
+                if len(crashes) >= PART_CRASHES:
+                    end_s = min(end_s, crashes[PART_CRASHES - 1] + PART_DURATION_S)
+                if time.monotonic() > end_s:
+                    break
+                gateway = count % self.deployment.gateway_count
+                sending = self.send_request(
+                    http, gateway, PATHS[0], crashing_position=position
+                )
+                tasks.append(asyncio.create_task(sending))
+                await asyncio.sleep(PART_INTERVAL_S)
+            await asyncio.gather(*tasks)
+
     async def send_request(
         self,
         http: aiohttp.ClientSession,
@@ -143,6 +187,7 @@
         key: str = KEY,
         events: int = 0,
         body: bytes = b"",
+        crashing_position: int | None = None,
     ) -> RequestRecord:
         """Send one request without retries, and record its answer.
 
@@ -150,7 +195,9 @@
         request's id is sent.
         """
         sent_body = body
-        request = f"{next(self.request_numbers):016x}"
+        number = next(self.request_numbers)
+        request = f"{number:016x}"
+        prompt_parts = make_prompt_parts(number, crashing_position)
         events = events or self.random.randint(*self.event_count_range)
         headers = {
             "Host": HOST,
@@ -158,21 +205,29 @@
             "Yuccareach-Request-Id": request,
             "Yuccareach-Deadline-Ms": str(TIMEOUT_MS),
             "Yuccareach-Token-Usage": f"100,{events}",
+            "Yuccareach-Prompt-Prefix": format_prompt_parts(prompt_parts),
         }
         url = f"http://{self.deployment.get_address(gateway, FRONT_PORT)}{path}"
         started_s = time.monotonic()
         status, echoed_request, retry_after, is_complete = 0, "", "", False
-        body = b""
+        answered_s, leaving_runner = 0.0, ""
+        received = bytearray()
         try:
             # aiohttp does not retry a POST by itself.
             data = sent_body or request.encode()
             async with http.post(url, headers=headers, data=data) as answer:
-                status = answer.status
+                status, answered_s = answer.status, time.monotonic()
+                if answer.headers.get("Server-Leaving") == "1":
+                    signature = answer.headers.get("Yuccareach-Runner-Signature", "")
+                    leaving_runner = signature.partition(".")[0]
                 echoed_request = answer.headers.get("Yuccareach-Request-Id", "")
                 retry_after = answer.headers.get("Retry-After", "")
                 async for chunk in answer.content.iter_any():
-                    body += chunk
-                is_complete = True
+                    received += chunk
+                    if len(received) > MAX_BODY_BYTES:
+                        break
+                else:
+                    is_complete = True
         except (aiohttp.ClientError, OSError, TimeoutError):
             pass
         record = RequestRecord(
@@ -185,10 +240,13 @@
             status,
             echoed_request,
             retry_after,
-            body,
+            bytes(received),
             is_complete,
             events,
             sent_body,
+            answered_s,
+            leaving_runner,
+            tuple(prompt_parts),
         )
         self.records.append(record)
         return record
--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -12,7 +12,12 @@
 import aiohttp
 import yaml
 
-from bench.soak.documents import CRASHING_PREFIX, MODEL_SERVICE, PLAIN_SERVICE
+from bench.soak.documents import (
+    CRASHING_PART,
+    CRASHING_PREFIX,
+    MODEL_SERVICE,
+    PLAIN_SERVICE,
+)
 from bench.soak.runners import SoakRunner
 from yuccareach.platform.settings import SETTINGS_VARIABLE
 from yuccareach.platform.standin import Group
@@ -53,6 +58,7 @@
         self.earlier_starts_by_program: dict[Program, int] = {}
         self.group = Group(LAYERS)
         self.group.crashing_prefix = CRASHING_PREFIX
+        self.group.crashing_part = CRASHING_PART
         self.runners: list[SoakRunner] = []
         self.runners_started = 0
         # Whether the control cluster exists, so that no instance may bootstrap another.
--- a/bench/soak/documents.py
+++ b/bench/soak/documents.py
@@ -14,8 +14,29 @@
 TEMPORARY_KEY = "key-that-goes"
 TEMPORARY_WORKSPACE = "passing"
 TIMEOUT_MS = 6_000
+# Backend servers on which one request may run, by the prefix of its path.
+MAX_ATTEMPTS_BY_PREFIX = {"/draft/": 2, "/pay/": 1, "/look/": 2}
 # Bodies with this prefix crash the backend servers that run them.
 CRASHING_PREFIX = b"crashing-"
+# Prompts have the first part, one of each of the middle parts, and one of their own.
+FIRST_PART = "f1"
+MIDDLE_PARTS = (("a1", "a2"), ("b1", "b2", "b3"))
+# Streams with this part crash the backend servers that begin to answer them.
+CRASHING_PART = "bad"
+_PART_TOKENS = 30
+
+
+def make_prompt_parts(number: int, crashing_position: int | None = None) -> list[str]:
+    """Return the parts of a request's prompt; one of the shared ones may crash."""
+    parts = [FIRST_PART, *(parts[number % len(parts)] for parts in MIDDLE_PARTS)]
+    if crashing_position is not None:
+        parts[crashing_position % len(parts)] = CRASHING_PART
+    return [*parts, f"e{number}"]
+
+
+def format_prompt_parts(parts: list[str]) -> str:
+    """Return the value of the header that lists the parts of a prompt."""
+    return ",".join(f"{part}:{_PART_TOKENS}" for part in parts)
 
 
 def _make_route(prefix: str, kind: str, service: str, **fields: Any) -> dict[str, Any]:
@@ -28,7 +49,7 @@
         "targetLatencyMs": 500,
         "priority": 1,
         "service": service,
-        "maxAttempts": 2,
+        "maxAttempts": MAX_ATTEMPTS_BY_PREFIX[prefix],
         **fields,
     }
 
@@ -58,7 +79,7 @@
             _make_route(
                 "/draft/", "stream", MODEL_SERVICE, streamResume=True, targetGapMs=200
             ),
-            _make_route("/pay/", "unsafe", PLAIN_SERVICE, maxAttempts=1),
+            _make_route("/pay/", "unsafe", PLAIN_SERVICE),
             _make_route("/look/", "safe", PLAIN_SERVICE),
         ],
         "services": [
@@ -74,13 +95,18 @@
 
 
 __all__ = [
+    "CRASHING_PART",
     "CRASHING_PREFIX",
+    "FIRST_PART",
     "HOST",
     "KEY",
+    "MAX_ATTEMPTS_BY_PREFIX",
     "MODEL_SERVICE",
     "PLAIN_SERVICE",
     "TEMPORARY_KEY",
     "TEMPORARY_WORKSPACE",
     "TIMEOUT_MS",
+    "format_prompt_parts",
     "make_document",
+    "make_prompt_parts",
 ]
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -1,42 +1,22 @@
-"""Make a random schedule of faults and inject them from outside the processes."""
+"""Inject the faults of a schedule from outside the processes."""
 
 from __future__ import annotations
 
 import asyncio
 import signal
 import time
-from random import Random
 from typing import TYPE_CHECKING, NamedTuple
 
 from bench.soak.deployment import Program
-from yuccareach.standin.proxy import Faults
+from bench.soak.observations import RUNNERS
+from bench.soak.runner_faults import inject_runner_fault
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
     from bench.soak.callers import Callers
     from bench.soak.deployment import Deployment
-
-LINK_FAULTS = (
-    Faults(cut=True),
-    Faults(drop_in=True),
-    Faults(drop_out=True),
-    Faults(half_open=True),
-    Faults(delay_ms=30, jitter_ms=60),
-    Faults(refuse_share=0.5),
-)
-# Control tolerates the loss of one instance at a time. By the platform's bound, an
-# instance counts as lost until this long after its restart.
-CONTROL_CATCH_UP_S = 6.0
-MAX_FAULT_DURATION_S = 1.5
-# Each kind is a role and the action on a process of that role.
-GATEWAY_FAULT_KINDS = ("gateway_kill", "gateway_term", "gateway_pause")
-CONTROL_FAULT_KINDS = ("control_kill", "control_term", "control_pause", "control_wipe")
-RUNNER_FAULT_KINDS = ("runner_link", "runner_crash", "runner_drain")
-# Requests that crash the backend servers that run them, sent again and again.
-CRASHING_REQUESTS = 1
-# Targets are drawn below this number. It exceeds the number of processes of any role.
-MAX_TARGETS = 300
+    from bench.soak.schedule import ScheduledFault
 
 
 class InjectedFault(NamedTuple):
@@ -52,53 +32,6 @@
     ended_s: float
 
 
-class ScheduledFault(NamedTuple):
-    """One fault of a schedule."""
-
-    start_s: float
-    kind: str
-    # Index of the process, modulo the number of processes at that time.
-    target: int
-    duration_s: float
-
-
-def make_schedule(
-    seed: int, duration_s: float, faults_per_s: float, control_count: int
-) -> list[ScheduledFault]:
-    """Return the faults of a seed, ordered by their start.
-
-    Faults of gateways and backend servers may overlap. Those of control never do, and
-    there are none with fewer than three control instances.
-    """
-    rng = Random(seed)
-    kinds = (*GATEWAY_FAULT_KINDS, *RUNNER_FAULT_KINDS * 2)
-    faults = []
-    start_s = rng.expovariate(faults_per_s)
-    while start_s < duration_s:
-        kind = rng.choice(kinds)
-        length_s = rng.uniform(0.2, MAX_FAULT_DURATION_S)
-        faults.append(
-            ScheduledFault(start_s, kind, rng.randrange(MAX_TARGETS), length_s)
-        )
-        start_s += rng.expovariate(faults_per_s)
-    start_s = rng.uniform(0, CONTROL_CATCH_UP_S)
-    while start_s < duration_s and control_count > 2:
-        kind = rng.choice(CONTROL_FAULT_KINDS)
-        length_s = rng.uniform(0.2, MAX_FAULT_DURATION_S)
-        faults.append(
-            ScheduledFault(start_s, kind, rng.randrange(control_count), length_s)
-        )
-        start_s += (
-            length_s + CONTROL_CATCH_UP_S + rng.uniform(0, CONTROL_CATCH_UP_S / 2)
-        )
-    # Drawn last, so that the other faults of earlier seeds stay as they were.
-    for _ in range(CRASHING_REQUESTS):
-        start_s = rng.uniform(0, duration_s / 2)
-        target = rng.randrange(MAX_TARGETS)
-        faults.append(ScheduledFault(start_s, "caller_crash", target, 0.0))
-    return sorted(faults)
-
-
 class Injector:
     """Injects the faults of a schedule and records them."""
 
@@ -123,18 +56,16 @@
 
     async def _inject(self, fault: ScheduledFault) -> None:
         role, _, action = fault.kind.partition("_")
-        if role == "caller":
-            started_s = time.monotonic()
-            await self.callers.send_crashing_request(fault.target)
-            self.injected_faults.append(
-                InjectedFault(action, Program("runner", 0), started_s, time.monotonic())
-            )
-            return
-        if role == "runner":
+        if role in ("caller", "runner"):
             started_s = time.monotonic()
-            await self._inject_runner_fault(action, fault)
+            if role == "runner":
+                await inject_runner_fault(self.deployment, fault)
+            elif action == "part":
+                await self.callers.send_crashing_parts(fault.target)
+            else:
+                await self.callers.send_crashing_request(fault.target)
             self.injected_faults.append(
-                InjectedFault(action, Program(role, 0), started_s, time.monotonic())
+                InjectedFault(action, RUNNERS, started_s, time.monotonic())
             )
             return
         count = len(self.deployment.list_programs(role))
@@ -187,18 +118,5 @@
         await asyncio.sleep(duration_s)
         await self.deployment.launch(program)
 
-    async def _inject_runner_fault(self, action: str, fault: ScheduledFault) -> None:
-        runners = [item for item in self.deployment.runners if not item.draining]
-        runner = runners[fault.target % len(runners)]
-        if action == "link":
-            faults = LINK_FAULTS[fault.target % len(LINK_FAULTS)]
-            runner.set_link_faults(faults)
-            await asyncio.sleep(fault.duration_s)
-            runner.set_link_faults(Faults())
-        elif action == "crash":
-            await self.deployment.replace_crashed(runner)
-        else:
-            await self.deployment.replace(runner)
-
-
-__all__ = ["InjectedFault", "Injector", "ScheduledFault", "make_schedule"]
+
+__all__ = ["InjectedFault", "Injector"]
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -3,17 +3,24 @@
 from __future__ import annotations
 
 from collections import Counter
-from typing import TYPE_CHECKING, NamedTuple
+from typing import TYPE_CHECKING
 
+from bench.soak.crash_promises import CRASH_CHECKS
 from bench.soak.deployment import Program
-from bench.soak.documents import CRASHING_PREFIX, TEMPORARY_WORKSPACE
+from bench.soak.documents import TEMPORARY_WORKSPACE
+from bench.soak.observations import (
+    RUNNERS,
+    find_fault_kinds,
+    group_arrivals,
+    index_records,
+)
+from bench.soak.server_promises import SERVER_CHECKS, had_trouble
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
     from bench.soak.callers import RequestRecord
-    from bench.soak.faults import InjectedFault
-    from bench.soak.runners import Arrival, SoakRunner
+    from bench.soak.observations import Observations
 
 # HTTP statuses which state that a request has not run and never will.
 NOT_RUN_STATUSES = frozenset((408, 421, 429, 503))
@@ -21,29 +28,9 @@
 # after its drain was acknowledged, and a workspace after the removal of its key was.
 MAX_DRAIN_DELAY_S = 2.5
 MAX_REVOCATION_DELAY_S = 5.0
-# The platform's bounds on a request that has crashed MAX_CRASHES backend servers: after
-# this time, this many of its retries may still reach one.
-MAX_CRASHES = 3
-MAX_QUARANTINE_DELAY_S = 3.0
-MAX_LATE_RETRIES = 3
-# Refusals for want of capacity or of a view ask for a retry within this time.
-MAX_RETRY_AFTER_S = 10.0
-# A request may still fail because of a fault that ended this long before.
-MAX_FAULT_EFFECT_DELAY_S = 1.0
-
-
-class Observations(NamedTuple):
-    """What was recorded while one seed ran."""
-
-    records: list[RequestRecord]
-    runners: list[SoakRunner]
-    # Ids of requests in the order in which backend servers started to run them.
-    runs: list[str]
-    injected_faults: list[InjectedFault]
-    # When the removal of the temporary key was acknowledged, or None.
-    revoked_s: float | None
-    # Ids of the requests that carried each crashing body, in the order of sending.
-    crash_resends: dict[bytes, list[str]] = {}
+# Faults of backend servers that are no reason to interrupt a stream. What the others
+# end is known by the server.
+SOUND_FAULT_KINDS = frozenset(("silent", "refusing", "part"))
 
 
 def find_violations(
@@ -58,8 +45,8 @@
         _check_refusals,
         _check_run_once,
         _check_shutdowns,
-        _check_crashing_requests,
-        _check_quarantined_requests,
+        *CRASH_CHECKS,
+        *SERVER_CHECKS,
     ]
     if check_time_bounds:
         checks += [_check_drains, _check_revocation]
@@ -102,7 +89,7 @@
 
 def _check_refusals(observations: Observations) -> Iterator[str]:
     """Check that no request ran whose caller got a status that denies it."""
-    ran = set(observations.runs)
+    ran = {*observations.runs, *_list_endless_runs(observations)}
     for record in observations.records:
         if record.status in NOT_RUN_STATUSES and record.request in ran:
             yield f"{record.request} ran, but its caller got status {record.status}"
@@ -110,9 +97,19 @@
             yield f"{record.request} got status 503 without Retry-After"
 
 
+def _list_endless_runs(observations: Observations) -> list[str]:
+    """Return the ids of requests that were answered without end."""
+    return [
+        request
+        for runner in observations.runners
+        for request, _ in runner.endless_bytes_by_answer
+    ]
+
+
 def _check_run_once(observations: Observations) -> Iterator[str]:
     """Check that no non-idempotent call ran more than once."""
     run_counts = Counter(observations.runs)
+    run_counts.update(_list_endless_runs(observations))
     for record in observations.records:
         if record.path.startswith("/pay/") and run_counts[record.request] > 1:
             yield (
@@ -127,7 +124,7 @@
     Exempt are requests of a gateway whose process was suspended at that time: it cannot
     have learned of the drain.
     """
-    record_by_request = {record.request: record for record in observations.records}
+    record_by_request = index_records(observations)
     for runner in observations.runners:
         if runner.drain_acknowledged_s is None:
             continue
@@ -180,85 +177,30 @@
 
     Only requests during such a shutdown and no other fault of the gateway are checked.
     A request that the gateway never read may get no answer, but must not run. Streams
-    during a fault of any backend server may be interrupted.
+    during a fault of any backend server may be interrupted, unless it was sound.
     """
     ran = set(observations.runs)
+    arrivals_by_request = group_arrivals(observations)
     for record in observations.records:
-        kinds = _find_fault_kinds_during(
-            observations, record, Program("gateway", record.gateway)
+        kinds = find_fault_kinds(
+            observations,
+            Program("gateway", record.gateway),
+            record.started_s,
+            record.ended_s,
         )
         if kinds != {"term"}:
             continue
         if record.status == 0 and record.request in ran:
             yield f"{record.request} ran and got no answer when its gateway shut down"
-        runners_unaffected = not _find_fault_kinds_during(
-            observations, record, Program("runner", 0)
+        runner_kinds = find_fault_kinds(
+            observations, RUNNERS, record.started_s, record.ended_s
+        )
+        runners_unaffected = not (
+            runner_kinds - SOUND_FAULT_KINDS
+            or had_trouble(observations.runners, record, arrivals_by_request)
         )
         if record.status == 200 and not record.is_complete and runners_unaffected:
             yield f"{record.request} was interrupted by a gateway's shutdown"
 
 
-def _check_crashing_requests(observations: Observations) -> Iterator[str]:
-    """Check that a request that crashed backend servers is not sent to more of them.
-
-    Not counted are retries during a fault of control or of the gateway that sent them,
-    and shortly after: it may not have received the others' counts.
-    """
-    arrival_by_request: dict[str, Arrival] = {}
-    for runner in observations.runners:
-        for arrival in runner.arrivals:
-            arrival_by_request.setdefault(arrival.request, arrival)
-    record_by_request = {record.request: record for record in observations.records}
-    ran = set(observations.runs)
-    for body, resends in observations.crash_resends.items():
-        arrivals = [arrival_by_request[item] for item in resends if item in ran]
-        if len(arrivals) < MAX_CRASHES:
-            continue
-        third_s = arrivals[MAX_CRASHES - 1].received_s
-        late = [
-            arrival.request
-            for arrival in arrivals
-            if arrival.received_s > third_s + MAX_QUARANTINE_DELAY_S
-            and not _was_out_of_touch(
-                observations, record_by_request[arrival.request], arrival.received_s
-            )
-        ]
-        if len(late) > MAX_LATE_RETRIES:
-            yield f"{body!r} reached backend servers in {len(late)} late retries"
-
-
-def _was_out_of_touch(
-    observations: Observations, record: RequestRecord, received_s: float
-) -> bool:
-    """Return whether control or a request's gateway had a fault then or just before."""
-    return any(
-        fault.program.role == "control"
-        or fault.program == Program("gateway", record.gateway)
-        for fault in observations.injected_faults
-        if fault.started_s < received_s < fault.ended_s + MAX_QUARANTINE_DELAY_S
-    )
-
-
-def _check_quarantined_requests(observations: Observations) -> Iterator[str]:
-    """Check that only requests which crash backend servers are refused for long."""
-    for record in observations.records:
-        if record.sent_body.startswith(CRASHING_PREFIX) or not record.retry_after:
-            continue
-        if float(record.retry_after) > MAX_RETRY_AFTER_S:
-            yield f"{record.request} is told to retry after {record.retry_after} s"
-
-
-def _find_fault_kinds_during(
-    observations: Observations, record: RequestRecord, program: Program
-) -> set[str]:
-    """Return the kinds of fault that a program had while a request was active."""
-    return {
-        fault.kind
-        for fault in observations.injected_faults
-        if fault.program == program
-        and fault.started_s < record.ended_s
-        and record.started_s < fault.ended_s + MAX_FAULT_EFFECT_DELAY_S
-    }
-
-
-__all__ = ["Observations", "find_violations", "parse_event_ids"]
+__all__ = ["find_violations", "parse_event_ids"]
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -19,8 +19,10 @@
 from bench.soak.callers import Callers
 from bench.soak.deployment import METRICS_PORT, Deployment, fetch_document_version
 from bench.soak.documents import make_document
-from bench.soak.faults import Injector, ScheduledFault, make_schedule
-from bench.soak.promises import Observations, find_violations
+from bench.soak.faults import Injector
+from bench.soak.observations import Observations, describe
+from bench.soak.promises import find_violations
+from bench.soak.schedule import ScheduledFault, make_schedule
 from bench.soak.seeds import REGRESSIONS, SOAK_DEFECTS
 from yuccareach.platform.standin import put_document
 
@@ -162,8 +164,12 @@
         callers.crash_resends,
     )
     violations += [*operator.violations, *injector.shutdown_failures]
+    violations += find_violations(observations, plan.check_time_bounds)
+    (folder / "observations.txt").write_text(
+        "\n".join((*violations, *describe(observations)))
+    )
     return SeedResult(
-        violations + find_violations(observations, plan.check_time_bounds),
+        violations,
         Counter(item.status for item in callers.records),
         Counter(fault.kind for fault in faults),
     )
--- /dev/null
+++ b/bench/soak/runner_faults.py
@@ -0,0 +1,144 @@
+"""Inject faults into backend servers."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from typing import TYPE_CHECKING
+
+from bench.soak.endless import EndlessKind
+from yuccareach.standin.proxy import Faults
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from bench.soak.deployment import Deployment
+    from bench.soak.runners import SoakRunner
+    from bench.soak.schedule import ScheduledFault
+
+LINK_FAULTS = (
+    Faults(cut=True),
+    Faults(drop_in=True),
+    Faults(drop_out=True),
+    Faults(half_open=True),
+    Faults(delay_ms=30, jitter_ms=60),
+    Faults(refuse_share=0.5),
+)
+# Faults that separate a backend server from every gateway.
+CUTTING_FAULTS = frozenset(LINK_FAULTS[:4])
+ENDLESS_KINDS = tuple(EndlessKind)
+# A sound backend server is silent for about a second at a time.
+MIN_SILENCE_S = 0.9
+MAX_SILENT_RUNNERS = 4
+MAX_SILENT_ROUNDS = 3
+SILENCE_PAUSE_S = 0.3
+# A leaving server says so in its answers for longer than gateways may take to notice,
+# and then in its heartbeats.
+LEAVING_DURATION_S = 3.0
+MIN_RETRY_AFTER_S = 1.0
+MIN_ENDLESS_DURATION_S = 1.0
+
+
+async def inject_runner_fault(deployment: Deployment, fault: ScheduledFault) -> None:
+    """Inject a fault into one or several backend servers; returns when it ends."""
+    runners = [item for item in deployment.runners if not item.draining]
+    action_by_kind: dict[str, Callable[..., Awaitable[None]]] = {
+        "runner_link": _break_link,
+        "runner_crash": _crash,
+        "runner_drain": _drain,
+        "runner_silent": _silence,
+        "runner_leaving": _leave,
+        "runner_refusing": _refuse,
+        "runner_bytes": _answer_without_end,
+    }
+    await action_by_kind[fault.kind](deployment, runners, fault)
+
+
+async def _break_link(
+    deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
+) -> None:
+    runner = runners[fault.target % len(runners)]
+    faults = LINK_FAULTS[fault.target % len(LINK_FAULTS)]
+    started_s = time.monotonic()
+    runner.proxy.set_faults(faults)
+    await asyncio.sleep(fault.duration_s)
+    runner.proxy.set_faults(Faults())
+    runner.link_faults.append((started_s, time.monotonic()))
+    if faults in CUTTING_FAULTS:
+        runner.cuts.append(runner.link_faults[-1])
+
+
+async def _crash(
+    deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
+) -> None:
+    await deployment.replace_crashed(runners[fault.target % len(runners)])
+
+
+async def _drain(
+    deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
+) -> None:
+    await deployment.replace(runners[fault.target % len(runners)])
+
+
+async def _silence(
+    deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
+) -> None:
+    """Make several servers silent, one after another or all at a time, in series."""
+    first = fault.target % len(runners)
+    count = 1 + fault.target % MAX_SILENT_RUNNERS
+    chosen = (runners + runners)[first : first + count]
+    length_s = MIN_SILENCE_S + fault.duration_s / 3
+    for _ in range(1 + fault.target // 2 % MAX_SILENT_ROUNDS):
+        for runner in chosen:
+            runner.be_silent(length_s, with_heartbeats=bool(fault.target % 2))
+            if fault.target % 3 == 0:
+                await asyncio.sleep(SILENCE_PAUSE_S)
+        await asyncio.sleep(length_s + SILENCE_PAUSE_S)
+
+
+async def _leave(
+    deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
+) -> None:
+    """Announce a server's end in its answers first, then in its heartbeats."""
+    runner = _choose(runners, fault)
+    runner.faults.announces_leaving = True
+    await asyncio.sleep(LEAVING_DURATION_S + fault.duration_s)
+    if not runner.draining:
+        await deployment.replace(runner)
+    await asyncio.sleep(LEAVING_DURATION_S)
+    await runner.close()
+
+
+async def _refuse(
+    deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
+) -> None:
+    """Make one server or all of a service ask for no requests for a time."""
+    one = _choose(runners, fault)
+    same = [item for item in runners if item.service == one.service]
+    chosen = same if fault.target % 3 == 0 else [one]
+    retry_after_s = MIN_RETRY_AFTER_S + fault.duration_s
+    for runner in chosen:
+        runner.faults.retry_after_s = retry_after_s
+    await asyncio.sleep(retry_after_s + fault.duration_s)
+    for runner in chosen:
+        runner.faults.retry_after_s = None
+
+
+async def _answer_without_end(
+    deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
+) -> None:
+    runner = _choose(runners, fault)
+    started_s = time.monotonic()
+    runner.endless_kind = ENDLESS_KINDS[fault.target % len(ENDLESS_KINDS)]
+    await asyncio.sleep(MIN_ENDLESS_DURATION_S + fault.duration_s)
+    runner.endless_kind = None
+    runner.endless_spans.append((started_s, time.monotonic()))
+
+
+def _choose(runners: list[SoakRunner], fault: ScheduledFault) -> SoakRunner:
+    """Choose one of the servers to which requests are sent."""
+    candidates = [item for item in runners if item.takes_requests] or runners
+    return candidates[fault.target % len(candidates)]
+
+
+__all__ = ["inject_runner_fault"]
--- a/bench/soak/runners.py
+++ b/bench/soak/runners.py
@@ -4,12 +4,14 @@
 
 import asyncio
 import time
+from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 from aiohttp import web
 
-from yuccareach.platform.standin import Group, Runner
-from yuccareach.standin.proxy import Faults, ProxyProcess
+from bench.soak.endless import EndlessKind, send_endless
+from yuccareach.platform.standin import Group, Runner, get_prompt_parts, parse_path
+from yuccareach.standin.proxy import ProxyProcess
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable, Sequence
@@ -18,6 +20,8 @@
 HEARTBEAT_INTERVAL_S = 0.4
 # Long enough that each event arrives in a read of its own.
 EVENT_INTERVAL_S = 0.01
+SILENCE_POLL_INTERVAL_S = 0.01
+Span = tuple[float, float]
 
 
 class Arrival(NamedTuple):
@@ -26,10 +30,21 @@
     received_s: float
     request: str
     workspace: str
+    # Addresses of the stages of its path.
+    stages: tuple[str, ...] = ()
+
+
+class Rejection(NamedTuple):
+    """An answer which states that a backend server did not run a request."""
+
+    answered_s: float
+    arrival: Arrival
+    # None where the answer does not say when to return.
+    retry_after_s: float | None
 
 
 class SoakRunner(Runner):
-    """A stand-in that records arrivals and when control acknowledged its draining."""
+    """A stand-in that records what reached it and the faults that it had."""
 
     def __init__(
         self, group: Group, name: str, service: str, zone: str, kind: str = ""
@@ -37,27 +52,51 @@
         super().__init__(group, name, service, zone, kind)
         self.event_interval_s = EVENT_INTERVAL_S
         self.heartbeat_interval_s = HEARTBEAT_INTERVAL_S
-        self.arrivals: list[Arrival] = []
-        self.is_closed = False
         # Replaces this server after its crash; set by the deployment.
         self.replace: Callable[[SoakRunner], Awaitable[None]] | None = None
-        self.drain_acknowledged_s: float | None = None
         self.heartbeat_task: asyncio.Task[None] | None = None
+        self.are_heartbeats_silent = False
+        # Answers requests or reports with bytes without end.
+        self.endless_kind: EndlessKind | None = None
+
+        # Records for the checks.
 
-    async def start(self) -> None:
+        self.arrivals: list[Arrival] = []
+        self.rejections: list[Rejection] = []
+        # Paths that replaced those of requests: time, request and addresses.
+        self.reroutes: list[tuple[float, str, tuple[str, ...]]] = []
+        self.closed_s: float | None = None
+        self.drain_acknowledged_s: float | None = None
+        # When a stream crashed this server by a part of its prompt.
+        self.part_crash_s: float | None = None
+        # Spans of faults.
+        self.silences: list[Span] = []
+        self.link_faults: list[Span] = []
+        # Those of the link faults that separated this server from every gateway.
+        self.cuts: list[Span] = []
+        self.endless_spans: list[Span] = []
+        # Bytes sent of each endless answer, by the request and a number.
+        self.endless_bytes_by_answer: Counter[tuple[str, int]] = Counter()
+
+    async def start(self, port: int = 0) -> None:
         """Listen behind a proxy and announce the proxy's address."""
-        await super().start()
+        await super().start(port)
         self.proxy = ProxyProcess(self.address, HOST, 0, 0, [], 0)
         await self.proxy.start()
         del self.group.runner_by_address[self.address]
         self.address = self.proxy.address
         self.group.runner_by_address[self.address] = self
 
+    @property
+    def takes_requests(self) -> bool:
+        """Whether requests are sent to this server, not only passed on to it."""
+        return not self.kind or self.layers.first == 0
+
     async def close(self) -> None:
         """Close the proxy as well, and stop to send heartbeats."""
-        if self.is_closed:
+        if self.closed_s is not None:
             return
-        self.is_closed = True
+        self.closed_s = time.monotonic()
         if self.heartbeat_task is not None:
             self.heartbeat_task.cancel()
         await self.proxy.stop()
@@ -72,23 +111,91 @@
         """Start to send heartbeats in the background."""
         self.heartbeat_task = asyncio.create_task(self.send_heartbeats(control))
 
+    async def _send_heartbeat(self, session: Any, address: str) -> bool:
+        if self.are_heartbeats_silent:
+            await self.faults.wait_while_silent()
+        return await super()._send_heartbeat(session, address)
+
     def on_heartbeat_acknowledged(self, heartbeat: dict[str, Any]) -> None:
         """Record when control first acknowledged that this server is draining."""
         if heartbeat["state"] == "draining" and self.drain_acknowledged_s is None:
             self.drain_acknowledged_s = time.monotonic()
 
     async def _serve(self, request: web.Request) -> web.StreamResponse:
+        path = request.headers.get("Yuccareach-Hop-Count", "")
         arrival = Arrival(
             time.monotonic(),
             request.headers.get("Yuccareach-Request-Id", ""),
             request.headers.get("Yuccareach-Tenant", ""),
+            tuple(address for address, _, _ in parse_path(path)) if path else (),
         )
         self.arrivals.append(arrival)
-        return await super()._serve(request)
+        if self.endless_kind not in (None, EndlessKind.REPORT):
+            return await self._answer_without_end(request)
+        response = await super()._serve(request)
+        if response.status == 421 or "Yuccareach-Not-Executed" in response.headers:
+            retry_after = response.headers.get("Retry-After")
+            retry_after_s = None if retry_after is None else float(retry_after)
+            self.rejections.append(Rejection(time.monotonic(), arrival, retry_after_s))
+        return response
+
+    async def _answer_without_end(self, request: web.Request) -> web.StreamResponse:
+        assert self.endless_kind is not None
+        request_id = request.headers.get("Yuccareach-Request-Id", "")
+        answer = (request_id, len(self.endless_bytes_by_answer))
+
+        def _count(sent_bytes: int) -> None:
+            self.endless_bytes_by_answer[answer] += sent_bytes
+
+        return await send_endless(request, self.endless_kind, self.name, _count)
+
+    async def _handle_report(self, request: web.Request) -> web.StreamResponse:
+        if self.endless_kind is EndlessKind.REPORT:
+            return await self._answer_without_end(request)
+        return await super()._handle_report(request)
+
+    async def _handle_order(self, request: web.Request) -> web.Response:
+        response = await super()._handle_order(request)
+        order = await request.json()
+        if order["op"] == "repath" and response.status == 200:
+            stages = tuple(address for address, _, _ in parse_path(order["path"]))
+            self.reroutes.append((time.monotonic(), order["id"], stages))
+        return response
+
+    async def _crash_stage(self, request: web.Request, request_id: str) -> None:
+        if self.group.crashing_part in get_prompt_parts(request):
+            self.part_crash_s = self.part_crash_s or time.monotonic()
+        await super()._crash_stage(request, request_id)
+
+    async def _wait_for_stages(self, request_id: str) -> None:
+        """Wait until no stage is silent, either."""
+        await super()._wait_for_stages(request_id)
+        while silent := self._find_silent_stage(request_id):
+            self.stalled_address_by_request[request_id] = silent
+            await asyncio.sleep(SILENCE_POLL_INTERVAL_S)
+            await super()._wait_for_stages(request_id)
+
+    def _find_silent_stage(self, request_id: str) -> str:
+        """Return the address of a silent later stage; empty if there is none."""
+        now_s = asyncio.get_running_loop().time()
+        runners = self.group.runner_by_address
+        return next(
+            (
+                address
+                for address, _, _ in self.path_by_request[request_id][1:]
+                if address in runners and runners[address].faults.silent_until_s > now_s
+            ),
+            "",
+        )
 
-    def set_link_faults(self, faults: Faults) -> None:
-        """Replace the faults of the link to this server."""
-        self.proxy.set_faults(faults)
+    def be_silent(self, duration_s: float, *, with_heartbeats: bool) -> None:
+        """Send nothing for a time, and go on afterwards."""
+        now_s = time.monotonic()
+        if now_s < self.faults.silent_until_s:
+            return
+        self.are_heartbeats_silent = with_heartbeats
+        self.faults.begin_silence(duration_s)
+        self.silences.append((now_s, now_s + duration_s))
 
 
-__all__ = ["Arrival", "SoakRunner"]
+__all__ = ["Arrival", "Rejection", "SoakRunner"]
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,4 +1,7 @@
-"""Tests that the soak finds violations, and that one short seed has none."""
+"""Tests that the soak finds violations, and that one short seed has none.
+
+The checks of backend servers are tested in test_soak_servers.
+"""
 
 from __future__ import annotations
 
@@ -8,46 +11,43 @@
 import unittest
 from pathlib import Path
 from typing import Any
-from unittest import mock
 
-from bench.soak.callers import RequestRecord
+from bench.soak.crash_promises import (
+    MAX_LATE_PART_ARRIVALS,
+    MAX_LATE_RETRIES,
+    MAX_PART_CRASHES,
+    MAX_QUARANTINE_DELAY_S,
+    MAX_SOUND_DELAY_S,
+    MIN_COMPARED_REQUESTS,
+)
 from bench.soak.deployment import Program
-from bench.soak.documents import CRASHING_PREFIX, KEY, TEMPORARY_WORKSPACE
-from bench.soak.faults import InjectedFault, make_schedule
+from bench.soak.documents import (
+    CRASHING_PART,
+    CRASHING_PREFIX,
+    TEMPORARY_WORKSPACE,
+)
+from bench.soak.faults import InjectedFault
+from bench.soak.observations import CONTACT_DELAY_S
 from bench.soak.promises import (
     MAX_DRAIN_DELAY_S,
-    MAX_LATE_RETRIES,
-    MAX_QUARANTINE_DELAY_S,
     MAX_REVOCATION_DELAY_S,
-    Observations,
-    find_violations,
 )
 from bench.soak.run import Plan, run_seed
 from bench.soak.runners import Arrival
+from bench.soak.schedule import MORE_FAULTS_PER_S, make_schedule
 from bench.soak.seeds import REGRESSIONS
+from tests.soak import (
+    CheckTestCase,
+    make_event,
+    make_record,
+    make_runner,
+    make_stream_record,
+)
 
 # Lines of each process's log that a failed seed prints.
 LOGGED_LINES = 300
 
 
-def make_record(**fields: Any) -> RequestRecord:
-    """Return the record of a plain call with a correct answer."""
-    values = RequestRecord(
-        "r1", "/pay/1", KEY, 0, 1.0, 2.0, 200, "r1", "", b"r1", True, 0
-    )
-    return values._replace(**fields)
-
-
-def make_stream_record(body: bytes, **fields: Any) -> RequestRecord:
-    """Return the record of a request for two events, answered with this body."""
-    return make_record(path="/draft/1", body=body, events=2, **fields)
-
-
-def make_event(number: int, state: str = "ok") -> bytes:
-    """Return one event in the encoding of the stand-in."""
-    return f"id: {number}\ndata: token-{number} {state}\n\n".encode()
-
-
 def read_logs(folder: Path) -> str:
     """Return the last lines of each process's log, so that a failure can be traced."""
     return "\n".join(
@@ -58,14 +58,9 @@
     )
 
 
-class FindViolationsTests(unittest.TestCase):
+class FindViolationsTests(CheckTestCase):
     """Each guarantee, with records that violate it."""
 
-    def check_records(self, *records: RequestRecord, **fields: Any) -> list[str]:
-        """Return the violations in a soak that recorded these requests."""
-        observations = Observations(list(records), [], [], [], None)
-        return find_violations(observations._replace(**fields))
-
     def test_correct_answers_violate_nothing(self) -> None:
         stream = make_stream_record(make_event(1) + make_event(2))
         self.assertEqual(self.check_records(make_record(), stream, runs=["r1"]), [])
@@ -105,7 +100,7 @@
 
     def test_new_request_to_draining_server(self) -> None:
         late = Arrival(10.0 + MAX_DRAIN_DELAY_S + 0.1, "r1", "")
-        runner = mock.Mock(drain_acknowledged_s=10.0, arrivals=[late])
+        runner = make_runner(late, drain_acknowledged_s=10.0)
         self.assertEqual(len(self.check_records(make_record(), runners=[runner])), 1)
         paused = InjectedFault("pause", Program("gateway", 0), 9.0, late.received_s)
         self.assertEqual(
@@ -117,7 +112,7 @@
 
     def test_request_with_revoked_key(self) -> None:
         late = Arrival(10.0 + MAX_REVOCATION_DELAY_S + 0.1, "r1", TEMPORARY_WORKSPACE)
-        runner = mock.Mock(drain_acknowledged_s=None, arrivals=[late])
+        runner = make_runner(late)
         observations = {"runners": [runner], "revoked_s": 10.0}
         self.assertEqual(len(self.check_records(make_record(), **observations)), 1)
 
@@ -127,11 +122,8 @@
         late_s = third_s + MAX_QUARANTINE_DELAY_S + 0.1
         times_s = [0.0, 1.0, third_s, *[late_s] * late_retries]
         requests = [f"r{number}" for number in range(len(times_s))]
-        runner = mock.Mock(drain_acknowledged_s=None)
-        runner.arrivals = [
-            Arrival(received_s, request, "")
-            for received_s, request in zip(times_s, requests, strict=True)
-        ]
+        arrivals = map(Arrival, times_s, requests, [""] * len(requests))
+        runner = make_runner(*arrivals)
         records = [
             make_record(request=request, status=502, sent_body=CRASHING_PREFIX)
             for request in requests
@@ -173,7 +165,93 @@
         self.assertEqual(self.check_records(unanswered, **fields), [])
 
 
+class CrashingPartTests(CheckTestCase):
+    last_crash_s = float(MAX_PART_CRASHES)
+
+    def check_part(
+        self,
+        late: int = 0,
+        before: int = 0,
+        begun_after: int = 0,
+        injected_faults: tuple[InjectedFault, ...] = (),
+        **fields: Any,
+    ) -> list[str]:
+        """Return the violations if requests with a crashing part arrive late.
+
+        Sound streams all begin before it, and MIN_COMPARED_REQUESTS are sent after.
+        """
+        late_s = self.last_crash_s + MAX_QUARANTINE_DELAY_S + 0.1
+        after_s = self.last_crash_s + MAX_SOUND_DELAY_S + 0.1
+        parts = ("f", CRASHING_PART, "e")
+        records = [
+            make_record(request=f"late{number}", status=502, prompt_parts=parts)
+            for number in range(late)
+        ]
+        records.append(
+            make_record(request="end", status=503, retry_after="1", prompt_parts=parts)
+        )
+        records[-1] = records[-1]._replace(started_s=after_s + 1)
+        stream = make_stream_record(make_event(1) + make_event(2), prompt_parts=("f",))
+        records += [
+            stream._replace(request=f"b{number}", echoed_request=f"b{number}")
+            for number in range(before)
+        ]
+        records += [
+            make_record(request=f"a{number}", path="/draft/1", status=502, body=b"")
+            for number in range(MIN_COMPARED_REQUESTS - begun_after)
+        ]
+        records += [
+            stream._replace(request=f"c{number}", echoed_request=f"c{number}")
+            for number in range(begun_after)
+        ]
+        records = [
+            (
+                item._replace(started_s={"a": after_s, "c": after_s, "b": 0.5}[kind])
+                if (kind := item.request[0]) in "abc"
+                else item
+            )
+            for item in records
+        ]
+        runners = [
+            make_runner(name=f"i-{number}", part_crash_s=number)
+            for number in range(1, MAX_PART_CRASHES + 1)
+        ]
+        runners[0].arrivals = [
+            Arrival(late_s, f"late{number}", "") for number in range(late)
+        ]
+        vars(runners[0]).update(fields)
+        return self.check_records(
+            *records, runners=runners, injected_faults=list(injected_faults)
+        )
+
+    def test_crashing_part_that_reaches_servers_late(self) -> None:
+        self.assertEqual(self.check_part(MAX_LATE_PART_ARRIVALS), [])
+        self.assertEqual(len(self.check_part(MAX_LATE_PART_ARRIVALS + 1)), 1)
+
+    def test_only_a_gateway_out_of_touch_or_a_link_excuses_them(self) -> None:
+        late = MAX_LATE_PART_ARRIVALS + 1
+        arrival_s = self.last_crash_s + MAX_QUARANTINE_DELAY_S + 0.1
+        for program in (Program("gateway", 0), Program("control", 1)):
+            for age_s, count in ((1.0, 0), (CONTACT_DELAY_S + 0.5, 1)):
+                fault = InjectedFault("kill", program, 1.0, arrival_s - age_s)
+                with self.subTest(fault=fault):
+                    violations = self.check_part(late, injected_faults=(fault,))
+                    self.assertEqual(len(violations), count)
+        held_up = [(arrival_s - 1, arrival_s + 1)]
+        self.assertEqual(self.check_part(late, link_faults=held_up), [])
+
+    def test_sound_streams_that_begin_less_often(self) -> None:
+        half = MIN_COMPARED_REQUESTS // 2
+        self.assertEqual(self.check_part(before=half * 2, begun_after=half), [])
+        self.assertEqual(len(self.check_part(before=half * 2, begun_after=half - 1)), 1)
+        self.assertEqual(self.check_part(before=half), [])
+
+
 class ScheduleTests(unittest.TestCase):
+    def test_each_seed_has_each_of_the_newer_faults(self) -> None:
+        kinds = {item.kind for item in make_schedule(1, 5, 1, 3)}
+        self.assertLessEqual(set(MORE_FAULTS_PER_S), kinds)
+
     def test_seed_determines_the_faults(self) -> None:
         self.assertEqual(make_schedule(3, 30, 1, 3), make_schedule(3, 30, 1, 3))
         self.assertNotEqual(make_schedule(3, 30, 1, 3), make_schedule(4, 30, 1, 3))
