Soak more servers than routes allow, and silent servers alone

With two servers of each kind no request could run on more than the two that its route allows, and in the seeds with all faults most servers end by the crashing part, which hides what silence alone does.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -29,7 +29,15 @@
 LAYERS = 80
 ZONES = ("z1", "z2")
 # Kind, first layer and end layer of the model's backend servers in each zone.
-MODEL_RUNNERS = (("a100", 0, 30), ("a100", 30, 60), ("a100", 60, 80), ("a100", 30, 60))
+MODEL_RUNNERS = (
+    ("a100", 0, 30),
+    ("a100", 30, 60),
+    ("a100", 60, 80),
+    ("a100", 30, 60),
+    ("a100", 0, 30),
+)
+# With two zones there are more servers to send a request to than its route allows.
+PLAIN_RUNNERS = 2
 START_TIMEOUT_S = 30.0
 CHECK_INTERVAL_S = 0.05
 
@@ -97,7 +105,8 @@
             for kind, first, end in MODEL_RUNNERS:
                 runner = await self.add_runner(MODEL_SERVICE, zone, kind)
                 runner.layers = runner.layers._replace(first=first, end=end)
-            await self.add_runner(PLAIN_SERVICE, zone)
+            for _ in range(PLAIN_RUNNERS):
+                await self.add_runner(PLAIN_SERVICE, zone)
 
     async def add_runner(self, service: str, zone: str, kind: str = "") -> SoakRunner:
         """Start one more backend server and its heartbeats."""
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -102,6 +102,11 @@
     )
 
 
+def is_run(runner: SoakRunner, arrival: Arrival) -> bool:
+    """Return whether a server did not state that it rejects a request."""
+    return all(item.arrival != arrival for item in runner.rejections)
+
+
 def iterate_overlaps(
     spans: list[tuple[float, float]], from_s: float, to_s: float
 ) -> Iterator[tuple[float, float]]:
@@ -127,7 +132,9 @@
         )
     for request, arrivals in group_arrivals(observations).items():
         yield f"{request} reached " + ", ".join(
-            f"{runner.name} {arrival.received_s:.3f}" for runner, arrival in arrivals
+            f"{runner.name} {arrival.received_s:.3f}"
+            f"{'' if is_run(runner, arrival) else ' (rejected)'}"
+            for runner, arrival in arrivals
         )
     for record in observations.records:
         yield str(record._replace(body=record.body[-100:]))
@@ -142,6 +149,7 @@
     "group_arrivals",
     "had_fault",
     "index_records",
+    "is_run",
     "iterate_overlaps",
     "was_held_up",
     "was_out_of_touch",
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -49,6 +49,8 @@
     # Whether bounds in seconds are checked as well, which needs an otherwise idle
     # machine.
     check_time_bounds: bool = True
+    # Kinds of faults to inject; all if empty.
+    fault_kinds: tuple[str, ...] = ()
 
 
 class Operator:
@@ -140,7 +142,13 @@
     operator = Operator(deployment, plan)
     callers = Callers(deployment, plan.seed + 2, plan.caller_count)
     injector = Injector(deployment, callers)
-    faults = make_schedule(plan.seed, plan.duration_s, FAULTS_PER_S, plan.control_count)
+    faults = [
+        fault
+        for fault in make_schedule(
+            plan.seed, plan.duration_s, FAULTS_PER_S, plan.control_count
+        )
+        if not plan.fault_kinds or fault.kind in plan.fault_kinds
+    ]
     violations = []
     timeout = aiohttp.ClientTimeout(total=SCRAPE_TIMEOUT_S)
     try:
@@ -242,6 +250,9 @@
 @click.option("--controls", default=3, show_default=True, help="Control instances.")
 @click.option("--gateways", default=3, show_default=True, help="Gateway instances.")
 @click.option("--callers", default=12, show_default=True, help="Concurrent callers.")
+@click.option(
+    "--kind", "kinds", multiple=True, help="Kind of faults, repeatable; default all."
+)
 @click.option("--again", is_flag=True, help="Run the recorded seeds that once failed.")
 @click.option(
     "--keep", default="", help="Folder to which the logs of failed seeds are copied."
@@ -253,6 +264,7 @@
     controls: int,
     gateways: int,
     callers: int,
+    kinds: tuple[str, ...],
     again: bool,
     keep: str,
 ) -> None:
@@ -264,7 +276,9 @@
         [*REGRESSIONS, *SOAK_DEFECTS] if again else range(first, first + seeds)
     )
     for seed in chosen_seeds:
-        plan = Plan(seed, controls, gateways, callers, seconds)
+        plan = Plan(
+            seed, controls, gateways, callers, seconds, fault_kinds=tuple(kinds)
+        )
         with tempfile.TemporaryDirectory() as folder:
             result = asyncio.run(run_seed(plan, Path(folder)))
             if result.violations and keep:
--- a/bench/soak/runner_faults.py
+++ b/bench/soak/runner_faults.py
@@ -32,6 +32,7 @@
 MAX_SILENT_RUNNERS = 4
 MAX_SILENT_ROUNDS = 3
 SILENCE_PAUSE_S = 0.3
+SILENCE_ON_ARRIVAL_DURATION_S = 2.0
 # A leaving server says so in its answers for longer than gateways may take to notice,
 # and then in its heartbeats.
 LEAVING_DURATION_S = 3.0
@@ -83,19 +84,40 @@
 async def _silence(
     deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
 ) -> None:
-    """Make several servers silent, one after another or all at a time, in series."""
-    first = fault.target % len(runners)
-    count = 1 + fault.target % MAX_SILENT_RUNNERS
-    chosen = (runners + runners)[first : first + count]
+    """Make several servers silent, one after another or all at a time, in series.
+
+    They are any servers, or those of one service to which requests are sent, or these
+    once a request reaches them.
+    """
+    one = _choose(runners, fault)
+    similar = [
+        item for item in runners if item.takes_requests and item.service == one.service
+    ]
     length_s = MIN_SILENCE_S + fault.duration_s / 3
-    for _ in range(1 + fault.target // 2 % MAX_SILENT_ROUNDS):
+    if fault.target % 3 == 0:
+        await _be_silent_on_arrival(similar, length_s)
+        return
+    candidates = similar if fault.target // 4 % 2 else runners
+    count = min(len(candidates), 1 + fault.target % MAX_SILENT_RUNNERS)
+    first = fault.target % len(candidates)
+    chosen = (candidates + candidates)[first : first + count]
+    for _ in range(1 + fault.target // 8 % MAX_SILENT_ROUNDS):
         for runner in chosen:
             runner.be_silent(length_s, with_heartbeats=bool(fault.target % 2))
-            if fault.target % 3 == 0:
+            if fault.target % 3 == 1:
                 await asyncio.sleep(SILENCE_PAUSE_S)
         await asyncio.sleep(length_s + SILENCE_PAUSE_S)
 
 
+async def _be_silent_on_arrival(runners: list[SoakRunner], length_s: float) -> None:
+    """Make servers silent from the next request that reaches each, for a while."""
+    for runner in runners:
+        runner.faults.silence_on_arrival_s = length_s
+    await asyncio.sleep(SILENCE_ON_ARRIVAL_DURATION_S)
+    for runner in runners:
+        runner.faults.silence_on_arrival_s = 0.0
+
+
 async def _leave(
     deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
 ) -> None:
--- a/bench/soak/runners.py
+++ b/bench/soak/runners.py
@@ -130,6 +130,8 @@
             tuple(address for address, _, _ in parse_path(path)) if path else (),
         )
         self.arrivals.append(arrival)
+        if self.faults.silence_on_arrival_s:
+            self.be_silent(self.faults.silence_on_arrival_s, with_heartbeats=False)
         if self.endless_kind not in (None, EndlessKind.REPORT):
             return await self._answer_without_end(request)
         response = await super()._serve(request)
--- a/bench/soak/server_promises.py
+++ b/bench/soak/server_promises.py
@@ -11,6 +11,7 @@
     group_arrivals,
     had_fault,
     index_records,
+    is_run,
     iterate_overlaps,
     was_held_up,
 )
@@ -42,10 +43,6 @@
 CUT_STATUSES = frozenset((0, 502, 504))
 
 
-def _is_run(runner: SoakRunner, arrival: Arrival) -> bool:
-    return all(item.arrival != arrival for item in runner.rejections)
-
-
 def _has_ended(runner: SoakRunner, arrival: Arrival, record: RequestRecord) -> bool:
     """Return whether a server ended or was cut off while it had a request."""
     closed_s = runner.closed_s
@@ -71,7 +68,7 @@
         names = {
             runner.name
             for runner, arrival in arrivals
-            if _is_run(runner, arrival) and not _has_ended(runner, arrival, record)
+            if is_run(runner, arrival) and not _has_ended(runner, arrival, record)
         }
         if len(names) > limit:
             excess.append(f"{request} on {len(names)}")
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -289,6 +289,10 @@
         )
         await self.run_seed(plan)
 
+    async def test_silent_servers_alone(self) -> None:
+        plan = Plan(1, check_time_bounds=False, fault_kinds=("runner_silent",))
+        await self.run_seed(plan)
+
     async def test_seeds_that_failed_in_the_past(self) -> None:
         for seed, cause in REGRESSIONS.items():
             with self.subTest(seed=seed, cause=cause):
