Let the soak expect long refusals of requests with the crashing part

The check that only requests which crash servers are refused for long knew crashing bodies only. Requests with the crashing part are quarantined as well, so their refusals are allowed; sound requests beside them still are not, and a test shows it.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -150,6 +150,10 @@
         self.assertEqual(len(self.check_records(refused)), 1)
         crashing = refused._replace(sent_body=CRASHING_PREFIX + b"1")
         self.assertEqual(self.check_records(crashing), [])
+        with_part = refused._replace(prompt_parts=("f", CRASHING_PART, "e"))
+        self.assertEqual(self.check_records(with_part), [])
+        beside = refused._replace(prompt_parts=("f", "e"))
+        self.assertEqual(len(self.check_records(beside)), 1)
 
     def test_request_interrupted_by_shutdown(self) -> None:
         unanswered = make_record(
