Leave out of two soak checks what traces show to be allowed

The rule counts from the answer to the gateway, so a refusal on a closed connection only counts as not run.

--- a/bench/soak/crash_promises.py
+++ b/bench/soak/crash_promises.py
@@ -4,8 +4,9 @@
 
 from typing import TYPE_CHECKING
 
-from bench.soak.documents import CRASHING_PART, CRASHING_PREFIX, KEY
+from bench.soak.documents import CRASHING_PART, CRASHING_PREFIX, KEY, MODEL_SERVICE
 from bench.soak.observations import (
+    do_all_refuse,
     group_arrivals,
     index_records,
     was_held_up,
@@ -121,7 +122,8 @@
 def _check_requests_beside_crashing_part(observations: Observations) -> Iterator[str]:
     """Check that sound streams with the same key begin as often as before.
 
-    They share their prompts' other parts, too. Only gateways in touch count.
+    They share their prompts' other parts, too. Only gateways in touch count, and no
+    requests for which every server of the service asks for none.
     """
     crashes = _list_part_crashes(observations)
     crashing = [
@@ -140,6 +142,7 @@
         and CRASHING_PART not in item.prompt_parts
         and not item.sent_body.startswith(CRASHING_PREFIX)
         and not was_out_of_touch(observations, item, item.started_s)
+        and not do_all_refuse(observations.runners, MODEL_SERVICE, item.started_s)
     ]
     after = [item for item in sound if from_s < item.started_s < to_s]
     before = [item for item in sound if not crashes[0] < item.started_s < to_s]
--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -19,6 +19,9 @@
 # An instance is in touch once this long has passed since the last fault of it, of
 # control or of its link.
 CONTACT_DELAY_S = 3.0
+# A server that asks for no requests within this time of a request may have done so when
+# the request reached it.
+REFUSAL_SPAN_S = 0.1
 
 
 class Observations(NamedTuple):
@@ -102,6 +105,22 @@
     )
 
 
+def do_all_refuse(runners: list[SoakRunner], service: str, at_s: float) -> bool:
+    """Return whether every server to which requests are sent asks for none."""
+    present = [
+        runner
+        for runner in runners
+        if runner.service == service
+        and runner.takes_requests
+        and runner.started_s <= at_s
+        and (runner.closed_s is None or at_s < runner.closed_s)
+    ]
+    return bool(present) and all(
+        any(iterate_overlaps(runner.refusals, at_s, at_s + REFUSAL_SPAN_S))
+        for runner in present
+    )
+
+
 def is_run(runner: SoakRunner, arrival: Arrival) -> bool:
     """Return whether a server did not state that it rejects a request."""
     return all(item.arrival != arrival for item in runner.rejections)
@@ -128,7 +147,8 @@
         yield (
             f"{runner.name} at {runner.address} closed {runner.closed_s} crashed "
             f"{runner.part_crash_s} silent {runner.silences} links "
-            f"{runner.link_faults} endless {runner.endless_spans}"
+            f"{runner.link_faults} refusals {runner.refusals} endless "
+            f"{runner.endless_spans}"
         )
     for request, arrivals in group_arrivals(observations).items():
         yield f"{request} reached " + ", ".join(
@@ -145,6 +165,7 @@
     "RUNNERS",
     "Observations",
     "describe",
+    "do_all_refuse",
     "find_fault_kinds",
     "group_arrivals",
     "had_fault",
--- a/bench/soak/runner_faults.py
+++ b/bench/soak/runner_faults.py
@@ -139,11 +139,13 @@
     same = [item for item in runners if item.service == one.service]
     chosen = same if fault.target % 3 == 0 else [one]
     retry_after_s = MIN_RETRY_AFTER_S + fault.duration_s
+    started_s = time.monotonic()
     for runner in chosen:
         runner.faults.retry_after_s = retry_after_s
     await asyncio.sleep(retry_after_s + fault.duration_s)
     for runner in chosen:
         runner.faults.retry_after_s = None
+        runner.refusals.append((started_s, time.monotonic() + retry_after_s))
 
 
 async def _answer_without_end(
--- a/bench/soak/runners.py
+++ b/bench/soak/runners.py
@@ -65,6 +65,7 @@
         self.rejections: list[Rejection] = []
         # Paths that replaced those of requests: time, request and addresses.
         self.reroutes: list[tuple[float, str, tuple[str, ...]]] = []
+        self.started_s = time.monotonic()
         self.closed_s: float | None = None
         self.drain_acknowledged_s: float | None = None
         # When a stream crashed this server by a part of its prompt.
@@ -75,6 +76,8 @@
         # Those of the link faults that separated this server from every gateway.
         self.cuts: list[Span] = []
         self.endless_spans: list[Span] = []
+        # Until the end of the last Retry-After.
+        self.refusals: list[Span] = []
         # Bytes sent of each endless answer, by the request and a number.
         self.endless_bytes_by_answer: Counter[tuple[str, int]] = Counter()
 
@@ -137,6 +140,9 @@
         response = await super()._serve(request)
         if response.status == 421 or "Yuccareach-Not-Executed" in response.headers:
             retry_after = response.headers.get("Retry-After")
+            # A caller that has left does not get the answer.
+            if request.transport is None or request.transport.is_closing():
+                retry_after = None
             retry_after_s = None if retry_after is None else float(retry_after)
             self.rejections.append(Rejection(time.monotonic(), arrival, retry_after_s))
         return response
