--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,6 +9,8 @@
 
 import matplotlib
 
+from yuccareach.quarantine.parts import MIN_ACCUSING_SERVERS
+
 matplotlib.use("Agg")
 from matplotlib import pyplot  # noqa: E402
 
@@ -510,6 +512,26 @@
         "views stay short."
     )
     yield ""
+    yield from _render_part_losses(cost["part"], cost["crash"])
+
+
+def _render_part_losses(
+    part: dict[str, float], crash: dict[str, float]
+) -> Iterator[str]:
+    """Yield the lines on the counts of prompt parts."""
+    counted = crash["streams"] * crash["parts"]
+    yield (
+        f"A count of a prompt part that names {MIN_ACCUSING_SERVERS} lost servers takes "
+        f"{part['bytes_in_view']:.0f} bytes in a view and {part['bytes_in_log']:.0f} in "
+        f"the log, and {part['merge_us']:.1f} µs to merge. The most that one crash can "
+        f"change, with {crash['streams']:.0f} streams that share none of their "
+        f"{crash['parts']:.0f} parts and have not proven them, is {counted:.0f} counts of "
+        f"parts beside those of the requests: {counted * part['bytes_in_view'] / 1000:.0f}"
+        f" KB to each gateway, and as much when the parts are proven. Counting them takes "
+        f"the gateway {crash['count_ms']:.0f} ms with a full table, of which it searches "
+        "all for whom to accuse. Parts that streams share are counted once."
+    )
+    yield ""
 
 
 def _render_slopes(data: dict[str, Any], fits: dict[str, Fit]) -> Iterator[str]:
