--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -15,7 +15,10 @@
     ServerHealth,
     Silence,
     accepts_connections,
+    accepts_requests,
+    copy_notices,
     has_ended,
+    is_on_trial,
     is_presumed_lost,
     record_connection,
     record_end,
@@ -35,6 +38,9 @@
 FULL_DURATION_S = 0.2
 # Weight of the newest outcome in the failure rate, an exponential moving average.
 FAILURE_WEIGHT = 0.2
+# Departed incarnations whose notices are kept, since one whose heartbeats were late
+# becomes a member again.
+MAX_DEPARTED_NOTICES = 1_000
 
 
 class ProbeResult(StrEnum):
@@ -153,6 +159,10 @@
             self.avoid_until_s = 0.0
         record_connection(self.health)
 
+    def accepts_requests(self, now_s: float) -> bool:
+        """Return whether the server may be sent new requests."""
+        return accepts_requests(self.health, int(now_s * 1000))
+
     def is_unreachable(self, now_s: float) -> bool:
         """Return whether others have to stand in for the server."""
         return is_presumed_lost(self.health, int(now_s * 1000))
@@ -160,7 +170,12 @@
     def is_avoided(self, now_s: float) -> bool:
         """Return whether other servers are to be preferred to this one."""
         until_s = max(self.avoid_until_s, self.full_until_s)
-        return has_ended(self.health) or bool(self.health.silences) or now_s < until_s
+        return (
+            has_ended(self.health)
+            or bool(self.health.silences)
+            or now_s < until_s
+            or is_on_trial(self.health, int(now_s * 1000))
+        )
 
 
 class Fleet:
@@ -173,6 +188,8 @@
         self.suspect_by_incarnation: dict[str, Backend] = {}
         # Incremented when a member joins, leaves or is announced with other properties.
         self.version = 0
+        # What departed incarnations that may return have said, oldest first.
+        self.departed_health_by_incarnation: dict[str, ServerHealth] = {}
 
     def update(
         self, announcements: Iterable[Announcement], departed: Iterable[str]
@@ -193,9 +210,7 @@
                 or backend.announcement.incarnation != announcement.incarnation
             ):
                 self._remove(announcement.name)
-                backend = self.backend_by_name[announcement.name] = Backend(
-                    announcement
-                )
+                backend = self._add(announcement)
             backend.announcement = announcement
             self.backend_by_address[announcement.address] = backend
             self.version += 1
@@ -205,12 +220,27 @@
         for name in set(self.backend_by_name) - names:
             self._remove(name)
 
+    def _add(self, announcement: Announcement) -> Backend:
+        backend = self.backend_by_name[announcement.name] = Backend(announcement)
+        former = self.departed_health_by_incarnation.pop(announcement.incarnation, None)
+        if former is not None:
+            copy_notices(former, backend.health)
+        return backend
+
+    def _keep_notices(self, backend: Backend) -> None:
+        if backend.health.is_leaving or backend.health.refuses_until_ms:
+            kept = self.departed_health_by_incarnation
+            kept[backend.announcement.incarnation] = backend.health
+            if len(kept) > MAX_DEPARTED_NOTICES:
+                del kept[next(iter(kept))]
+
     def _remove(self, name: str) -> None:
         backend = self.backend_by_name.pop(name, None)
         if backend is None:
             return
         self.version += 1
         backend.pool.close()
+        self._keep_notices(backend)
         if self.backend_by_address.get(backend.announcement.address) is backend:
             del self.backend_by_address[backend.announcement.address]
 
@@ -302,9 +332,10 @@
 ) -> Backend | None:
     """Return the backend server to send a call to, or None without a candidate.
 
-    Servers that are to be avoided come last. Otherwise the least loaded server is
-    chosen, with its load weighted by its failure rate, and between equals one in the
-    entry's availability zone.
+    Servers that accept no requests now, or that are excluded, are no candidates. Those
+    that are to be avoided come last. Otherwise the least loaded server is chosen, with
+    its load weighted by its failure rate, and between equals one in the entry's
+    availability zone.
     """
 
     def _rank(backend: Backend) -> tuple[bool, float, bool]:
@@ -315,6 +346,7 @@
         item
         for item in candidates
         if item.announcement.incarnation not in excluded_incarnations
+        and item.accepts_requests(now_s)
     ]
     return min(usable, key=_rank, default=None)
 
--- a/src/yuccareach/gateway/chain_choice.py
+++ b/src/yuccareach/gateway/chain_choice.py
@@ -106,7 +106,9 @@
     if service.model is None or run.chain is None:
         return None
     first_stage = run.chain.stages[0]
-    graph = run.gateway.get_graph(service)
+    graph = run.gateway.get_graph(
+        service, [stage.backend for stage in run.chain.stages]
+    )
     if first_stage.end_layer not in graph.boundaries:
         return None
     requirements = run.build_requirements()._replace(
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -27,6 +27,7 @@
     is_suspiciously_idle,
 )
 from yuccareach.gateway.reroutes import log_reroute, send_reroute_order
+from yuccareach.gateway.server_notices import build_response_reader
 from yuccareach.gateway.slowdowns import find_due_for_recheck, query_slowdowns
 from yuccareach.gateway.stream_run import StreamRun
 from yuccareach.health.servers import Silence, record_contact, record_silence
@@ -122,6 +123,7 @@
     for group in stalled_by_backend.values():
         for run in group:
             run.repair_in_progress = True
+            run.events_before_repair = run.attempt_events
         gateway.start_background_task(_repair_streams(gateway, group))
 
 
@@ -198,7 +200,14 @@
         return None
     path = gateway.dialect.report_path
     started_s = gateway.now()
-    report = await call_backend(first_backend.pool, b"GET", path, b"", REPORT_TIMEOUT_S)
+    report = await call_backend(
+        first_backend.pool,
+        b"GET",
+        path,
+        b"",
+        REPORT_TIMEOUT_S,
+        read_response=build_response_reader(gateway, first_backend),
+    )
     if report is not None:
         record_contact(first_backend.health)
         return gateway.dialect.read_stalled_requests(report.body)
@@ -269,6 +278,8 @@
         run.later_stage_lost = True
         await record_broken_attempt(gateway, run.lost_attempt, [blocking_backend])
     has_ended = await seek_end_proof(gateway, blocking_backend)
+    if run.attempt_events > run.events_before_repair:
+        return
     if not compute_refusal_s(gateway, run.admitted):
         await _reroute(gateway, run, blocking_backend)
     elif has_ended:
@@ -304,7 +315,12 @@
 
 
 def _switch_or_wait(gateway: Gateway, run: StreamRun, reason: str) -> None:
-    """Interrupt an open attempt if another one is certain; wait for it otherwise."""
+    """Interrupt an open attempt if another one is certain; wait for it otherwise.
+
+    An attempt that has gone on since it stalled is left alone.
+    """
+    if run.attempt_events > run.events_before_repair:
+        return
     if reserve_switch(run):
         run.has_left_open_attempt = True
         _interrupt(gateway, run, reason)
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -71,8 +71,10 @@
         self.first_event_s: float | None = None
         # Events of the current attempt, including those the caller already has.
         self.attempt_events = 0
-        # Whether a task is repairing this stream after a stall.
+        # Whether a task is repairing this stream after a stall, and the events of the
+        # attempt when it began.
         self.repair_in_progress = False
+        self.events_before_repair = 0
         self.interrupted = asyncio.Event()
         # Whether an attempt was given up that might have gone on.
         self.has_left_open_attempt = False
@@ -132,10 +134,14 @@
         progress = Progress(self.first_event, self.position)
         return self.tracked_attempt._replace(progress=progress)
 
-    def deliver_data(self, data: bytes) -> None:
-        """Deliver the events that these bytes complete."""
+    def deliver_data(self, data: bytes) -> int:
+        """Deliver the events that these bytes complete.
+
+        Returns the number of bytes of an incomplete event.
+        """
         for event in self.splitter.feed(data):
             self._deliver_event(event)
+        return self.splitter.buffered_bytes
 
     def _deliver_event(self, event: bytes) -> None:
         now_s = self.gateway.now()
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from enum import StrEnum
 from typing import TYPE_CHECKING
 
@@ -40,8 +41,6 @@
 from yuccareach.quarantine.fingerprints import format_fingerprints
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
-
     from yuccareach.gateway.http_server import Reply
     from yuccareach.gateway.state import Gateway
 
@@ -174,22 +173,20 @@
         return chain
     ticket = _build_ticket(run)
     now_s = run.gateway.now()
-    # A started response cannot be refused any more, and members that have yet to
-    # announce themselves may add capacity.
-    must_wait = (
-        run.reply.has_started
-        or run.has_left_open_attempt
-        or run.gateway.is_awaiting_members
+    service = run.admitted.service
+    is_closed = (
+        run.gateway.estimate_coverage_gap_s(service) > 0
+        or run.gateway.estimate_refusal_s(service) > 0
     )
-    has_coverage_gap = run.gateway.estimate_coverage_gap_s(run.admitted.service) > 0
-    if not must_wait and (has_coverage_gap or not run.queue.should_wait(ticket, now_s)):
+    should_wait = not is_closed and run.queue.should_wait(ticket, now_s)
+    if not should_wait and not _must_wait(run):
         run.gateway.log(
             "refused_for_want_of_room",
             request=run.admitted.request_id,
             tokens=run.tokens,
             ahead=run.queue.count_tokens_ahead(ticket),
             expected_wait_s=run.queue.estimate_wait_s(ticket, now_s),
-            closed=has_coverage_gap,
+            closed=is_closed,
         )
         return None
     run.granted = granted = asyncio.get_running_loop().create_future()
@@ -198,6 +195,8 @@
         found_chain = choose_chain(run)
         if found_chain is not None:
             run.reserve(found_chain)
+        elif run.gateway.estimate_refusal_s(service) and not _must_wait(run):
+            granted.set_result(None)
         return found_chain
 
     run.queue.add(
@@ -211,6 +210,20 @@
         run.queue.remove(ticket)
 
 
+def _must_wait(run: StreamRun) -> bool:
+    """Return whether a stream waits for capacity even if none is likely in time.
+
+    A started response cannot be refused any more, nor can a stream that may still run
+    at a server that it has left. Members that have yet to announce themselves may add
+    capacity.
+    """
+    return (
+        run.reply.has_started
+        or run.has_left_open_attempt
+        or run.gateway.is_awaiting_members
+    )
+
+
 def _build_ticket(run: StreamRun) -> Ticket:
     route, workspace = run.admitted.route, run.admitted.workspace
     workspace_priority = workspace.priority if workspace else None
@@ -248,11 +261,7 @@
     if not may_have_run and refusal_s:
         return send_refusal(reply, refusal_s, QUARANTINED)
     if not may_have_run:
-        coverage_gap_s = run.gateway.estimate_coverage_gap_s(run.admitted.service)
-        retry_s = run.queue.estimate_retry_after_s(
-            _build_ticket(run), run.gateway.now(), coverage_gap_s
-        )
-        return send_refusal(reply, retry_s, reason)
+        return send_refusal(reply, _estimate_retry_after_s(run), reason)
     if run.failure_head is not None and run.failure_head.metadata.is_signed:
         reply.send(
             run.failure_head.status,
@@ -263,6 +272,19 @@
     return send_failure(reply, status, reason)
 
 
+def _estimate_retry_after_s(run: StreamRun) -> float:
+    """Estimate after how many seconds the same stream is likely to be served."""
+    gateway, service = run.gateway, run.admitted.service
+    refusal_s = gateway.estimate_refusal_s(service)
+    return run.queue.estimate_retry_after_s(
+        _build_ticket(run),
+        gateway.now(),
+        gateway.estimate_coverage_gap_s(service),
+        # Layers of leaving servers only are a coverage gap.
+        refusal_s if math.isfinite(refusal_s) else 0.0,
+    )
+
+
 async def _run_attempt(run: StreamRun, chain: Chain) -> AttemptResult:
     """Run a stream over one chain until it ends, fails or is interrupted."""
     gateway, admitted = run.gateway, run.admitted
@@ -286,7 +308,7 @@
     _log_attempt(run, chain)
     try:
         run.backend_request = await send_request(
-            gateway, admitted, first_backend, metadata, _build_data_handler(run)
+            gateway, admitted, first_backend, metadata, run.deliver_data
         )
         if run.backend_request is None:
             run.excluded_incarnations.add(first_backend.announcement.incarnation)
@@ -301,22 +323,6 @@
         run.backend_request = None
 
 
-def _build_data_handler(run: StreamRun) -> Callable[[bytes], None]:
-    """Return a handler of body data, which delivers events or collects a failure."""
-    failure: list[bytes] = []
-
-    def _handle_data(data: bytes) -> None:
-        backend_request = run.backend_request
-        head = backend_request.exchange.head.result() if backend_request else None
-        if head is not None and head.status == 200 and head.metadata.is_signed:
-            run.deliver_data(data)
-        else:
-            failure.append(data)
-            run.failure_body = b"".join(failure)
-
-    return _handle_data
-
-
 async def _await_end(
     run: StreamRun, backend_request: BackendRequest, remaining_s: float
 ) -> AttemptResult:
@@ -369,6 +375,7 @@
         and head.metadata.is_signed
     ):
         run.failure_head = head
+        run.failure_body = b"".join(backend_request.exchange.body)
         return AttemptResult.FAILED
     backend_request.backend.record_failure(now_s)
     run.excluded_incarnations.add(backend_request.backend.announcement.incarnation)
--- a/src/yuccareach/platform/headers.py
+++ b/src/yuccareach/platform/headers.py
@@ -12,6 +12,7 @@
     ResponseMetadata,
     Stage,
 )
+from yuccareach.health.retry_after import parse_retry_after_s
 from yuccareach.platform.orders import ORDER_PATH
 
 REQUEST_ID = b"yuccareach-request-id"
@@ -33,6 +34,11 @@
 RUNNER_LOAD = b"yuccareach-runner-load"
 # Address of the runner that caused a refusal, if it is another one of the chain.
 FAULTY_ADDRESS = b"at-server"
+# "1" if the runner is leaving, whatever its heartbeats say.
+SERVER_LEAVING = b"server-leaving"
+# Seconds, which may have a fraction, for which a refusing runner wants no requests.
+RETRY_AFTER = b"retry-after"
+REFUSED_STATUS = 503
 # Scheme of the Authorization header, in lower case.
 KEY_SCHEME = b"token "
 
@@ -159,6 +165,7 @@
         else (None, None, None)
     )
     faulty_address = value_by_name.get(FAULTY_ADDRESS)
+    retry_after_s, malformed = _parse_retry_after(status, headers)
     return ResponseMetadata(
         request_id=value_by_name.get(REQUEST_ID),
         is_signed=SIGNATURE in value_by_name,
@@ -168,6 +175,28 @@
         running_requests=running,
         queued_requests=queued,
         slots=slots,
+        is_leaving=any(
+            name == SERVER_LEAVING and value.strip() == b"1" for name, value in headers
+        ),
+        retry_after_s=retry_after_s,
+        malformed_retry_after=malformed,
+    )
+
+
+def _parse_retry_after(
+    status: int, headers: Headers
+) -> tuple[float | None, str | None]:
+    """Return the longest time that a refusal states, and a value that is no time.
+
+    The platform states times in seconds only, not as dates.
+    """
+    if status != REFUSED_STATUS:
+        return None, None
+    values = [value.decode("latin-1") for name, value in headers if name == RETRY_AFTER]
+    times_s = [parse_retry_after_s(value) for value in values]
+    return (
+        max((time_s for time_s in times_s if time_s is not None), default=None),
+        next((value for value in values if parse_retry_after_s(value) is None), None),
     )
 
 
--- a/tests/gateway/test_admission.py
+++ b/tests/gateway/test_admission.py
@@ -7,11 +7,13 @@
 import math
 import unittest
 from collections import Counter
+from functools import partial
 from random import Random
 from typing import NamedTuple
 
 from yuccareach.gateway.admission import (
     DEFAULT_RETRY_DELAY_S,
+    MAX_RETRY_DELAY_S,
     MAX_WAIT_OBJECTIVES,
     AdmissionQueue,
     Ticket,
@@ -118,6 +120,23 @@
         self.queue.grant_capacity(1.5)
         self.assertIsNone(granted.result())
 
+    async def test_callback_that_ends_its_wait_does_not_hold_up_the_others(
+        self,
+    ) -> None:
+        granted = [asyncio.get_running_loop().create_future() for _ in range(3)]
+
+        def _end_wait(number: int) -> None:
+            granted[number].set_result(None)
+
+        for number, future in enumerate(granted):
+            waiting = WaitingRequest(
+                build_ticket(number), partial(_end_wait, number), future
+            )
+            self.queue.add(waiting)
+        # By then, a request that finds no capacity would not be overtaken.
+        self.queue.grant_capacity(1.4)
+        self.assertTrue(all(future.done() for future in granted))
+
 
 class RefusalTests(unittest.TestCase):
     def test_request_that_cannot_be_granted_in_time_should_not_wait(self) -> None:
@@ -183,6 +202,20 @@
             queue.estimate_retry_after_s(item, 1.0, coverage_gap_s=2.5), 3.5
         )
 
+    def test_retry_delay_is_not_shorter_than_the_refusal_of_all_servers(self) -> None:
+        queue: AdmissionQueue[str] = AdmissionQueue()
+        for refusal_s in (0.5, 3.0, 3 * MAX_RETRY_DELAY_S):
+            delay_s = queue.estimate_retry_after_s(
+                build_ticket(1), 1.0, refusal_s=refusal_s
+            )
+            self.assertEqual(delay_s, refusal_s)
+        queue.record_grant("w", 1_000, 0.0)
+        item = build_ticket(1, tokens=1_000)
+        self.assertEqual(
+            queue.estimate_retry_after_s(item, 1.0, coverage_gap_s=2.5, refusal_s=3.0),
+            3.5,
+        )
+
 
 class Arrival(NamedTuple):
     """One request of a simulated load."""
