Soak one crashing request alone: it must not accuse the parts that others share

Each of its own attempts carries the count that its loss before has made, so that its three losses are three in a row for each of its parts, and, a shared one, reaches losses=3 within milliseconds.

--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -311,6 +311,12 @@
         plan = Plan(1, check_time_bounds=False, fault_kinds=("runner_silent",))
         await self.run_seed(plan)
 
+    async def test_crashing_request_does_not_accuse_the_parts_that_others_share(
+        self,
+    ) -> None:
+        plan = Plan(2, check_time_bounds=False, fault_kinds=("caller_crash",))
+        await self.run_seed(plan)
+
     async def test_seeds_that_failed_in_the_past(self) -> None:
         for seed, cause in REGRESSIONS.items():
             with self.subTest(seed=seed, cause=cause):
