--- a/src/yuccareach/entry/fleet.py
+++ b/src/yuccareach/entry/fleet.py
@@ -7,8 +7,9 @@
 import xxhash
 
 from yuccareach.entry.state import BackendServer
+from yuccareach.health.servers import accepts_requests
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
-from yuccareach.quarantine.table import ISOLATION_LOSS_THRESHOLD
+from yuccareach.quarantine.counts import ISOLATION_LOSS_THRESHOLD
 from yuccareach.route.choice import (
     choose_chain,
     compute_batch_fill_cost,
@@ -68,6 +69,7 @@
     server.other_entries_request_count = max(
         0, member.load.running - server.own_request_count
     )
+    state.server_name_by_address[member.address] = name
     if member.pipeline:
         state.server_names_by_pipeline.setdefault(member.pipeline, {})[name] = None
     if member.service:
@@ -81,6 +83,8 @@
 
 
 def _remove_from_index(state: EntryState, member: cpb.Member) -> None:
+    if state.server_name_by_address.get(member.address) == member.backend_server:
+        del state.server_name_by_address[member.address]
     for index, key in (
         (state.server_names_by_pipeline, member.pipeline),
         (state.server_names_by_service, member.service),
@@ -139,6 +143,22 @@
     return server is not None and server.member.incarnation == member.incarnation
 
 
+def has_successor(state: EntryState, member: cpb.Member) -> bool:
+    """Return whether a later incarnation has a backend server's name or address.
+
+    Control drops a backend server also if only its heartbeats are late, so that a
+    departure by itself does not show that it has ended.
+    """
+    names = (member.backend_server, state.server_name_by_address.get(member.address))
+    servers = (state.server_by_name.get(name) for name in names if name is not None)
+    return any(
+        server is not None
+        and server.member.incarnation != member.incarnation
+        and server.member.started_ms >= member.started_ms
+        for server in servers
+    )
+
+
 def choose_chain_for(
     state: EntryState, request: Request, now: int
 ) -> tuple[cpb.Member, ...] | None:
@@ -299,8 +319,9 @@
 ) -> cpb.Member | None:
     """Choose a backend server of a plain service that was not tried before, or None.
 
-    Preferred are servers that are not suspected, then those with the fewest running
-    requests, then those in the entry's availability zone.
+    Those that have asked for no calls are left out. Preferred are servers that are not
+    suspected, then those with the fewest running requests, then those in the entry's
+    availability zone.
     """
     servers = [
         state.server_by_name[name]
@@ -309,7 +330,9 @@
     usable = [
         server
         for server in servers
-        if not server.draining and server.member.incarnation not in tried_incarnations
+        if not server.draining
+        and server.member.incarnation not in tried_incarnations
+        and accepts_requests(server.health, now)
     ]
     state.choice_count += 1
     best = min(
@@ -366,6 +389,7 @@
     "adjust_running_counts",
     "choose_chain_for",
     "choose_service_server",
+    "has_successor",
     "clear_suspicion",
     "is_present",
     "mark_suspected",
--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -51,22 +51,32 @@
     arrived_s: float
     # Time after the arrival within which the first event is due.
     objective_s: float
+    # Time until which the request waits in any case, or None.
+    give_up_s: float | None = None
 
     @property
     def wait_deadline_s(self) -> float:
         """Time after which a grant would come too late for the caller."""
-        return self.arrived_s + MAX_WAIT_OBJECTIVES * self.objective_s
+        usual_s = self.arrived_s + MAX_WAIT_OBJECTIVES * self.objective_s
+        return usual_s if self.give_up_s is None else max(usual_s, self.give_up_s)
+
+
+def _is_never_held_back() -> bool:
+    return False
 
 
 class WaitingRequest(NamedTuple, Generic[Capacity]):
     """A request in the queue, with the callback that reserves capacity for it.
 
     `granted` gets the reserved capacity, or None once the wait deadline has passed.
+    The callback may end the wait itself. No capacity is granted, and none is kept free,
+    while the request is held back.
     """
 
     ticket: Ticket
     reserve_capacity: Callable[[], Capacity | None]
     granted: asyncio.Future[Capacity | None]
+    is_held_back: Callable[[], bool] = _is_never_held_back
 
 
 class AdmissionQueue(Generic[Capacity]):
@@ -83,7 +93,7 @@
         return sum(
             item.ticket.tokens
             for item in self.waiting_by_number.values()
-            if item.ticket.priority <= ticket.priority
+            if item.ticket.priority <= ticket.priority and not item.is_held_back()
         )
 
     def estimate_wait_s(self, ticket: Ticket, now_s: float) -> float | None:
@@ -91,7 +101,8 @@
         self._expire_grants(now_s)
         granted_tokens = sum(tokens for _, tokens in self.recent_grants)
         if not granted_tokens:
-            return None if self.waiting_by_number else 0.0
+            waiting = self.waiting_by_number.values()
+            return 0.0 if all(item.is_held_back() for item in waiting) else None
         span_s = max(MIN_RATE_SPAN_S, now_s - self.recent_grants[0][0])
         return (
             (self.count_tokens_ahead(ticket) + ticket.tokens) * span_s / granted_tokens
@@ -103,18 +114,25 @@
         return wait_s is not None and now_s + wait_s < ticket.wait_deadline_s
 
     def estimate_retry_after_s(
-        self, ticket: Ticket, now_s: float, coverage_gap_s: float = 0.0
+        self,
+        ticket: Ticket,
+        now_s: float,
+        coverage_gap_s: float = 0.0,
+        refusal_s: float = 0.0,
     ) -> float:
         """Return after how many seconds a refused request is likely to find capacity.
 
         For coverage_gap_s from now, no chain can cover all layers, so that no capacity
-        is granted.
+        is granted. For refusal_s from now, all servers of some layer refuse requests,
+        so that no shorter delay is of use.
         """
         self._expire_grants(now_s)
         wait_s = self.estimate_wait_s(ticket, now_s) if self.recent_grants else None
         if wait_s is None:
-            wait_s = 0.0 if coverage_gap_s else DEFAULT_RETRY_DELAY_S
-        return min(max(MIN_RETRY_DELAY_S, coverage_gap_s + wait_s), MAX_RETRY_DELAY_S)
+            is_known = coverage_gap_s or refusal_s
+            wait_s = 0.0 if is_known else DEFAULT_RETRY_DELAY_S
+        delay_s = max(MIN_RETRY_DELAY_S, coverage_gap_s + wait_s)
+        return max(refusal_s, min(delay_s, MAX_RETRY_DELAY_S))
 
     def add(self, waiting: WaitingRequest[Capacity]) -> None:
         """Add a request to the queue."""
@@ -181,9 +199,11 @@
             if now_s >= item.ticket.wait_deadline_s and not item.granted.done():
                 item.granted.set_result(None)
         for item in self.sort_waiting(now_s):
-            if item.granted.done():
+            if item.granted.done() or item.is_held_back():
                 continue
             capacity = item.reserve_capacity()
+            if item.granted.done():
+                continue
             if capacity is not None:
                 item.granted.set_result(capacity)
             elif self._should_block_overtaking(item.ticket, now_s):
--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.http_client import Ending, Exchange, encode_request
+from yuccareach.gateway.server_notices import build_response_reader
+from yuccareach.health.servers import record_contact, record_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,11 +33,15 @@
         self.exchange = exchange
 
     def release(self) -> None:
-        """Keep the connection for reuse if the response is complete, else close it."""
+        """Keep the connection for reuse if the response is complete, else close it.
+
+        The body counts no longer as buffered, since its caller gets it now.
+        """
         if self.exchange.ended.done() and self.connection.exchange is None:
             self.backend.pool.release(self.connection)
         else:
             self.connection.abort()
+        self.exchange.release_buffers()
 
 
 async def send_request(
@@ -43,13 +49,14 @@
     admitted: AdmittedRequest,
     backend: Backend,
     metadata: ForwardMetadata,
-    on_data: Callable[[bytes], None] | None = None,
+    on_data: Callable[[bytes], int] | None = None,
 ) -> BackendRequest | None:
     """Send a request; return None if no connection could be opened.
 
-    In that case the request has not run. Otherwise on_data receives the body as it
-    arrives.
+    In that case the request has not run. Otherwise on_data receives the body of a
+    signed success as it arrives, and returns how many bytes it buffers.
     """
+    record_request(backend.health, gateway.now_ms())
     pool = backend.pool
     max_idle_s = (
         float("inf") if admitted.route.is_idempotent else MAX_NON_IDEMPOTENT_IDLE_S
@@ -59,7 +66,8 @@
         try:
             connection = await pool.connect()
         except (OSError, TimeoutError) as error:
-            backend.record_connect_failure(gateway.now())
+            refused = isinstance(error, ConnectionRefusedError)
+            backend.record_connect_failure(gateway.now(), refused=refused)
             gateway.log(
                 "connect_failed",
                 request=admitted.request_id,
@@ -68,8 +76,17 @@
                 reason=type(error).__name__,
             )
             return None
+        backend.record_connect_success()
+
+    def _handle_data(data: bytes) -> int:
+        record_contact(backend.health)
+        return on_data(data) if on_data is not None else 0
+
     exchange = Exchange(
-        admitted.metadata.request_id, gateway.dialect.read_response, on_data
+        admitted.metadata.request_id,
+        build_response_reader(gateway, backend),
+        _handle_data if on_data is not None else None,
+        buffers=gateway.response_buffers,
     )
     request = admitted.request
     headers = [
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -10,6 +10,20 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.http_client import ConnectionPool
+from yuccareach.health.servers import (
+    EndProof,
+    ServerHealth,
+    Silence,
+    accepts_connections,
+    accepts_requests,
+    copy_notices,
+    has_ended,
+    is_on_trial,
+    is_presumed_lost,
+    record_connection,
+    record_end,
+    record_silence,
+)
 
 if TYPE_CHECKING:
     import asyncio
@@ -24,6 +38,9 @@
 FULL_DURATION_S = 0.2
 # Weight of the newest outcome in the failure rate, an exponential moving average.
 FAILURE_WEIGHT = 0.2
+# Departed incarnations whose notices are kept, since one whose heartbeats were late
+# becomes a member again.
+MAX_DEPARTED_NOTICES = 1_000
 
 
 class ProbeResult(StrEnum):
@@ -51,6 +68,8 @@
     first_layer: int
     end_layer: int
     draining: bool
+    # When the process started, by its machine's clock; 0 if unknown.
+    started_ms: int = 0
 
 
 class Backend:
@@ -59,10 +78,14 @@
     def __init__(self, announcement: Announcement) -> None:
         self.announcement = announcement
         self.pool = ConnectionPool(announcement.address)
+        # What this entry knows of the incarnation, and by what proof.
+        self.health = ServerHealth()
         # Streams and calls of this entry that run here.
         self.running_requests = 0
         # Streams of this entry that have their first stage here and no event yet.
         self.starting_streams = 0
+        # Streams of this entry that try out a suspect prompt part and start here.
+        self.suspect_streams = 0
         # Tokens reserved here for requests of this entry, and of other entries.
         self.reserved_tokens = 0
         self.reserved_tokens_elsewhere = 0
@@ -74,16 +97,11 @@
         self.avoid_until_s = 0.0
         # Until then the server counts as full, whatever the reserved tokens say.
         self.full_until_s = 0.0
-        # Set when the server was found to cause a stall, or when another incarnation or
-        # other layers than announced were found at its address.
-        self.unreachable_until_s = 0.0
-        # Whether the last connection attempt succeeded.
-        self.is_connectable = True
-        # Whether the last probe was refused, as by a machine whose server has crashed.
-        self.is_refusing = False
         # The last probe, which may still be in progress.
         self.probe: asyncio.Future[ProbeResult] | None = None
         self.last_probe_s = -1.0
+        # Whether a request for a report waits for the end of a silence.
+        self.is_recontacted = False
         # Multiple of the server's expected times, and when it was last queried.
         self.slowdown = 1.0
         self.last_slowdown_query_s = -10.0
@@ -120,18 +138,17 @@
         self.consecutive_failures += 1
         self.avoid_until_s = max(self.avoid_until_s, now_s + avoid_s)
 
-    def mark_unreachable(self, now_s: float) -> None:
-        """Record a failure and count the server as unreachable while it is avoided."""
-        self.record_failure(now_s)
-        self.unreachable_until_s = self.avoid_until_s
-
-    def record_connect_failure(self, now_s: float) -> None:
-        """Record that the server accepts no connections.
+    @property
+    def is_connectable(self) -> bool:
+        """Whether the last connection attempt succeeded."""
+        return accepts_connections(self.health)
 
-        It gets no requests until a connection succeeds.
-        """
-        self.is_connectable = False
-        self.mark_unreachable(now_s)
+    def record_connect_failure(self, now_s: float, *, refused: bool) -> None:
+        """Record that a connection was refused, or was not answered in time."""
+        if refused:
+            record_end(self.health, EndProof.REFUSED)
+        else:
+            record_silence(self.health, int(now_s * 1000), Silence.CONNECTION)
 
     def record_connect_success(self) -> None:
         """Record that the server accepts connections.
@@ -139,17 +156,26 @@
         If it did not before, it is no longer avoided.
         """
         if not self.is_connectable:
-            self.is_connectable = True
-            self.unreachable_until_s = self.avoid_until_s = 0.0
+            self.avoid_until_s = 0.0
+        record_connection(self.health)
+
+    def accepts_requests(self, now_s: float) -> bool:
+        """Return whether the server may be sent new requests."""
+        return accepts_requests(self.health, int(now_s * 1000))
 
     def is_unreachable(self, now_s: float) -> bool:
-        """Return whether this entry or an adjacent stage cannot reach the server."""
-        return not self.is_connectable or now_s < self.unreachable_until_s
+        """Return whether others have to stand in for the server."""
+        return is_presumed_lost(self.health, int(now_s * 1000))
 
     def is_avoided(self, now_s: float) -> bool:
         """Return whether other servers are to be preferred to this one."""
         until_s = max(self.avoid_until_s, self.full_until_s)
-        return not self.is_connectable or now_s < until_s
+        return (
+            has_ended(self.health)
+            or bool(self.health.silences)
+            or now_s < until_s
+            or is_on_trial(self.health, int(now_s * 1000))
+        )
 
 
 class Fleet:
@@ -158,8 +184,12 @@
     def __init__(self) -> None:
         self.backend_by_name: dict[str, Backend] = {}
         self.backend_by_address: dict[str, Backend] = {}
+        # Servers under which an attempt has failed, perhaps because they crashed.
+        self.suspect_by_incarnation: dict[str, Backend] = {}
         # Incremented when a member joins, leaves or is announced with other properties.
         self.version = 0
+        # What departed incarnations that may return have said, oldest first.
+        self.departed_health_by_incarnation: dict[str, ServerHealth] = {}
 
     def update(
         self, announcements: Iterable[Announcement], departed: Iterable[str]
@@ -180,9 +210,7 @@
                 or backend.announcement.incarnation != announcement.incarnation
             ):
                 self._remove(announcement.name)
-                backend = self.backend_by_name[announcement.name] = Backend(
-                    announcement
-                )
+                backend = self._add(announcement)
             backend.announcement = announcement
             self.backend_by_address[announcement.address] = backend
             self.version += 1
@@ -192,12 +220,27 @@
         for name in set(self.backend_by_name) - names:
             self._remove(name)
 
+    def _add(self, announcement: Announcement) -> Backend:
+        backend = self.backend_by_name[announcement.name] = Backend(announcement)
+        former = self.departed_health_by_incarnation.pop(announcement.incarnation, None)
+        if former is not None:
+            copy_notices(former, backend.health)
+        return backend
+
+    def _keep_notices(self, backend: Backend) -> None:
+        if backend.health.is_leaving or backend.health.refuses_until_ms:
+            kept = self.departed_health_by_incarnation
+            kept[backend.announcement.incarnation] = backend.health
+            if len(kept) > MAX_DEPARTED_NOTICES:
+                del kept[next(iter(kept))]
+
     def _remove(self, name: str) -> None:
         backend = self.backend_by_name.pop(name, None)
         if backend is None:
             return
         self.version += 1
         backend.pool.close()
+        self._keep_notices(backend)
         if self.backend_by_address.get(backend.announcement.address) is backend:
             del self.backend_by_address[backend.announcement.address]
 
@@ -227,6 +270,36 @@
             if not backend.is_connectable
         ]
 
+    def find_unanswering(self) -> list[Backend]:
+        """Return the members that leave requests unanswered."""
+        return [
+            backend
+            for backend in self.backend_by_name.values()
+            if Silence.ANSWER in backend.health.silences
+        ]
+
+    def find_unreachable(self, now_s: float) -> list[Backend]:
+        """Return the members that others have to stand in for."""
+        return [
+            backend
+            for backend in self.backend_by_name.values()
+            if backend.is_unreachable(now_s)
+        ]
+
+    def has_ended(self, backend: Backend) -> bool:
+        """Return whether it is shown that an incarnation runs nothing any more."""
+        announcement = backend.announcement
+        successors = (
+            self.backend_by_name.get(announcement.name),
+            self.backend_by_address.get(announcement.address),
+        )
+        if any(
+            item is not None and item.announcement.started_ms > announcement.started_ms
+            for item in successors
+        ):
+            record_end(backend.health, EndProof.SUCCEEDED)
+        return has_ended(backend.health)
+
     def is_current(self, backend: Backend) -> bool:
         """Return whether this incarnation is still a member."""
         return self.backend_by_name.get(backend.name) is backend
@@ -234,19 +307,23 @@
     def has_restarted(self, backend: Backend) -> bool:
         """Return whether a later incarnation is a member in a server's place."""
         announcement = backend.announcement
+        namesake = self.backend_by_name.get(announcement.name)
+        if (
+            namesake is not None
+            and namesake.announcement.incarnation != announcement.incarnation
+        ):
+            return True
         successor = self.backend_by_address.get(announcement.address)
         return (
             successor is not None
-            and successor is not backend
+            and successor.announcement.incarnation != announcement.incarnation
             and successor.announcement.service == announcement.service
         )
 
     def list_unreachable_incarnations(self, now_s: float) -> list[str]:
-        """Return the incarnations that this entry cannot reach."""
+        """Return the incarnations that others have to stand in for."""
         return [
-            backend.announcement.incarnation
-            for backend in self.backend_by_name.values()
-            if backend.is_unreachable(now_s)
+            backend.announcement.incarnation for backend in self.find_unreachable(now_s)
         ]
 
 
@@ -255,9 +332,10 @@
 ) -> Backend | None:
     """Return the backend server to send a call to, or None without a candidate.
 
-    Servers that are to be avoided come last. Otherwise the least loaded server is
-    chosen, with its load weighted by its failure rate, and between equals one in the
-    entry's availability zone.
+    Servers that accept no requests now, or that are excluded, are no candidates. Those
+    that are to be avoided come last. Otherwise the least loaded server is chosen, with
+    its load weighted by its failure rate, and between equals one in the entry's
+    availability zone.
     """
 
     def _rank(backend: Backend) -> tuple[bool, float, bool]:
@@ -268,6 +346,7 @@
         item
         for item in candidates
         if item.announcement.incarnation not in excluded_incarnations
+        and item.accepts_requests(now_s)
     ]
     return min(usable, key=_rank, default=None)
 
--- a/src/yuccareach/gateway/dialect.py
+++ b/src/yuccareach/gateway/dialect.py
@@ -20,6 +20,10 @@
     expected_answer_tokens: int
     # Id of the last event that the caller has; None at the start of a stream.
     last_event_id: int | None
+    # Name of the model that the request asks for; empty if it states none.
+    model: str
+    # Ids of the parts of the prompt, in order. Requests share parts, except the last.
+    prompt_parts: tuple[bytes, ...]
     # Headers to forward, without those that concern only the caller's connection and
     # those that the gateway sets.
     forwarded_headers: Headers
@@ -61,6 +65,12 @@
     running_requests: int | None
     queued_requests: int | None
     slots: int | None
+    # Whether the backend server states that it is leaving.
+    is_leaving: bool = False
+    # For how many seconds the backend server, which refused, wants no requests.
+    retry_after_s: float | None = None
+    # A value of that time that cannot be read, and is ignored.
+    malformed_retry_after: str | None = None
 
 
 class Dialect(NamedTuple):
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -9,10 +9,18 @@
     AdmittedRequest,
     strip_connection_headers,
 )
+from yuccareach.gateway.attempts import LeftServers, count_attempts, record_left
 from yuccareach.gateway.chains import Chain, ChainRequirements
 from yuccareach.gateway.dialect import Stage
-from yuccareach.gateway.losses import start_attempt
+from yuccareach.gateway.losses import prove_parts, start_attempt
 from yuccareach.gateway.sse import EventSplitter, parse_event_id
+from yuccareach.gateway.suspects import (
+    NO_TRIAL,
+    begin_trial,
+    end_trial,
+    is_suspect_run,
+)
+from yuccareach.quarantine.progress import Progress
 
 if TYPE_CHECKING:
     from yuccareach.gateway.admission import AdmissionQueue
@@ -21,11 +29,13 @@
     from yuccareach.gateway.http_client import ResponseHead
     from yuccareach.gateway.http_server import Reply
     from yuccareach.gateway.state import Gateway
+    from yuccareach.quarantine.table import TrackedAttempt
 
 # Weight of the newest pause between events in the typical one, a moving average.
 PAUSE_WEIGHT = 0.2
-# Attempts allowed beyond the route's limit if earlier ones lost their first stage.
-MAX_LOST_ATTEMPTS = 2
+# Events of one attempt that show that the parts of its prompt crash no server: one that
+# crashes may have sent the first event before.
+PROOF_EVENTS = 2
 
 
 class StreamRun:
@@ -42,6 +52,9 @@
         self.chain: Chain | None = None
         # The chain at the end of the last attempt.
         self.last_chain = Chain((), 0.0)
+        # Reserved for the next attempt before the current one is interrupted.
+        self.next_chain: Chain | None = None
+        self.next_tokens_by_stage: list[int] = []
         self.starting_backend: Backend | None = None
         # Tokens reserved at each stage of the chain.
         self.reserved_tokens_by_stage: list[int] = []
@@ -58,21 +71,37 @@
         self.first_event_s: float | None = None
         # Events of the current attempt, including those the caller already has.
         self.attempt_events = 0
-        # Whether a task is repairing this stream after a stall.
+        # Whether a task is repairing this stream after a stall, and the events of the
+        # attempt when it began.
         self.repair_in_progress = False
+        self.events_before_repair = 0
         self.interrupted = asyncio.Event()
-        # Whether the current attempt has lost its first stage.
-        self.first_stage_lost = False
+        # Whether an attempt was given up that might have gone on.
+        self.has_left_open_attempt = False
+        # Whether the log tells that the current attempt is waited for.
+        self.wait_logged = False
+        # No repair starts before this time.
+        self.next_repair_s = 0.0
         self.excluded_incarnations: set[str] = set()
         # What the loss of a stage of the current chain is counted by.
         self.tracked_attempt = start_attempt(gateway, admitted)
+        # Events that the caller had when it started.
+        self.first_event = self.position
+        # Whether the current attempt has shown that the parts of its prompt are
+        # harmless.
+        self.has_proven_parts = False
+        # What is counted while it has not.
+        self.trial = NO_TRIAL
+        # Set while the stream waits in the admission queue.
+        self.granted: asyncio.Future[Chain | None] | None = None
         # The server that the last refusal names, if it is not the one that refused.
         self.named_backend: Backend | None = None
         # Whether the current attempt has lost a later stage.
         self.later_stage_lost = False
+        # Later stages of the current attempt whose possible loss is recorded.
+        self.suspected_incarnations: set[str] = set()
         self.attempts = 0
-        # Attempts that count against the route's limit.
-        self.counted_attempts = 0
+        self.left_servers = LeftServers()
         # Whether the retry budget has already granted the next attempt.
         self.retry_reserved = False
         self.reroutes = 0
@@ -85,10 +114,34 @@
         metadata = self.admitted.metadata
         return metadata.prompt_tokens + metadata.expected_answer_tokens
 
-    def deliver_data(self, data: bytes) -> None:
-        """Deliver the events that these bytes complete."""
+    @property
+    def position(self) -> int:
+        """The last event that the caller has, by its id or else its number."""
+        if self.last_event_id is not None:
+            return self.last_event_id
+        return self.delivered_events
+
+    def start_tracking(self) -> None:
+        """Note what the loss of a stage of the current chain is counted by."""
+        self.tracked_attempt = start_attempt(
+            self.gateway, self.admitted, has_proven_parts=self.has_proven_parts
+        )
+        self.first_event = self.position
+
+    @property
+    def lost_attempt(self) -> TrackedAttempt:
+        """What the loss of a stage now is counted by."""
+        progress = Progress(self.first_event, self.position)
+        return self.tracked_attempt._replace(progress=progress)
+
+    def deliver_data(self, data: bytes) -> int:
+        """Deliver the events that these bytes complete.
+
+        Returns the number of bytes of an incomplete event.
+        """
         for event in self.splitter.feed(data):
             self._deliver_event(event)
+        return self.splitter.buffered_bytes
 
     def _deliver_event(self, event: bytes) -> None:
         now_s = self.gateway.now()
@@ -102,6 +155,8 @@
             self._release_start()
         self.last_progress_s = now_s
         self.attempt_events += 1
+        if self.attempt_events >= PROOF_EVENTS:
+            self.prove_parts()
         received_id = parse_event_id(event)
         if received_id is not None:
             if self.last_event_id is not None and received_id <= self.last_event_id:
@@ -113,6 +168,14 @@
         self.first_event_s = self.first_event_s or self.last_progress_s
         self.reply.write(event)
 
+    def prove_parts(self) -> None:
+        """Record once that the attempt has shown its prompt's parts to be harmless."""
+        if not self.has_proven_parts:
+            self.has_proven_parts = True
+            end_trial(self)
+            prove_parts(self.gateway, self.tracked_attempt)
+            self.tracked_attempt = self.tracked_attempt._replace(has_proven_parts=True)
+
     def _release_start(self) -> None:
         """Stop counting the stream as starting, so that another one may start."""
         if self.starting_backend is not None:
@@ -138,18 +201,19 @@
         workspace = self.admitted.workspace
         return workspace.name if workspace else ""
 
-    def can_retry(self, counted_attempts: int) -> bool:
-        """Return whether the route allows another attempt after counted_attempts.
+    def leave(self, backend: Backend) -> None:
+        """Record that the stream has left a server that may still run it."""
+        record_left(self.left_servers, backend)
 
-        Attempts that lost their first stage do not count, but are bounded separately.
-        """
+    def can_retry(self, leaving: Backend | None = None) -> bool:
+        """Return whether the route allows another attempt, after leaving a server."""
         route = self.admitted.route
-        max_attempts = route.max_attempts
-        return (
-            route.is_idempotent
-            and counted_attempts < max_attempts
-            and self.attempts < max_attempts + MAX_LOST_ATTEMPTS
-        )
+        counted = count_attempts(self.left_servers, self.gateway.fleet, leaving)
+        return route.is_idempotent and counted < route.max_attempts
+
+    def can_replace(self, stage: Backend) -> bool:
+        """Return whether the stream may continue on another server than this one."""
+        return self.gateway.fleet.has_ended(stage) or self.can_retry(stage)
 
     def reserve_retry(self) -> bool:
         """Return whether the retry budget grants the next attempt.
@@ -169,53 +233,82 @@
             self.tokens,
             self.gateway.now(),
             frozenset(self.excluded_incarnations),
+            runs_apart=is_suspect_run(self),
         )
 
     def reserve(self, chain: Chain) -> None:
         """Reserve capacity at a chain over which the request is about to be sent."""
         self.queue.record_grant(self.workspace, self.tokens, self.gateway.now())
+        self.has_proven_parts = False
         self._reserve_at(chain)
 
     def move_to_chain(self, chain: Chain) -> None:
         """Move the reservation to the chain over which the request continues."""
         self.release_chain()
-        self.tracked_attempt = start_attempt(self.gateway, self.admitted)
+        self.start_tracking()
+        self.suspected_incarnations.clear()
         self.queue.record_move(self.workspace, self.tokens)
         self._reserve_at(chain)
 
+    def reserve_next(self, chain: Chain) -> None:
+        """Reserve capacity for the next attempt beside that of the current one."""
+        self.queue.record_grant(self.workspace, self.tokens, self.gateway.now())
+        self.next_chain = chain
+        self.next_tokens_by_stage = self._compute_tokens_by_stage(chain)
+        _change_usage(chain, self.next_tokens_by_stage, 1)
+
+    def take_next_chain(self) -> Chain | None:
+        """Let the current attempt use the capacity that was reserved for it, if any."""
+        chain = self.next_chain
+        if chain is not None:
+            self.release_next_chain()
+            self.queue.record_move(self.workspace, self.tokens)
+            self.has_proven_parts = False
+            self._reserve_at(chain)
+        return chain
+
+    def release_next_chain(self) -> None:
+        """Release the capacity that is reserved for the next attempt, if any."""
+        chain, self.next_chain = self.next_chain, None
+        if chain is not None:
+            _change_usage(chain, self.next_tokens_by_stage, -1)
+            self.queue.release(self.workspace, self.tokens)
+
+    def _compute_tokens_by_stage(self, chain: Chain) -> list[int]:
+        return [int(self.tokens * stage.layer_fraction) for stage in chain.stages]
+
     def _reserve_at(self, chain: Chain) -> None:
         self.chain = chain
+        if not self.has_proven_parts:
+            begin_trial(self, chain)
         self._release_start()
         if not self.attempt_events:
             self.starting_backend = chain.stages[0].backend
             self.starting_backend.starting_streams += 1
-        self.reserved_tokens_by_stage = [
-            int(self.tokens * stage.layer_fraction) for stage in chain.stages
-        ]
-        chain.stages[0].backend.first_stage_streams += 1
-        for stage, tokens in zip(
-            chain.stages, self.reserved_tokens_by_stage, strict=True
-        ):
-            stage.backend.reserved_tokens += tokens
-            stage.backend.running_requests += 1
+        self.reserved_tokens_by_stage = self._compute_tokens_by_stage(chain)
+        _change_usage(chain, self.reserved_tokens_by_stage, 1)
 
     def release_chain(self) -> None:
         """Release the reserved capacity and grant it to waiting requests."""
         chain, self.chain = self.chain, None
+        end_trial(self)
         self._release_start()
         if chain is None:
             return
-        chain.stages[0].backend.first_stage_streams -= 1
-        for stage, tokens in zip(
-            chain.stages, self.reserved_tokens_by_stage, strict=True
-        ):
-            stage.backend.reserved_tokens -= tokens
-            stage.backend.running_requests -= 1
+        _change_usage(chain, self.reserved_tokens_by_stage, -1)
         self.attempt_events = 0
         self.queue.release(self.workspace, self.tokens)
         self.queue.grant_capacity(self.gateway.now())
 
 
+def _change_usage(chain: Chain, tokens_by_stage: list[int], sign: int) -> None:
+    """Add a stream to the usage of a chain's servers; a sign of -1 removes it."""
+    chain.stages[0].backend.first_stage_streams += sign
+    for stage, tokens in zip(chain.stages, tokens_by_stage, strict=True):
+        stage.backend.reserved_tokens += sign * tokens
+        stage.backend.running_requests += sign
+
+
 def to_dialect_stages(chain: Chain) -> tuple[Stage, ...]:
     """Return the stages of a chain as the dialect encodes them."""
     return tuple(
--- a/src/yuccareach/health/servers.py
+++ b/src/yuccareach/health/servers.py
@@ -7,8 +7,27 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 
+# A longer time than this, for which a server asks for no requests, counts as this.
+MAX_REFUSAL_MS = 3_600_000
+# A server whose refusal is over gets a single request until it answers, or until so
+# long after that request.
+TRIAL_TIMEOUT_MS = 500
+# "A second or so" of silence is usual of sound servers. One that has been silent for
+# longer is presumed to be lost, and its layers are loaded elsewhere.
+PRESUMED_LOST_SILENCE_MS = 2_000
+
+
+class Silence(StrEnum):
+    """What a silent server leaves unanswered."""
+
+    # It accepts no connection.
+    CONNECTION = "connection"
+    # It may accept connections, but answers nothing that it is sent.
+    ANSWER = "answer"
+
 
 class EndProof(StrEnum):
     """What shows that an incarnation has ended, with all that it ran."""
@@ -27,27 +46,44 @@
     def __init__(self) -> None:
         # Since when it has left something unanswered; None if it has not.
         self.silent_since_ms: int | None = None
+        self.silences: set[Silence] = set()
         self.end_proof: EndProof | None = None
         # Whether it has said that it is leaving.
         self.is_leaving = False
         # Until then it has asked for no requests.
         self.refuses_until_ms = 0
+        # Whether it has not accepted a request since then.
+        self.needs_trial = False
+        self.on_trial_until_ms = 0
 
 
 def record_contact(health: ServerHealth) -> None:
-    """Record that a server has answered or accepted a connection.
+    """Record that a server has sent something."""
+    health.silences.clear()
+    record_connection(health)
+
+
+def record_connection(health: ServerHealth) -> None:
+    """Record that a server has accepted a connection.
 
-    A connection that was refused before was no proof then.
+    The operating system accepts connections also for a process that is silent, so one
+    that leaves requests unanswered remains so. A connection that was refused before was
+    no proof then.
     """
-    health.silent_since_ms = None
+    health.silences.discard(Silence.CONNECTION)
+    if not health.silences:
+        health.silent_since_ms = None
     if health.end_proof is EndProof.REFUSED:
         health.end_proof = None
 
 
-def record_silence(health: ServerHealth, since_ms: int) -> None:
+def record_silence(
+    health: ServerHealth, since_ms: int, silence: Silence = Silence.ANSWER
+) -> None:
     """Record that a server has left something unanswered since a time."""
     if health.silent_since_ms is None:
         health.silent_since_ms = since_ms
+    health.silences.add(silence)
 
 
 def record_end(health: ServerHealth, proof: EndProof) -> None:
@@ -60,9 +96,39 @@
     health.is_leaving = True
 
 
-def record_refusal(health: ServerHealth, now_ms: int, retry_after_ms: int) -> None:
+def record_refusal(health: ServerHealth, now_ms: int, retry_after_ms: float) -> None:
     """Record that a server asks for no requests for a time."""
-    health.refuses_until_ms = max(health.refuses_until_ms, now_ms + retry_after_ms)
+    until_ms = now_ms + math.ceil(min(retry_after_ms, MAX_REFUSAL_MS))
+    health.refuses_until_ms = max(health.refuses_until_ms, until_ms)
+    health.needs_trial = True
+
+
+def record_request(health: ServerHealth, now_ms: int) -> None:
+    """Record that a server is sent a request."""
+    if health.needs_trial:
+        health.on_trial_until_ms = now_ms + TRIAL_TIMEOUT_MS
+
+
+def record_acceptance(health: ServerHealth, now_ms: int) -> None:
+    """Record that a server has answered a request without a refusal.
+
+    During the time of a refusal, the answer is to an earlier request.
+    """
+    if not compute_refusal_ms(health, now_ms):
+        health.needs_trial = False
+        health.on_trial_until_ms = 0
+
+
+def is_on_trial(health: ServerHealth, now_ms: int) -> bool:
+    """Return whether a server that has refused has yet to answer the next request."""
+    return now_ms < health.on_trial_until_ms
+
+
+def copy_notices(source: ServerHealth, target: ServerHealth) -> None:
+    """Copy what an incarnation has said of itself to another record of it."""
+    target.is_leaving = source.is_leaving
+    target.refuses_until_ms = source.refuses_until_ms
+    target.needs_trial = source.needs_trial
 
 
 def has_ended(health: ServerHealth) -> bool:
@@ -77,33 +143,59 @@
     return max(0, now_ms - health.silent_since_ms)
 
 
+def accepts_connections(health: ServerHealth) -> bool:
+    """Return whether the last connection attempt succeeded, as far as is known."""
+    return not has_ended(health) and Silence.CONNECTION not in health.silences
+
+
+def is_presumed_lost(health: ServerHealth, now_ms: int) -> bool:
+    """Return whether others have to stand in for a server: no proof of its end."""
+    silence_ms = compute_silence_ms(health, now_ms)
+    return has_ended(health) or silence_ms >= PRESUMED_LOST_SILENCE_MS
+
+
 def compute_refusal_ms(health: ServerHealth, now_ms: int) -> int:
     """Return for how much longer a server asks for no requests."""
     return max(0, health.refuses_until_ms - now_ms)
 
 
+def find_acceptance_ms(health: ServerHealth) -> float:
+    """Return from when on a server may be sent new requests; infinity if never."""
+    if health.is_leaving or has_ended(health):
+        return math.inf
+    return health.refuses_until_ms
+
+
 def accepts_requests(health: ServerHealth, now_ms: int) -> bool:
     """Return whether a server may be sent new requests.
 
     A silent one may, as a last resort.
     """
-    return (
-        not health.is_leaving
-        and not has_ended(health)
-        and not compute_refusal_ms(health, now_ms)
-    )
+    return now_ms >= find_acceptance_ms(health)
 
 
 __all__ = [
+    "MAX_REFUSAL_MS",
+    "PRESUMED_LOST_SILENCE_MS",
+    "TRIAL_TIMEOUT_MS",
     "EndProof",
     "ServerHealth",
+    "Silence",
+    "accepts_connections",
     "accepts_requests",
     "compute_refusal_ms",
     "compute_silence_ms",
+    "copy_notices",
+    "find_acceptance_ms",
     "has_ended",
+    "is_on_trial",
+    "is_presumed_lost",
+    "record_acceptance",
+    "record_connection",
     "record_contact",
     "record_end",
     "record_leaving",
     "record_refusal",
+    "record_request",
     "record_silence",
 ]
--- a/src/yuccareach/platform/headers.py
+++ b/src/yuccareach/platform/headers.py
@@ -12,6 +12,7 @@
     ResponseMetadata,
     Stage,
 )
+from yuccareach.health.retry_after import parse_retry_after_s
 from yuccareach.platform.orders import ORDER_PATH
 
 REQUEST_ID = b"yuccareach-request-id"
@@ -22,6 +23,9 @@
 # Expected tokens of the answer.
 LENGTH_HINT = b"yuccareach-length-hint"
 LAST_EVENT_ID = b"last-event-id"
+MODEL = b"yuccareach-model"
+# "ID:TOKENS" of each part of the prompt, in order, separated by commas.
+PROMPT_PARTS = b"yuccareach-prompt-prefix"
 # Present on an answer that the runner itself produced, as callers require of a success.
 SIGNATURE = b"yuccareach-runner-signature"
 # Present if the request has not run and will not.
@@ -30,6 +34,11 @@
 RUNNER_LOAD = b"yuccareach-runner-load"
 # Address of the runner that caused a refusal, if it is another one of the chain.
 FAULTY_ADDRESS = b"at-server"
+# "1" if the runner is leaving, whatever its heartbeats say.
+SERVER_LEAVING = b"server-leaving"
+# Seconds, which may have a fraction, for which a refusing runner wants no requests.
+RETRY_AFTER = b"retry-after"
+REFUSED_STATUS = 503
 # Scheme of the Authorization header, in lower case.
 KEY_SCHEME = b"token "
 
@@ -84,6 +93,8 @@
         max_answer_tokens=max_tokens,
         expected_answer_tokens=min(expected_tokens or max_tokens, max_tokens),
         last_event_id=_parse_number(value_by_name.get(LAST_EVENT_ID)),
+        model=value_by_name.get(MODEL, b"").decode("latin-1"),
+        prompt_parts=_parse_prompt_parts(value_by_name.get(PROMPT_PARTS, b"")),
         forwarded_headers=[item for item in headers if item[0] not in dropped_names],
     )
 
@@ -107,6 +118,11 @@
     return _parse_number(prompt.strip()) or 0, _parse_number(maximum.strip()) or 0
 
 
+def _parse_prompt_parts(value: bytes) -> tuple[bytes, ...]:
+    entries = (entry.partition(b":")[0].strip() for entry in value.split(b","))
+    return tuple(part for part in entries if part)
+
+
 def _parse_api_key(value: bytes | None) -> str | None:
     if value is None or value[: len(KEY_SCHEME)].lower() != KEY_SCHEME:
         return None
@@ -149,6 +165,7 @@
         else (None, None, None)
     )
     faulty_address = value_by_name.get(FAULTY_ADDRESS)
+    retry_after_s, malformed = _parse_retry_after(status, headers)
     return ResponseMetadata(
         request_id=value_by_name.get(REQUEST_ID),
         is_signed=SIGNATURE in value_by_name,
@@ -158,6 +175,28 @@
         running_requests=running,
         queued_requests=queued,
         slots=slots,
+        is_leaving=any(
+            name == SERVER_LEAVING and value.strip() == b"1" for name, value in headers
+        ),
+        retry_after_s=retry_after_s,
+        malformed_retry_after=malformed,
+    )
+
+
+def _parse_retry_after(
+    status: int, headers: Headers
+) -> tuple[float | None, str | None]:
+    """Return the longest time that a refusal states, and a value that is no time.
+
+    The platform states times in seconds only, not as dates.
+    """
+    if status != REFUSED_STATUS:
+        return None, None
+    values = [value.decode("latin-1") for name, value in headers if name == RETRY_AFTER]
+    times_s = [parse_retry_after_s(value) for value in values]
+    return (
+        max((time_s for time_s in times_s if time_s is not None), default=None),
+        next((value for value in values if parse_retry_after_s(value) is None), None),
     )
 
 
--- a/tests/health/test_servers.py
+++ b/tests/health/test_servers.py
@@ -2,19 +2,32 @@
 
 from __future__ import annotations
 
+import math
 import unittest
 
 from yuccareach.health.servers import (
+    MAX_REFUSAL_MS,
+    PRESUMED_LOST_SILENCE_MS,
+    TRIAL_TIMEOUT_MS,
     EndProof,
     ServerHealth,
+    Silence,
+    accepts_connections,
     accepts_requests,
     compute_refusal_ms,
     compute_silence_ms,
+    copy_notices,
+    find_acceptance_ms,
     has_ended,
+    is_on_trial,
+    is_presumed_lost,
+    record_acceptance,
+    record_connection,
     record_contact,
     record_end,
     record_leaving,
     record_refusal,
+    record_request,
     record_silence,
 )
 
@@ -34,11 +47,49 @@
         record_contact(health)
         self.assertEqual(compute_silence_ms(health, 9_000), 0)
 
+    def test_connection_ends_a_silence_only_if_none_was_accepted(self) -> None:
+        # The operating system accepts connections for a process that is silent.
+        dark, hanging = ServerHealth(), ServerHealth()
+        record_silence(dark, 1_000, Silence.CONNECTION)
+        record_silence(hanging, 1_000)
+        self.assertFalse(accepts_connections(dark))
+        self.assertTrue(accepts_connections(hanging))
+        for health in (dark, hanging):
+            record_connection(health)
+        self.assertEqual(compute_silence_ms(dark, 2_000), 0)
+        self.assertEqual(compute_silence_ms(hanging, 2_000), 1_000)
+
+    def test_silent_server_that_accepts_no_connection_either_stays_unconnectable(
+        self,
+    ) -> None:
+        for silences in (
+            (Silence.ANSWER, Silence.CONNECTION),
+            (Silence.CONNECTION, Silence.ANSWER),
+        ):
+            health = ServerHealth()
+            for silence in silences:
+                record_silence(health, 1_000, silence)
+            self.assertFalse(accepts_connections(health))
+            record_connection(health)
+            self.assertTrue(accepts_connections(health))
+            self.assertEqual(compute_silence_ms(health, 2_000), 1_000)
+
+    def test_server_is_presumed_lost_only_after_more_than_a_second_or_so(self) -> None:
+        health = ServerHealth()
+        record_silence(health, 0)
+        self.assertFalse(is_presumed_lost(health, PRESUMED_LOST_SILENCE_MS - 1))
+        self.assertTrue(is_presumed_lost(health, PRESUMED_LOST_SILENCE_MS))
+        self.assertFalse(has_ended(health))
+        record_contact(health)
+        self.assertFalse(is_presumed_lost(health, PRESUMED_LOST_SILENCE_MS))
+
 
 class EndTests(unittest.TestCase):
     def test_ended_server_accepts_nothing(self) -> None:
         health = ServerHealth()
         record_end(health, EndProof.REFUSED)
+        self.assertTrue(is_presumed_lost(health, 0))
+        self.assertFalse(accepts_connections(health))
         self.assertTrue(has_ended(health))
         self.assertFalse(accepts_requests(health, 0))
 
@@ -63,7 +114,60 @@
         self.assertFalse(accepts_requests(health, 3_999))
         self.assertTrue(accepts_requests(health, 4_000))
 
+    def test_longest_time_that_a_server_may_ask_for_is_bounded(self) -> None:
+        for retry_after_ms in (10 * MAX_REFUSAL_MS, math.inf):
+            health = ServerHealth()
+            record_refusal(health, 1_000, retry_after_ms)
+            self.assertEqual(compute_refusal_ms(health, 1_000), MAX_REFUSAL_MS)
+
+    def test_part_of_a_millisecond_counts_as_a_whole_one(self) -> None:
+        health = ServerHealth()
+        record_refusal(health, 1_000, 0.2)
+        self.assertEqual(compute_refusal_ms(health, 1_000), 1)
+
+    def test_acceptance_is_known_in_advance(self) -> None:
+        health = ServerHealth()
+        self.assertEqual(find_acceptance_ms(health), 0)
+        record_refusal(health, 1_000, 3_000)
+        self.assertEqual(find_acceptance_ms(health), 4_000)
+        record_leaving(health)
+        self.assertEqual(find_acceptance_ms(health), math.inf)
+
+    def test_copy_tells_what_the_original_had_said(self) -> None:
+        health, copy = ServerHealth(), ServerHealth()
+        record_refusal(health, 1_000, 3_000)
+        record_silence(health, 1_000)
+        copy_notices(health, copy)
+        self.assertEqual(compute_refusal_ms(copy, 1_000), 3_000)
+        self.assertIsNone(copy.silent_since_ms)
+
     def test_leaving_server_accepts_nothing(self) -> None:
         health = ServerHealth()
         record_leaving(health)
         self.assertFalse(accepts_requests(health, 0))
+
+
+class TrialTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.health = ServerHealth()
+        record_refusal(self.health, 0, 1_000)
+
+    def test_request_after_a_refusal_is_a_trial_until_it_is_answered(self) -> None:
+        self.assertFalse(is_on_trial(self.health, 1_000))
+        record_request(self.health, 1_000)
+        self.assertTrue(is_on_trial(self.health, 1_001))
+        record_acceptance(self.health, 1_100)
+        self.assertFalse(is_on_trial(self.health, 1_100))
+        record_request(self.health, 1_200)
+        self.assertFalse(is_on_trial(self.health, 1_201))
+
+    def test_trial_without_an_answer_ends(self) -> None:
+        record_request(self.health, 1_000)
+        self.assertFalse(is_on_trial(self.health, 1_000 + TRIAL_TIMEOUT_MS))
+
+    def test_answer_to_a_request_from_before_the_refusal_is_no_acceptance(
+        self,
+    ) -> None:
+        record_acceptance(self.health, 500)
+        record_request(self.health, 1_000)
+        self.assertTrue(is_on_trial(self.health, 1_001))
