Count the losses of one request once against the parts of its prompt

Cause: each further attempt of one request carried the count that its own loss before had just made, so that three attempts within 7 ms were three losses in a row of the parts that it shares with sound ones. Now the first loss of a client attempt counts against its parts, and none of a request that is quarantined itself, which explains it.

--- a/src/yuccareach/quarantine/parts.py
+++ b/src/yuccareach/quarantine/parts.py
@@ -24,8 +24,9 @@
 # before QUARANTINE_LOSS_THRESHOLD losses in a row. A loss in a row that follows an
 # earlier one is needed too, since a rack that fails ends many servers at once.
 MIN_ACCUSING_SERVERS = 4
-# Parts whose use an entry remembers.
+# Parts whose use, and requests whose losses, an entry remembers.
 MAX_PARTS_REMEMBERED = 20_000
+MAX_REQUESTS_REMEMBERED = 20_000
 
 
 class PartUse(NamedTuple):
@@ -37,10 +38,15 @@
 
 
 class PartHistory:
-    """Use by the part's fingerprint, the least recently used first."""
+    """Use by the part's fingerprint, and requests whose losses counted against parts.
+
+    The least recently used part and the oldest request come first.
+    """
 
     def __init__(self) -> None:
         self.use_by_part: dict[bytes, PartUse] = {}
+        # The incarnation that was lost, by the request's id.
+        self.incarnation_by_request: dict[str, str] = {}
 
 
 class Candidate(NamedTuple):
@@ -69,6 +75,19 @@
             history.use_by_part[part] = use._replace(proven_ms=now_ms)
 
 
+def record_part_loss(history: PartHistory, request: str, incarnation: str) -> bool:
+    """Return whether the loss of a server counts against the parts of a request.
+
+    Only the first loss does. The further attempts of one request may well crash more
+    servers, but tell nothing of the parts that others share.
+    """
+    incarnations = history.incarnation_by_request
+    counted_incarnation = incarnations.setdefault(request, incarnation)
+    while len(incarnations) > MAX_REQUESTS_REMEMBERED:
+        del incarnations[next(iter(incarnations))]
+    return counted_incarnation == incarnation
+
+
 def compute_part_losses(known: LossCount) -> int:
     """Return the losses of a part, not accused, after one more than were known.
 
@@ -142,12 +161,14 @@
 
 __all__ = [
     "MAX_PARTS_REMEMBERED",
+    "MAX_REQUESTS_REMEMBERED",
     "MIN_ACCUSING_SERVERS",
     "Candidate",
     "PartHistory",
     "PartUse",
     "compute_part_losses",
     "is_accusable",
+    "record_part_loss",
     "record_proof",
     "record_request",
     "select_accused",
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -35,6 +35,7 @@
     PartHistory,
     compute_part_losses,
     is_accusable,
+    record_part_loss,
     record_proof,
     select_accused,
 )
@@ -315,13 +316,16 @@
 ) -> Iterator[CountChange]:
     """Count a loss against the parts of prompts that its attempts have not proven.
 
-    All are counted before one is accused, so that it is the most suspicious of them.
+    A request that is quarantined itself explains the loss. All parts are counted before
+    one is accused, so that it is the most suspicious of them.
     """
     lost_server = hash_incarnation(incarnation)
     charged = [
         (attempt, position, part)
         for attempt in attempts
         if not attempt.has_proven_parts
+        and not get_count(table, attempt.fingerprint, now_ms).is_quarantined
+        and record_part_loss(table.part_history, attempt.request, incarnation)
         for position, part in enumerate(attempt.parts)
     ]
     for attempt, _, part in charged:
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -15,6 +15,7 @@
     QUARANTINE_MS,
     LossCount,
     compute_retention_ms,
+    hash_incarnation,
     merge_counts,
 )
 from yuccareach.quarantine.parts import MAX_PARTS_REMEMBERED, MIN_ACCUSING_SERVERS
@@ -42,10 +43,11 @@
         """Start an attempt at a request that nobody has sent before."""
         chosen = quarantine_table or self.table
         part_rules.record_request(chosen.part_history, parts)
+        number = next(self.numbers)
         return TrackedAttempt(
-            next(self.numbers).to_bytes(16, "big"),
+            number.to_bytes(16, "big"),
             NO_LOSSES,
-            "r1",
+            f"r{number}",
             "w",
             tuple(
                 TrackedPart(part, table.get_count(chosen, part, 0)) for part in parts
@@ -104,6 +106,23 @@
         count = table.get_count(self.table, BAD, 0)
         self.assertEqual((count.losses, len(count.lost_servers)), (1, 1))
 
+    def test_attempts_of_one_request_are_one_loss_of_its_parts(self) -> None:
+        for server in "abcde":
+            attempt = self.start_attempt(SHARED)
+            self.crash(attempt._replace(request="r"), incarnation=server)
+        self.assertEqual(
+            table.get_count(self.table, SHARED, 0),
+            LossCount(0, 1, (hash_incarnation("a"),)),
+        )
+
+    def test_request_that_is_quarantined_accuses_no_part(self) -> None:
+        for _ in range(QUARANTINE_LOSS_THRESHOLD):
+            attempt = self.start_attempt(SHARED)
+            count = table.get_count(self.table, OTHER, 0)
+            self.crash(attempt._replace(fingerprint=OTHER, known_count=count))
+        self.assertTrue(table.get_count(self.table, OTHER, 0).is_quarantined)
+        self.assertFalse(self.is_refused(SHARED))
+
     def test_proof_between_crashes_resets_the_losses(self) -> None:
         for _ in range(20):
             self.crash_round(1, SHARED)
