Count a loss against a stream that got a single event before it

Since a loss after new events no longer counted, a stream that crashes a later stage at each event was not always quarantined: where the stage was back before its loss was noticed, the stream had got one event, and the next loss seemed to follow progress.

--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -87,6 +87,7 @@
         self.tracked_attempt = start_attempt(gateway, admitted)
         # Events that the caller had when it started.
         self.first_event = self.position
+        self.first_delivered_events = 0
         # Whether the current attempt has shown that the parts of its prompt are
         # harmless.
         self.has_proven_parts = False
@@ -127,11 +128,13 @@
             self.gateway, self.admitted, has_proven_parts=self.has_proven_parts
         )
         self.first_event = self.position
+        self.first_delivered_events = self.delivered_events
 
     @property
     def lost_attempt(self) -> TrackedAttempt:
         """What the loss of a stage now is counted by."""
-        progress = Progress(self.first_event, self.position)
+        new_events = self.delivered_events - self.first_delivered_events
+        progress = Progress(self.first_event, self.position, new_events)
         return self.tracked_attempt._replace(progress=progress)
 
     def deliver_data(self, data: bytes) -> int:
--- a/src/yuccareach/quarantine/progress.py
+++ b/src/yuccareach/quarantine/progress.py
@@ -9,6 +9,9 @@
 
 from typing import NamedTuple
 
+# Fewer new events are no progress: a request that crashes a later stage at each event
+# may get one where that stage is back before its loss is noticed.
+MIN_NEW_EVENTS = 2
 MAX_POSITIONS = 20_000
 
 
@@ -17,6 +20,8 @@
 
     first_event: int = 0
     last_event: int = 0
+    # Events that its caller has got since.
+    new_events: int = 0
 
 
 class LostPosition(NamedTuple):
@@ -41,7 +46,7 @@
     A resumed attempt with new events never counts: it went on after the position at
     which the one before it was lost.
     """
-    if progress.last_event <= progress.first_event:
+    if progress.new_events < MIN_NEW_EVENTS:
         return True
     earlier = positions.position_by_fingerprint.pop(fingerprint, None)
     was_lost_there = (
@@ -60,4 +65,10 @@
     return was_lost_there and not progress.first_event
 
 
-__all__ = ["MAX_POSITIONS", "LostPositions", "Progress", "counts_as_loss"]
+__all__ = [
+    "MAX_POSITIONS",
+    "MIN_NEW_EVENTS",
+    "LostPositions",
+    "Progress",
+    "counts_as_loss",
+]
--- a/tests/quarantine/test_progress.py
+++ b/tests/quarantine/test_progress.py
@@ -7,7 +7,12 @@
 
 from yuccareach.quarantine import table
 from yuccareach.quarantine.counts import QUARANTINE_LOSS_THRESHOLD
-from yuccareach.quarantine.progress import MAX_POSITIONS, Progress, counts_as_loss
+from yuccareach.quarantine.progress import (
+    MAX_POSITIONS,
+    MIN_NEW_EVENTS,
+    Progress,
+    counts_as_loss,
+)
 from yuccareach.quarantine.table import QuarantineTable, TrackedAttempt
 
 FINGERPRINT = b"f" * 16
@@ -25,7 +30,7 @@
             table.get_count(self.table, FINGERPRINT, 0),
             request or f"r{next(self.numbers)}",
             "w",
-            progress=Progress(first_event, last_event),
+            progress=Progress(first_event, last_event, last_event - first_event),
         )
         return table.record_loss(self.table, attempt, "i", 0) is not None
 
@@ -36,6 +41,12 @@
         self.assertTrue(self.lose(0, 0))
         self.assertTrue(self.lose(7, 7))
 
+    def test_loss_after_a_single_event_counts(self) -> None:
+        # Guards against a stream that crashes a later stage at each event.
+        for event in range(QUARANTINE_LOSS_THRESHOLD):
+            self.assertTrue(self.lose(event, event + MIN_NEW_EVENTS - 1))
+        self.assertTrue(self.is_refused())
+
     def test_request_that_goes_on_after_each_loss_is_never_refused(self) -> None:
         for event in range(0, 500, 10):
             self.assertFalse(self.lose(event, event + 10, "r1"))
@@ -68,7 +79,9 @@
     def test_remembered_positions_are_bounded(self) -> None:
         for number in range(MAX_POSITIONS + 10):
             fingerprint = number.to_bytes(16, "big")
-            counts_as_loss(self.table.lost_positions, fingerprint, "r1", Progress(0, 1))
+            counts_as_loss(
+                self.table.lost_positions, fingerprint, "r1", Progress(0, 2, 2)
+            )
         positions = self.table.lost_positions.position_by_fingerprint
         self.assertEqual(len(positions), MAX_POSITIONS)
         self.assertNotIn((0).to_bytes(16, "big"), positions)
