--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -19,8 +19,10 @@
 from bench.soak.callers import Callers
 from bench.soak.deployment import METRICS_PORT, Deployment, fetch_document_version
 from bench.soak.documents import make_document
-from bench.soak.faults import Injector, ScheduledFault, make_schedule
-from bench.soak.promises import Observations, find_violations
+from bench.soak.faults import Injector
+from bench.soak.observations import Observations, describe
+from bench.soak.promises import find_violations
+from bench.soak.schedule import ScheduledFault, make_schedule
 from bench.soak.seeds import REGRESSIONS, SOAK_DEFECTS
 from yuccareach.platform.standin import put_document
 
@@ -47,6 +49,8 @@
     # Whether bounds in seconds are checked as well, which needs an otherwise idle
     # machine.
     check_time_bounds: bool = True
+    # Kinds of faults to inject; all if empty.
+    fault_kinds: tuple[str, ...] = ()
 
 
 class Operator:
@@ -138,7 +142,13 @@
     operator = Operator(deployment, plan)
     callers = Callers(deployment, plan.seed + 2, plan.caller_count)
     injector = Injector(deployment, callers)
-    faults = make_schedule(plan.seed, plan.duration_s, FAULTS_PER_S, plan.control_count)
+    faults = [
+        fault
+        for fault in make_schedule(
+            plan.seed, plan.duration_s, FAULTS_PER_S, plan.control_count
+        )
+        if not plan.fault_kinds or fault.kind in plan.fault_kinds
+    ]
     violations = []
     timeout = aiohttp.ClientTimeout(total=SCRAPE_TIMEOUT_S)
     try:
@@ -162,8 +172,12 @@
         callers.crash_resends,
     )
     violations += [*operator.violations, *injector.shutdown_failures]
+    violations += find_violations(observations, plan.check_time_bounds)
+    (folder / "observations.txt").write_text(
+        "\n".join((*violations, *describe(observations)))
+    )
     return SeedResult(
-        violations + find_violations(observations, plan.check_time_bounds),
+        violations,
         Counter(item.status for item in callers.records),
         Counter(fault.kind for fault in faults),
     )
@@ -236,6 +250,9 @@
 @click.option("--controls", default=3, show_default=True, help="Control instances.")
 @click.option("--gateways", default=3, show_default=True, help="Gateway instances.")
 @click.option("--callers", default=12, show_default=True, help="Concurrent callers.")
+@click.option(
+    "--kind", "kinds", multiple=True, help="Kind of faults, repeatable; default all."
+)
 @click.option("--again", is_flag=True, help="Run the recorded seeds that once failed.")
 @click.option(
     "--keep", default="", help="Folder to which the logs of failed seeds are copied."
@@ -247,6 +264,7 @@
     controls: int,
     gateways: int,
     callers: int,
+    kinds: tuple[str, ...],
     again: bool,
     keep: str,
 ) -> None:
@@ -258,7 +276,9 @@
         [*REGRESSIONS, *SOAK_DEFECTS] if again else range(first, first + seeds)
     )
     for seed in chosen_seeds:
-        plan = Plan(seed, controls, gateways, callers, seconds)
+        plan = Plan(
+            seed, controls, gateways, callers, seconds, fault_kinds=tuple(kinds)
+        )
         with tempfile.TemporaryDirectory() as folder:
             result = asyncio.run(run_seed(plan, Path(folder)))
             if result.violations and keep:
--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -68,8 +68,8 @@
 class WaitingRequest(NamedTuple, Generic[Capacity]):
     """A request in the queue, with the callback that reserves capacity for it.
 
-    `granted` gets the reserved capacity, or None once the wait deadline has passed. The
-    callback may end the wait itself. No capacity is granted, and none is kept free,
+    `granted` gets the reserved capacity, or None once the wait deadline has passed.
+    The callback may end the wait itself. No capacity is granted, and none is kept free,
     while the request is held back.
     """
 
--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -296,8 +296,12 @@
 
 
 class BackendResponse(NamedTuple):
-    """A complete response to a request of the gateway's own."""
+    """A response to a request of the gateway's own.
 
+    Unless it is complete, the status is 0 and the body empty.
+    """
+
+    ending: Ending
     status: int
     body: bytes
 
@@ -314,9 +318,10 @@
 ) -> BackendResponse | None:
     """Send a request of the gateway's own to a backend server.
 
-    Returns None if no complete response arrives within the timeout, which includes the
-    time to connect. With `new_connection`, no pooled connection is used. The head of
-    the response is decoded by `read_response`, if set.
+    Returns None if the server sends neither a complete response within the timeout,
+    which includes the time to connect, nor one that is invalid or too large. With
+    `new_connection`, no pooled connection is used. The head of the response is decoded
+    by `read_response`, if set.
     """
     address = f"{pool.host}:{pool.port}".encode()
     headers: Headers = [(b"Host", address)]
@@ -349,9 +354,11 @@
         elif connection is not None:
             pool.release(connection)
     head = exchange.head.result()
+    if ending in (Ending.MALFORMED, Ending.TOO_LARGE):
+        return BackendResponse(ending, 0, b"")
     if ending is not Ending.COMPLETE or head is None:
         return None
-    return BackendResponse(head.status, b"".join(exchange.body))
+    return BackendResponse(ending, head.status, b"".join(exchange.body))
 
 
 def encode_request(
