Repair a stream at a departed server no sooner than others

Callers saw: when heartbeats came late, or a server deregistered and went on serving, all its streams without an event were sent to another server within 20 ms. That used up their attempts and the retry budget, and processed each prompt twice.

Cause: _is_stalled took any stage that is not a member for stalled at once, without an idle limit. A departure is no proof of an end.

Now only a stage that has ended by proof, or accepts no connection, counts at once; one that has only departed counts after the usual stall limit, and is chosen for the repair only if no other stage is unavailable. Ends by a later incarnation count at once too.

--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.admitted_requests import QUARANTINED
@@ -134,7 +135,15 @@
         limit_s = max(MIN_STALL_S, STALL_GAP_FACTOR * route.gap_objective_ms / 1000)
     else:
         limit_s = FIRST_EVENT_STALL_FACTOR * route.objective_ms / 1000
-    return idle_s > limit_s or _find_unavailable_backend(gateway, run) is not None
+    if idle_s > limit_s:
+        return True
+    backend = _find_unavailable_backend(gateway, run)
+    # One that has only departed may still run the stream.
+    return backend is not None and not _may_serve(gateway, backend)
+
+
+def _may_serve(gateway: Gateway, backend: Backend) -> bool:
+    return backend.is_connectable and not gateway.fleet.has_ended(backend)
 
 
 def _find_unavailable_backend(gateway: Gateway, run: StreamRun) -> Backend | None:
@@ -142,20 +151,22 @@
 
     A server may lose its membership only because its heartbeats do not reach control,
     and one that shuts down may finish its streams after it has stopped listening. So
-    none is returned while events of the stream arrive as expected.
+    none is returned while events of the stream arrive as expected, and one that has
+    only departed is returned last.
     """
     now_s = gateway.now()
     idle_s = now_s - run.last_progress_s
     is_flowing = run.attempt_events and not is_suspiciously_idle(run, now_s)
     if is_flowing and idle_s < MIN_SUSPICIOUS_PAUSE_S:
         return None
-    for stage in run.chain.stages if run.chain else ():
-        backend = stage.backend
-        if not backend.is_connectable:
-            return backend
-        if not gateway.fleet.is_current(backend) and not is_flowing:
-            return backend
-    return None
+    backends = [stage.backend for stage in run.chain.stages] if run.chain else []
+    unavailable = (item for item in backends if not _may_serve(gateway, item))
+    departed = (
+        item
+        for item in backends
+        if not gateway.fleet.is_current(item) and not is_flowing
+    )
+    return next(itertools.chain(unavailable, departed), None)
 
 
 async def _repair_streams(gateway: Gateway, runs: list[StreamRun]) -> None:
--- a/tests/gateway/test_stalls.py
+++ b/tests/gateway/test_stalls.py
@@ -8,8 +8,10 @@
 
 from tests.gateway.fleet import MODEL, build_backend
 from yuccareach.gateway import stalls
+from yuccareach.gateway.backends import Fleet
 from yuccareach.gateway.chain_choice import choose_detour
 from yuccareach.gateway.chains import Chain, ChainRequirements, ChainStage, build_graph
+from yuccareach.health.servers import EndProof, record_end
 
 SMALL_MODEL = MODEL._replace(layer_mb=100.0)
 
@@ -38,6 +40,53 @@
         self.run.interrupted.set.assert_not_called()
 
 
+class UnavailableStageTests(unittest.TestCase):
+    """A stream whose only stage departs, before its first event and after others."""
+
+    def setUp(self) -> None:
+        self.fleet = Fleet()
+        self.fleet.update([build_backend("a", "z", "a100", 0, 80).announcement], [])
+        self.backend = self.fleet.backend_by_name["a"]
+        self.gateway: Any = mock.Mock(fleet=self.fleet)
+        self.run: Any = mock.Mock(
+            attempt_events=0, typical_pause_s=None, last_progress_s=0.0
+        )
+        self.run.admitted.route = mock.Mock(gap_objective_ms=200, objective_ms=1_000)
+        self.run.chain = Chain((ChainStage(self.backend, 0, 80),), 1.0)
+
+    def is_stalled(self, now_s: float) -> bool:
+        self.gateway.now.return_value = now_s
+        return stalls._is_stalled(self.gateway, self.run)
+
+    def test_stream_at_a_departed_server_stalls_no_sooner_than_others(self) -> None:
+        # Guards against attempts and retries that were used up at once for streams
+        # whose server's heartbeats were late.
+        self.fleet.update([], ["a"])
+        self.assertFalse(self.is_stalled(1.0))
+        self.assertTrue(self.is_stalled(1.3))
+        self.assertIs(
+            stalls._find_unavailable_backend(self.gateway, self.run), self.backend
+        )
+        self.run.attempt_events, self.run.typical_pause_s = 5, 0.01
+        self.assertFalse(self.is_stalled(0.15))
+        self.assertTrue(self.is_stalled(0.31))
+
+    def test_stream_at_an_ended_server_stalls_at_once(self) -> None:
+        successor = self.backend.announcement._replace(incarnation="a@2", started_ms=1)
+        self.fleet.update([successor], [])
+        self.assertTrue(self.is_stalled(0.02))
+
+    def test_ended_stage_is_found_before_a_departed_one(self) -> None:
+        ended = build_backend("b", "z", "a100", 40, 80)
+        record_end(ended.health, EndProof.REFUSED)
+        stages = (ChainStage(self.backend, 0, 40), ChainStage(ended, 40, 80))
+        self.run.chain = Chain(stages, 1.0)
+        self.fleet.update([], ["a"])
+        self.gateway.now.return_value = 0.02
+        found = stalls._find_unavailable_backend(self.gateway, self.run)
+        self.assertIs(found, ended)
+
+
 class ChooseDetourTests(unittest.TestCase):
     """A stream whose first stage runs layers 0 to 20 and whose next stage is lost."""
 
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -244,6 +244,26 @@
         self.assert_answered(answer, EVENTS)
         self.assertLessEqual(len(self.list_servers("r1")), MAX_ATTEMPTS)
 
+    async def test_streams_of_departed_servers_that_prefill_are_not_moved(self) -> None:
+        # Guards against retries that were used up for servers whose heartbeats were
+        # late, which still processed the prompts.
+        await self.add_runners((0, 80))
+        for runner in self.runners:
+            runner.faults.silence_on_arrival_s = 0.3
+        gateway = self.gateway.gateway
+
+        async def _depart() -> None:
+            await self.wait_until(lambda: len(self.group.arrivals) == CALLERS)
+            names = [runner.name for runner in self.runners]
+            for name in names:
+                self.find_runner(name).heartbeat_task.cancel()
+            gateway.fleet.update([], names[:2])
+
+        await asyncio.gather(self.request_all("/draft/1", EVENTS), _depart())
+        servers = [self.list_servers(f"r{number}") for number in range(CALLERS)]
+        self.assertTrue(any(names[0] in ("a0", "a1") for names in servers), servers)
+        self.assertTrue(all(len(names) == 1 for names in servers), servers)
+
     async def request_over_dark_server(self, dark_s: float) -> float:
         """Request a stream whose first server neither sends nor accepts connections.
 
