Keep the state of a server that departs and returns

Callers saw: after late heartbeats a server that had never stopped was taken for empty and sound: it was overcommitted, its silence and avoidance were forgotten, and the streams that ran there were never of a member again.

Cause: Fleet._add made a new Backend for every member, and copied only what the incarnation had said of itself. is_current compares objects.

Now departed backends are kept by incarnation, 1,000 at most, and the same object is put back. A later incarnation still starts without observations. The test of the bound is as strict as before: it uses the new names and counts the same number of incarnations, of which all are kept now, not only those with a notice.

Measured: test_member_that_returns_as_the_same_incarnation_keeps_its_state failed before (another object), passes now, with the rest of its module. Entries (entry/fleet.py) still start such a member anew.

--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -16,7 +16,6 @@
     Silence,
     accepts_connections,
     accepts_requests,
-    copy_notices,
     has_ended,
     is_on_trial,
     is_presumed_lost,
@@ -38,9 +37,9 @@
 FULL_DURATION_S = 0.2
 # Weight of the newest outcome in the failure rate, an exponential moving average.
 FAILURE_WEIGHT = 0.2
-# Departed incarnations whose notices are kept, since one whose heartbeats were late
-# becomes a member again.
-MAX_DEPARTED_NOTICES = 1_000
+# Departed incarnations that are kept, since one whose heartbeats were late becomes a
+# member again, and may have run its requests meanwhile.
+MAX_DEPARTED_BACKENDS = 1_000
 
 
 class ProbeResult(StrEnum):
@@ -188,8 +187,8 @@
         self.suspect_by_incarnation: dict[str, Backend] = {}
         # Incremented when a member joins, leaves or is announced with other properties.
         self.version = 0
-        # What departed incarnations that may return have said, oldest first.
-        self.departed_health_by_incarnation: dict[str, ServerHealth] = {}
+        # Departed incarnations, which may return, in the order of their departures.
+        self.departed_by_incarnation: dict[str, Backend] = {}
 
     def update(
         self, announcements: Iterable[Announcement], departed: Iterable[str]
@@ -197,7 +196,7 @@
         """Apply the changes that control has reported since the last update.
 
         A server that was restarted, and so has a new incarnation, starts without the
-        observations of the earlier one.
+        observations of the earlier one. An incarnation that returns keeps its own.
         """
         for name in departed:
             self._remove(name)
@@ -221,18 +220,16 @@
             self._remove(name)
 
     def _add(self, announcement: Announcement) -> Backend:
-        backend = self.backend_by_name[announcement.name] = Backend(announcement)
-        former = self.departed_health_by_incarnation.pop(announcement.incarnation, None)
-        if former is not None:
-            copy_notices(former, backend.health)
+        former = self.departed_by_incarnation.pop(announcement.incarnation, None)
+        backend = Backend(announcement) if former is None else former
+        self.backend_by_name[announcement.name] = backend
         return backend
 
-    def _keep_notices(self, backend: Backend) -> None:
-        if backend.health.is_leaving or backend.health.refuses_until_ms:
-            kept = self.departed_health_by_incarnation
-            kept[backend.announcement.incarnation] = backend.health
-            if len(kept) > MAX_DEPARTED_NOTICES:
-                del kept[next(iter(kept))]
+    def _keep_departed(self, backend: Backend) -> None:
+        kept = self.departed_by_incarnation
+        kept[backend.announcement.incarnation] = backend
+        if len(kept) > MAX_DEPARTED_BACKENDS:
+            del kept[next(iter(kept))]
 
     def _remove(self, name: str) -> None:
         backend = self.backend_by_name.pop(name, None)
@@ -240,7 +237,7 @@
             return
         self.version += 1
         backend.pool.close()
-        self._keep_notices(backend)
+        self._keep_departed(backend)
         if self.backend_by_address.get(backend.announcement.address) is backend:
             del self.backend_by_address[backend.announcement.address]
 
--- a/tests/gateway/test_backends.py
+++ b/tests/gateway/test_backends.py
@@ -7,7 +7,7 @@
 from tests.gateway.fleet import build_backend
 from yuccareach.gateway.backends import (
     INITIAL_AVOIDANCE_S,
-    MAX_DEPARTED_NOTICES,
+    MAX_DEPARTED_BACKENDS,
     Fleet,
     choose_backend,
 )
@@ -72,6 +72,23 @@
         self.assertFalse(self.fleet.backend_by_name["a"].accepts_requests(2.9))
         self.assertTrue(self.fleet.backend_by_name["a"].accepts_requests(3.0))
 
+    def test_member_that_returns_as_the_same_incarnation_keeps_its_state(self) -> None:
+        # Guards against overcommitted servers and streams that were moved off them: a
+        # server whose heartbeats had been late started without its reservations.
+        announcement = build_backend("a", "z", "l4", 0, 9).announcement
+        self.fleet.update([announcement], [])
+        original = self.fleet.backend_by_name["a"]
+        original.reserved_tokens = 5
+        record_silence(original.health, 1_000)
+        self.fleet.update([], ["a"])
+        self.assertFalse(self.fleet.is_current(original))
+        self.fleet.update([announcement._replace(end_layer=12)], [])
+        self.assertIs(self.fleet.backend_by_name["a"], original)
+        self.assertIs(self.fleet.backend_by_address[announcement.address], original)
+        self.assertTrue(self.fleet.is_current(original))
+        self.assertEqual(original.announcement.end_layer, 12)
+        self.assertTrue(original.is_avoided(1.1))
+
     def test_later_incarnation_of_a_leaving_server_accepts_requests(self) -> None:
         first, second = (
             build_backend("a", "z", "l4", 0, 9, incarnation_number=number).announcement
@@ -87,15 +104,15 @@
         server = self.fleet.backend_by_address[second.address]
         self.assertTrue(server.accepts_requests(0.0))
 
-    def test_notices_of_departed_incarnations_are_bounded(self) -> None:
-        for number in range(MAX_DEPARTED_NOTICES + 10):
+    def test_departed_incarnations_are_bounded(self) -> None:
+        for number in range(MAX_DEPARTED_BACKENDS + 10):
             announcement = build_backend(
                 "a", "z", "l4", 0, 9, incarnation_number=number
             ).announcement
             self.fleet.update([announcement], [])
             record_leaving(self.fleet.backend_by_name["a"].health)
-        kept = self.fleet.departed_health_by_incarnation
-        self.assertEqual(len(kept), MAX_DEPARTED_NOTICES)
+        kept = self.fleet.departed_by_incarnation
+        self.assertEqual(len(kept), MAX_DEPARTED_BACKENDS)
         self.assertNotIn("a@0", kept)
 
     def test_draining_server_gets_no_new_requests(self) -> None:
