Count layers as uncovered only once their servers are presumed lost

Callers saw: after one connect that was not answered within 80 ms, new streams were refused with the time of a load as Retry-After, though the server answered again within a second.

Cause: count_uncovered_layers and find_layers_acceptance_ms left out servers that accept no connection at the moment.

Now both leave out only servers that have ended or have been silent for 2 s, which is also when control loads the layers elsewhere. The graph still leaves out those that accept no connection, so that requests wait in the queue. The key of the cached graph includes which servers are presumed to be lost.

--- a/src/yuccareach/gateway/availability.py
+++ b/src/yuccareach/gateway/availability.py
@@ -45,13 +45,14 @@
 ) -> int:
     """Return the number of layers that no server keeps.
 
-    A server that refuses requests for a time keeps its layers.
+    A server that refuses requests for a time, or that is silent but not presumed to be
+    lost, keeps its layers.
     """
     return build_graph(
         (
             backend
             for backend in backends
-            if can_continue(backend, now_s) and not backend.health.is_leaving
+            if not backend.is_unreachable(now_s) and not backend.health.is_leaving
         ),
         model,
     ).uncovered_layers
@@ -66,7 +67,7 @@
     presumed to be lost are left out.
     """
     graph = build_graph(
-        (backend for backend in backends if can_continue(backend, now_s)), model
+        (backend for backend in backends if not backend.is_unreachable(now_s)), model
     )
     return max(
         (
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -11,7 +11,6 @@
 
 from yuccareach.gateway.admission import AdmissionQueue
 from yuccareach.gateway.availability import (
-    can_continue,
     can_take_part,
     count_uncovered_layers,
     find_for_chain,
@@ -229,7 +228,7 @@
         assert self.table is not None and service.model is not None
         now_s = self.now()
         left_out = frozenset(
-            (item.name, can_continue(item, now_s), find_acceptance_ms(item.health))
+            (item.name, item.is_unreachable(now_s), find_acceptance_ms(item.health))
             for item in self.fleet.backend_by_name.values()
             if not can_take_part(item, now_s)
         )
--- a/tests/gateway/test_availability.py
+++ b/tests/gateway/test_availability.py
@@ -176,3 +176,33 @@
             record_leaving(self.get_backend(name).health)
         self.assertEqual(self.gateway.estimate_refusal_s(SERVICE), math.inf)
         self.assertGreater(self.gateway.estimate_coverage_gap_s(SERVICE), 0)
+
+    async def test_layers_of_servers_silent_for_a_moment_are_no_coverage_gap(
+        self,
+    ) -> None:
+        # Guards against refusals with the time of a load while one connect timed out.
+        now_s = 100.0
+        with mock.patch.object(self.gateway, "now", lambda: now_s):
+            for name in ("a2", "b2"):
+                self.get_backend(name).record_connect_failure(now_s, refused=False)
+            self.assertEqual(self.gateway.estimate_coverage_gap_s(SERVICE), 0)
+            # Requests wait for them in the queue.
+            graph = self.gateway.get_graph(SERVICE)
+            self.assertFalse(self.list_names(graph) & {"a2", "b2"})
+            now_s += PRESUMED_LOST_SILENCE_MS / 1000
+            self.assertGreater(self.gateway.estimate_coverage_gap_s(SERVICE), 0)
+            for name in ("a2", "b2"):
+                self.get_backend(name).record_connect_success()
+            self.assertEqual(self.gateway.estimate_coverage_gap_s(SERVICE), 0)
+
+    async def test_layers_of_ended_servers_are_a_coverage_gap_at_once(self) -> None:
+        for name in ("a2", "b2"):
+            self.get_backend(name).record_connect_failure(0.0, refused=True)
+        self.assertGreater(self.gateway.estimate_coverage_gap_s(SERVICE), 0)
+
+    async def test_silent_server_beside_a_leaving_one_is_waited_for(self) -> None:
+        with mock.patch.object(self.gateway, "now", lambda: 100.0):
+            record_leaving(self.get_backend("a2").health)
+            self.get_backend("b2").record_connect_failure(100.0, refused=False)
+            self.assertEqual(self.gateway.estimate_refusal_s(SERVICE), 0)
+            self.assertEqual(self.gateway.estimate_coverage_gap_s(SERVICE), 0)
