Reroute streams around a later stage that is cut off

What callers saw: a stream over a later stage that was cut off ended with it, if its route allows no resumption or no further attempt. Cause: can_replace took a reroute for a retry, and asked for a proof of the end that a server without network never gives. Why this works: the first stage keeps the request, so a reroute is no second run. A stage that has accepted no connection for 2 s is presumed to be cut off and needs no attempt. One that accepts connections but is silent for 2 s takes one, whether or not the route is idempotent. The repair is due at the end of the 2 s, since the first stage gives up after 3 s.

--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -17,6 +17,7 @@
     accepts_connections,
     accepts_requests,
     copy_notices,
+    find_cutoff_ms,
     has_ended,
     is_on_trial,
     is_presumed_lost,
@@ -167,6 +168,10 @@
         """Return whether others have to stand in for the server."""
         return is_presumed_lost(self.health, int(now_s * 1000))
 
+    def find_cutoff_s(self) -> float:
+        """Return from when on the server is presumed to be cut off, or infinity."""
+        return find_cutoff_ms(self.health) / 1000
+
     def is_avoided(self, now_s: float) -> bool:
         """Return whether other servers are to be preferred to this one."""
         until_s = max(self.avoid_until_s, self.full_until_s)
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -381,6 +381,9 @@
             break
         faulty.record_refusal(gateway.now())
         run.excluded_incarnations.add(faulty.announcement.incarnation)
+    # The wait for a stage ends once it is presumed to be cut off.
+    if gateway.now() < replaced.find_cutoff_s():
+        run.next_repair_s = min(run.next_repair_s, replaced.find_cutoff_s())
     _switch_or_wait(gateway, run, "reroute_failed")
 
 
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -207,13 +207,25 @@
 
     def can_retry(self, leaving: Backend | None = None) -> bool:
         """Return whether the route allows another attempt, after leaving a server."""
-        route = self.admitted.route
+        return self.admitted.route.is_idempotent and self._has_attempt_left(leaving)
+
+    def _has_attempt_left(self, leaving: Backend | None) -> bool:
         counted = count_attempts(self.left_servers, self.gateway.fleet, leaving)
-        return route.is_idempotent and counted < route.max_attempts
+        return counted < self.admitted.route.max_attempts
 
     def can_replace(self, stage: Backend) -> bool:
-        """Return whether the stream may continue on another server than this one."""
-        return self.gateway.fleet.has_ended(stage) or self.can_retry(stage)
+        """Return whether the stream may continue on another later stage than this one.
+
+        The first stage keeps the request, so this is no second run of it. A stage that
+        has ended or is cut off needs no attempt: without another one, the stream ends.
+        One that is presumed to be lost may still run the request, and takes one.
+        """
+        now_s = self.gateway.now()
+        if self.gateway.fleet.has_ended(stage) or now_s >= stage.find_cutoff_s():
+            return True
+        if stage.is_unreachable(now_s):
+            return self._has_attempt_left(stage)
+        return self.can_retry(stage)
 
     def reserve_retry(self) -> bool:
         """Return whether the retry budget grants the next attempt.
--- a/src/yuccareach/health/servers.py
+++ b/src/yuccareach/health/servers.py
@@ -47,6 +47,8 @@
         # Since when it has left something unanswered; None if it has not.
         self.silent_since_ms: int | None = None
         self.silences: set[Silence] = set()
+        # Since when it has accepted no connection; None if it has.
+        self.unconnectable_since_ms: int | None = None
         self.end_proof: EndProof | None = None
         # Whether it has said that it is leaving.
         self.is_leaving = False
@@ -71,6 +73,7 @@
     no proof then.
     """
     health.silences.discard(Silence.CONNECTION)
+    health.unconnectable_since_ms = None
     if not health.silences:
         health.silent_since_ms = None
     if health.end_proof is EndProof.REFUSED:
@@ -83,6 +86,8 @@
     """Record that a server has left something unanswered since a time."""
     if health.silent_since_ms is None:
         health.silent_since_ms = since_ms
+    if silence is Silence.CONNECTION and health.unconnectable_since_ms is None:
+        health.unconnectable_since_ms = since_ms
     health.silences.add(silence)
 
 
@@ -154,6 +159,17 @@
     return has_ended(health) or silence_ms >= PRESUMED_LOST_SILENCE_MS
 
 
+def find_cutoff_ms(health: ServerHealth) -> float:
+    """Return from when on a server is presumed to be cut off; infinity if never.
+
+    The operating system accepts connections also for a process that is silent. So a
+    server that has accepted none for long is cut off rather than silent.
+    """
+    if health.unconnectable_since_ms is None:
+        return math.inf
+    return health.unconnectable_since_ms + PRESUMED_LOST_SILENCE_MS
+
+
 def compute_refusal_ms(health: ServerHealth, now_ms: int) -> int:
     """Return for how much longer a server asks for no requests."""
     return max(0, health.refuses_until_ms - now_ms)
@@ -187,6 +203,7 @@
     "compute_silence_ms",
     "copy_notices",
     "find_acceptance_ms",
+    "find_cutoff_ms",
     "has_ended",
     "is_on_trial",
     "is_presumed_lost",
--- a/tests/gateway/test_stalls.py
+++ b/tests/gateway/test_stalls.py
@@ -2,14 +2,19 @@
 
 from __future__ import annotations
 
+import functools
 import unittest
 from typing import Any
 from unittest import mock
 
 from tests.gateway.fleet import MODEL, build_backend
 from yuccareach.gateway import stalls
+from yuccareach.gateway.attempts import LeftServers
+from yuccareach.gateway.backends import Fleet
 from yuccareach.gateway.chain_choice import choose_detour
 from yuccareach.gateway.chains import Chain, ChainRequirements, ChainStage, build_graph
+from yuccareach.gateway.stream_run import StreamRun
+from yuccareach.health.servers import Silence, record_silence
 
 SMALL_MODEL = MODEL._replace(layer_mb=100.0)
 
@@ -85,3 +90,46 @@
         detour, retry_reserved = self.choose_detour()
         self.assertEqual(self.list_names(detour), ["a1", "b1"])
         self.assertFalse(retry_reserved)
+
+
+class ReplaceTests(unittest.TestCase):
+    """A stream that may neither be resumed nor take another attempt."""
+
+    def setUp(self) -> None:
+        self.stage = build_backend("a1", "z1", "a100", 0, 30)
+        self.run: Any = mock.Mock(left_servers=LeftServers())
+        self.run.gateway.fleet = Fleet()
+        self.run.gateway.now.return_value = 2.5
+        self.run.admitted.route.is_idempotent = False
+        self.set_max_attempts(1)
+
+    def set_max_attempts(self, count: int) -> None:
+        self.run.admitted.route.max_attempts = count
+        for name in ("can_retry", "_has_attempt_left"):
+            method = getattr(StreamRun, name)
+            setattr(self.run, name, functools.partial(method, self.run))
+
+    def can_replace(self) -> bool:
+        return StreamRun.can_replace(self.run, self.stage)
+
+    def test_stage_that_accepts_no_connection_for_long_is_replaced(self) -> None:
+        record_silence(self.stage.health, 600, Silence.CONNECTION)
+        self.assertFalse(self.can_replace())
+        self.run.gateway.now.return_value = 2.6
+        self.assertTrue(self.can_replace())
+
+    def test_silent_stage_that_accepts_connections_takes_an_attempt(self) -> None:
+        record_silence(self.stage.health, 0)
+        self.assertFalse(self.can_replace())
+        self.set_max_attempts(2)
+        self.assertTrue(self.can_replace())
+
+    def test_stage_is_not_replaced_for_one_unanswered_connection(self) -> None:
+        record_silence(self.stage.health, 0)
+        record_silence(self.stage.health, 2_400, Silence.CONNECTION)
+        self.assertFalse(self.can_replace())
+
+    def test_stage_silent_for_a_second_is_waited_for(self) -> None:
+        record_silence(self.stage.health, 1_200)
+        self.set_max_attempts(2)
+        self.assertFalse(self.can_replace())
