Reroute across zones if no resumption is certain

What callers saw: a stream whose later stage had crashed paused until its first stage gave it up (3 s), while a stage in another zone had room. Cause: choose_detour preferred a resumption over any chain and took a retry for it, but reserve_switch then refused a chain with a server that is avoided. So neither a detour nor another attempt was made, and the retry was lost. Why this works: the resumption now asks for the same certainty as any switch and reserves the chain with the retry. Otherwise the detour across zones is tried. If none succeeds and the stage has ended, the attempt is interrupted, since it cannot go on. An order that may have been followed is waited for. The set-up of ChooseDetourTests gets a clock, a deadline and no quarantine, which the choice now reads; what it asserts is unchanged.

--- a/src/yuccareach/gateway/chain_choice.py
+++ b/src/yuccareach/gateway/chain_choice.py
@@ -58,19 +58,29 @@
     be made: the route allows it, the request is not quarantined, a chain of servers
     that are not to be avoided has room, and the retry budget grants the retry.
     """
-    gateway, admitted = run.gateway, run.admitted
     if run.backend_request is None or run.next_chain is not None:
         return run.next_chain is not None
     first_backend = run.backend_request.backend
-    remaining_s = admitted.deadline_s - gateway.now()
-    if remaining_s < MIN_REMAINING_S or not run.can_retry(first_backend):
-        return False
-    if compute_refusal_s(gateway, admitted):
+    if not _may_switch(run, first_backend):
         return False
     chain = _find_preferred_chain(run, _exclude_backend(run, first_backend))
-    if chain is None or any(
-        stage.backend.is_avoided(gateway.now()) for stage in chain.stages
-    ):
+    return _reserve_certain(run, chain)
+
+
+def _may_switch(run: StreamRun, first_backend: Backend) -> bool:
+    """Return whether the route, the quarantine and the time allow another attempt."""
+    remaining_s = run.admitted.deadline_s - run.gateway.now()
+    return (
+        remaining_s >= MIN_REMAINING_S
+        and run.can_retry(first_backend)
+        and not compute_refusal_s(run.gateway, run.admitted)
+    )
+
+
+def _reserve_certain(run: StreamRun, chain: Chain | None) -> bool:
+    """Reserve a retry and a chain, unless it has servers that are to be avoided."""
+    now_s = run.gateway.now()
+    if chain is None or any(stage.backend.is_avoided(now_s) for stage in chain.stages):
         return False
     if not run.reserve_retry():
         return False
@@ -118,21 +128,21 @@
 
 
 def _reserve_resume(run: StreamRun) -> bool:
-    """Return whether a stream can be resumed over a chain within one zone.
+    """Reserve all that it needs to resume a stream over a chain within one zone.
 
-    If so, the retry is taken from the budget.
+    Return False if that is not certain to be possible, as for any other switch.
     """
     service = run.admitted.service
     if service.model is None or run.chain is None:
         return False
     # The current first stage is excluded from the next attempt.
     first_backend = run.chain.stages[0].backend
-    if not run.can_retry(first_backend):
+    if not _may_switch(run, first_backend):
         return False
     requirements = _exclude_backend(run, first_backend)
     requirements = requirements._replace(cross_zone_allowed=False)
     chain = find_chain(run.gateway.get_graph(service), service.model, requirements)
-    return chain is not None and run.reserve_retry()
+    return _reserve_certain(run, chain)
 
 
 __all__ = [
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -351,12 +351,16 @@
 async def _reroute(gateway: Gateway, run: StreamRun, replaced: Backend) -> None:
     """Order the first backend server to continue the stream over other later stages.
 
-    If no order succeeds, the attempt is interrupted if another one is possible.
+    If no order succeeds, the attempt is interrupted if another one is certain. If the
+    replaced stage has ended, the attempt cannot go on, and is interrupted also if the
+    next one has to wait for a chain.
     """
     run.excluded_incarnations.add(replaced.announcement.incarnation)
-    for _ in range(MAX_REROUTE_ATTEMPTS):
+    for orders in range(MAX_REROUTE_ATTEMPTS):
         if run.backend_request is None or run.chain is None:
             return
+        if orders and run.attempt_events > run.events_before_repair:
+            return
         detour = choose_detour(run) if run.can_replace(replaced) else None
         if detour is None:
             break
@@ -367,7 +371,8 @@
         if answer is None:
             # The order may have been followed.
             run.leave(replaced)
-            break
+            _switch_or_wait(gateway, run, "reroute_failed")
+            return
         if run.backend_request is None:
             break
         if answer.status < 300:
@@ -384,7 +389,19 @@
     # The wait for a stage ends once it is presumed to be cut off.
     if gateway.now() < replaced.find_cutoff_s():
         run.next_repair_s = min(run.next_repair_s, replaced.find_cutoff_s())
-    _switch_or_wait(gateway, run, "reroute_failed")
+    _leave_lost_chain(gateway, run, replaced)
+
+
+def _leave_lost_chain(gateway: Gateway, run: StreamRun, replaced: Backend) -> None:
+    if run.backend_request is None or run.attempt_events > run.events_before_repair:
+        return
+    may_interrupt = gateway.fleet.has_ended(replaced) and run.can_retry(
+        run.backend_request.backend
+    )
+    if may_interrupt and not reserve_switch(run) and run.reserve_retry():
+        _interrupt(gateway, run, "reroute_failed")
+    else:
+        _switch_or_wait(gateway, run, "reroute_failed")
 
 
 __all__ = ["watch_streams"]
--- a/tests/gateway/test_stalls.py
+++ b/tests/gateway/test_stalls.py
@@ -8,7 +8,7 @@
 from unittest import mock
 
 from tests.gateway.fleet import MODEL, build_backend
-from yuccareach.gateway import stalls
+from yuccareach.gateway import chain_choice, stalls
 from yuccareach.gateway.attempts import LeftServers
 from yuccareach.gateway.backends import Fleet
 from yuccareach.gateway.chain_choice import choose_detour
@@ -59,7 +59,10 @@
             [self.first_backend, *self.other_backends], SMALL_MODEL
         )
         run.build_requirements.return_value = ChainRequirements("z1", 100, 0.0)
-        return choose_detour(run), run.reserve_retry.called
+        run.gateway.now.return_value = 0.0
+        run.admitted.deadline_s = 60.0
+        with mock.patch.object(chain_choice, "compute_refusal_s", return_value=0.0):
+            return choose_detour(run), run.reserve_retry.called
 
     def list_names(self, chain: Chain | None) -> list[str]:
         assert chain is not None
@@ -77,6 +80,15 @@
         self.other_backends.append(build_backend("b2", "z2", "a100", 0, 20))
         self.assertEqual(self.choose_detour(), (None, True))
 
+    def test_stage_elsewhere_is_preferred_to_a_pipeline_that_is_avoided(self) -> None:
+        # Guards against streams that waited for an ended stage: a retry was taken, but
+        # no attempt was made over servers that are avoided.
+        self.other_backends.append(build_backend("b2", "z2", "a100", 0, 20))
+        self.other_backends[-1].record_failure(0.0)
+        detour, retry_reserved = self.choose_detour()
+        self.assertEqual(self.list_names(detour), ["a1", "b1"])
+        self.assertFalse(retry_reserved)
+
     def test_stage_in_another_zone_is_the_last_choice(self) -> None:
         detour, retry_reserved = self.choose_detour()
         self.assertEqual(self.list_names(detour), ["a1", "b1"])
