Do not let a repair act on a later attempt

What callers saw: a sound attempt that had just started was interrupted or rerouted for the stall of the one before, and the wrong server was counted. Cause: a repair that had awaited compared only event counts, and a new attempt starts at none. It did not compare the request. Evidence: the three SupersededAttemptTests fail without this change. Why this works: each repair keeps the request that it began with and stops once the stream has another one. A replaced stage still counts if the order may have been followed, although its attempt has ended since.

--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -165,6 +165,7 @@
     for what its requests wait for.
     """
     first_backend = runs[0].backend_request.backend if runs[0].backend_request else None
+    requests = [run.backend_request for run in runs]
     try:
         if first_backend is None:
             return
@@ -177,9 +178,8 @@
         await asyncio.gather(
             *(
                 _repair_stream(gateway, run, first_backend, cause_by_request)
-                for run in runs
-                if run.backend_request is not None
-                and run.backend_request.backend is first_backend
+                for run, request in zip(runs, requests, strict=True)
+                if request is not None and run.backend_request is request
             )
         )
     finally:
@@ -257,7 +257,11 @@
     gateway: Gateway, run: StreamRun, first_backend: Backend, reason: str
 ) -> None:
     """Interrupt an attempt if its first stage has ended, or another one is possible."""
-    if await seek_end_proof(gateway, first_backend):
+    request = run.backend_request
+    has_ended = await seek_end_proof(gateway, first_backend)
+    if run.backend_request is not request:
+        return
+    if has_ended:
         _interrupt(gateway, run, "first_stage_lost")
     else:
         _switch_or_wait(gateway, run, reason)
@@ -267,12 +271,16 @@
     gateway: Gateway, run: StreamRun, blocking_backend: Backend
 ) -> None:
     """Reroute a stream around a later stage that it waits for."""
+    request = run.backend_request
     if blocking_backend.announcement.incarnation not in run.suspected_incarnations:
         run.suspected_incarnations.add(blocking_backend.announcement.incarnation)
         run.later_stage_lost = True
         await record_broken_attempt(gateway, run.lost_attempt, [blocking_backend])
     has_ended = await seek_end_proof(gateway, blocking_backend)
-    if run.attempt_events > run.events_before_repair:
+    if (
+        run.backend_request is not request
+        or run.attempt_events > run.events_before_repair
+    ):
         return
     if not compute_refusal_s(gateway, run.admitted):
         await _reroute(gateway, run, blocking_backend)
@@ -286,8 +294,11 @@
     gateway: Gateway, run: StreamRun, first_backend: Backend
 ) -> None:
     """Query the stages' slowdowns and reroute the stream around a slow later stage."""
+    request = run.backend_request
     stages = run.chain.stages if run.chain else ()
     slow_backends = await query_slowdowns(gateway, [stage.backend for stage in stages])
+    if run.backend_request is not request:
+        return
     gateway.log(
         "stream_slow",
         request=run.admitted.request_id,
@@ -298,7 +309,7 @@
     ]
     if (
         slow_later_backends
-        and run.backend_request is not None
+        and request is not None
         and run.can_replace(slow_later_backends[0])
     ):
         run.excluded_incarnations.update(
@@ -355,28 +366,27 @@
     replaced stage has ended, the attempt cannot go on, and is interrupted also if the
     next one has to wait for a chain.
     """
+    request = run.backend_request
     run.excluded_incarnations.add(replaced.announcement.incarnation)
     for orders in range(MAX_REROUTE_ATTEMPTS):
-        if run.backend_request is None or run.chain is None:
+        if request is None or run.chain is None:
             return
         if orders and run.attempt_events > run.events_before_repair:
             return
         detour = choose_detour(run) if run.can_replace(replaced) else None
         if detour is None:
             break
-        answer = await send_reroute_order(
-            gateway, run, run.backend_request.backend, detour
-        )
+        answer = await send_reroute_order(gateway, run, request.backend, detour)
         log_reroute(gateway, run, replaced, detour, answer)
-        if answer is None:
-            # The order may have been followed.
+        if answer is None or answer.status < 300:
+            # The order may have been followed, also by an attempt that has ended since.
             run.leave(replaced)
+        if run.backend_request is not request:
+            return
+        if answer is None:
             _switch_or_wait(gateway, run, "reroute_failed")
             return
-        if run.backend_request is None:
-            break
         if answer.status < 300:
-            run.leave(replaced)
             run.move_to_chain(detour)
             run.reroutes += 1
             run.last_progress_s = gateway.now() + REROUTE_GRACE_S
--- a/tests/gateway/test_stalls.py
+++ b/tests/gateway/test_stalls.py
@@ -13,6 +13,7 @@
 from yuccareach.gateway.backends import Fleet
 from yuccareach.gateway.chain_choice import choose_detour
 from yuccareach.gateway.chains import Chain, ChainRequirements, ChainStage, build_graph
+from yuccareach.gateway.reroutes import RerouteAnswer
 from yuccareach.gateway.stream_run import StreamRun
 from yuccareach.health.servers import Silence, record_silence
 
@@ -104,6 +105,73 @@
         self.assertFalse(retry_reserved)
 
 
+class SupersededAttemptTests(unittest.IsolatedAsyncioTestCase):
+    """Repairs of an attempt that ends, and whose successor starts, while they wait."""
+
+    def setUp(self) -> None:
+        self.first, self.next = (
+            build_backend(name, "z1", "a100", 0, 40) for name in ("a1", "a2")
+        )
+        self.lost = build_backend("b1", "z1", "a100", 40, 80)
+        self.gateway: Any = mock.Mock()
+        self.gateway.now.return_value = 1.0
+        self.run: Any = mock.Mock(
+            attempt_events=0,
+            events_before_repair=3,
+            excluded_incarnations=set(),
+            suspected_incarnations=set(),
+            wait_logged=False,
+            reroutes=0,
+        )
+        self.run.backend_request.backend = self.first
+        self.order = mock.AsyncMock()
+        for name, replacement in {
+            "record_broken_attempt": mock.AsyncMock(),
+            "compute_refusal_s": mock.Mock(return_value=0.0),
+            "choose_detour": mock.Mock(),
+            "reserve_switch": mock.Mock(return_value=True),
+            "send_reroute_order": self.order,
+            "log_reroute": mock.Mock(),
+        }.items():
+            patch = mock.patch.object(stalls, name, replacement)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def supersede(self, *_: object) -> None:
+        self.run.backend_request = mock.Mock(backend=self.next)
+
+    async def seek_proof(self, *_: object) -> bool:
+        self.supersede()
+        return True
+
+    def assert_untouched(self) -> None:
+        self.run.interrupted.set.assert_not_called()
+        self.run.move_to_chain.assert_not_called()
+        self.assertNotIn("a2@1", self.run.excluded_incarnations)
+
+    async def test_next_attempt_is_not_interrupted_for_the_last_one(self) -> None:
+        with mock.patch.object(stalls, "seek_end_proof", self.seek_proof):
+            await stalls._leave_first_stage(self.gateway, self.run, self.first, "")
+        self.assert_untouched()
+
+    async def test_next_attempt_is_not_rerouted_for_the_last_one(self) -> None:
+        with mock.patch.object(stalls, "seek_end_proof", self.seek_proof):
+            await stalls._replace_later_stage(self.gateway, self.run, self.lost)
+        self.order.assert_not_called()
+        self.run.leave.assert_not_called()
+        self.assert_untouched()
+
+    async def test_answer_to_the_last_attempt_does_not_move_the_next_one(self) -> None:
+        async def _follow_order(*_: object) -> RerouteAnswer:
+            self.supersede()
+            return RerouteAnswer(200, "")
+
+        self.order.side_effect = _follow_order
+        await stalls._reroute(self.gateway, self.run, self.lost)
+        self.run.leave.assert_called_once_with(self.lost)
+        self.assert_untouched()
+
+
 class ReplaceTests(unittest.TestCase):
     """A stream that may neither be resumed nor take another attempt."""
 
