--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -176,6 +176,7 @@
     for what its requests wait for.
     """
     first_backend = runs[0].backend_request.backend if runs[0].backend_request else None
+    requests = [run.backend_request for run in runs]
     try:
         if first_backend is None:
             return
@@ -188,9 +189,8 @@
         await asyncio.gather(
             *(
                 _repair_stream(gateway, run, first_backend, cause_by_request)
-                for run in runs
-                if run.backend_request is not None
-                and run.backend_request.backend is first_backend
+                for run, request in zip(runs, requests, strict=True)
+                if request is not None and run.backend_request is request
             )
         )
     finally:
@@ -268,7 +268,11 @@
     gateway: Gateway, run: StreamRun, first_backend: Backend, reason: str
 ) -> None:
     """Interrupt an attempt if its first stage has ended, or another one is possible."""
-    if await seek_end_proof(gateway, first_backend):
+    request = run.backend_request
+    has_ended = await seek_end_proof(gateway, first_backend)
+    if run.backend_request is not request:
+        return
+    if has_ended:
         _interrupt(gateway, run, "first_stage_lost")
     else:
         _switch_or_wait(gateway, run, reason)
@@ -278,12 +282,16 @@
     gateway: Gateway, run: StreamRun, blocking_backend: Backend
 ) -> None:
     """Reroute a stream around a later stage that it waits for."""
+    request = run.backend_request
     if blocking_backend.announcement.incarnation not in run.suspected_incarnations:
         run.suspected_incarnations.add(blocking_backend.announcement.incarnation)
         run.later_stage_lost = True
         await record_broken_attempt(gateway, run.lost_attempt, [blocking_backend])
     has_ended = await seek_end_proof(gateway, blocking_backend)
-    if run.attempt_events > run.events_before_repair:
+    if (
+        run.backend_request is not request
+        or run.attempt_events > run.events_before_repair
+    ):
         return
     if not compute_refusal_s(gateway, run.admitted):
         await _reroute(gateway, run, blocking_backend)
@@ -297,8 +305,11 @@
     gateway: Gateway, run: StreamRun, first_backend: Backend
 ) -> None:
     """Query the stages' slowdowns and reroute the stream around a slow later stage."""
+    request = run.backend_request
     stages = run.chain.stages if run.chain else ()
     slow_backends = await query_slowdowns(gateway, [stage.backend for stage in stages])
+    if run.backend_request is not request:
+        return
     gateway.log(
         "stream_slow",
         request=run.admitted.request_id,
@@ -309,7 +320,7 @@
     ]
     if (
         slow_later_backends
-        and run.backend_request is not None
+        and request is not None
         and run.can_replace(slow_later_backends[0])
     ):
         run.excluded_incarnations.update(
@@ -362,27 +373,31 @@
 async def _reroute(gateway: Gateway, run: StreamRun, replaced: Backend) -> None:
     """Order the first backend server to continue the stream over other later stages.
 
-    If no order succeeds, the attempt is interrupted if another one is possible.
+    If no order succeeds, the attempt is interrupted if another one is certain. If the
+    replaced stage has ended, the attempt cannot go on, and is interrupted also if the
+    next one has to wait for a chain.
     """
+    request = run.backend_request
     run.excluded_incarnations.add(replaced.announcement.incarnation)
-    for _ in range(MAX_REROUTE_ATTEMPTS):
-        if run.backend_request is None or run.chain is None:
+    for orders in range(MAX_REROUTE_ATTEMPTS):
+        if request is None or run.chain is None:
+            return
+        if orders and run.attempt_events > run.events_before_repair:
             return
         detour = choose_detour(run) if run.can_replace(replaced) else None
         if detour is None:
             break
-        answer = await send_reroute_order(
-            gateway, run, run.backend_request.backend, detour
-        )
+        answer = await send_reroute_order(gateway, run, request.backend, detour)
         log_reroute(gateway, run, replaced, detour, answer)
-        if answer is None:
-            # The order may have been followed.
+        if answer is None or answer.status < 300:
+            # The order may have been followed, also by an attempt that has ended since.
             run.leave(replaced)
-            break
-        if run.backend_request is None:
-            break
+        if run.backend_request is not request:
+            return
+        if answer is None:
+            _switch_or_wait(gateway, run, "reroute_failed")
+            return
         if answer.status < 300:
-            run.leave(replaced)
             run.move_to_chain(detour)
             run.reroutes += 1
             run.last_progress_s = gateway.now() + REROUTE_GRACE_S
@@ -392,7 +407,22 @@
             break
         faulty.record_refusal(gateway.now())
         run.excluded_incarnations.add(faulty.announcement.incarnation)
-    _switch_or_wait(gateway, run, "reroute_failed")
+    # The wait for a stage ends once it is presumed to be cut off.
+    if gateway.now() < replaced.find_cutoff_s():
+        run.next_repair_s = min(run.next_repair_s, replaced.find_cutoff_s())
+    _leave_lost_chain(gateway, run, replaced)
+
+
+def _leave_lost_chain(gateway: Gateway, run: StreamRun, replaced: Backend) -> None:
+    if run.backend_request is None or run.attempt_events > run.events_before_repair:
+        return
+    may_interrupt = gateway.fleet.has_ended(replaced) and run.can_retry(
+        run.backend_request.backend
+    )
+    if may_interrupt and not reserve_switch(run) and run.reserve_retry():
+        _interrupt(gateway, run, "reroute_failed")
+    else:
+        _switch_or_wait(gateway, run, "reroute_failed")
 
 
 __all__ = ["watch_streams"]
--- a/tests/gateway/test_stalls.py
+++ b/tests/gateway/test_stalls.py
@@ -2,16 +2,20 @@
 
 from __future__ import annotations
 
+import functools
 import unittest
 from typing import Any
 from unittest import mock
 
 from tests.gateway.fleet import MODEL, build_backend
-from yuccareach.gateway import stalls
+from yuccareach.gateway import chain_choice, stalls
+from yuccareach.gateway.attempts import LeftServers
 from yuccareach.gateway.backends import Fleet
 from yuccareach.gateway.chain_choice import choose_detour
 from yuccareach.gateway.chains import Chain, ChainRequirements, ChainStage, build_graph
-from yuccareach.health.servers import EndProof, record_end
+from yuccareach.gateway.reroutes import RerouteAnswer
+from yuccareach.gateway.stream_run import StreamRun
+from yuccareach.health.servers import EndProof, Silence, record_end, record_silence
 
 SMALL_MODEL = MODEL._replace(layer_mb=100.0)
 
@@ -103,7 +107,10 @@
             [self.first_backend, *self.other_backends], SMALL_MODEL
         )
         run.build_requirements.return_value = ChainRequirements("z1", 100, 0.0)
-        return choose_detour(run), run.reserve_retry.called
+        run.gateway.now.return_value = 0.0
+        run.admitted.deadline_s = 60.0
+        with mock.patch.object(chain_choice, "compute_refusal_s", return_value=0.0):
+            return choose_detour(run), run.reserve_retry.called
 
     def list_names(self, chain: Chain | None) -> list[str]:
         assert chain is not None
@@ -121,6 +128,15 @@
         self.other_backends.append(build_backend("b2", "z2", "a100", 0, 20))
         self.assertEqual(self.choose_detour(), (None, True))
 
+    def test_stage_elsewhere_is_preferred_to_a_pipeline_that_is_avoided(self) -> None:
+        # Guards against streams that waited for an ended stage: a retry was taken, but
+        # no attempt was made over servers that are avoided.
+        self.other_backends.append(build_backend("b2", "z2", "a100", 0, 20))
+        self.other_backends[-1].record_failure(0.0)
+        detour, retry_reserved = self.choose_detour()
+        self.assertEqual(self.list_names(detour), ["a1", "b1"])
+        self.assertFalse(retry_reserved)
+
     def test_stage_in_another_zone_is_the_last_choice(self) -> None:
         detour, retry_reserved = self.choose_detour()
         self.assertEqual(self.list_names(detour), ["a1", "b1"])
@@ -134,3 +150,113 @@
         detour, retry_reserved = self.choose_detour()
         self.assertEqual(self.list_names(detour), ["a1", "b1"])
         self.assertFalse(retry_reserved)
+
+
+class SupersededAttemptTests(unittest.IsolatedAsyncioTestCase):
+    """Repairs of an attempt that ends, and whose successor starts, while they wait."""
+
+    def setUp(self) -> None:
+        self.first, self.next = (
+            build_backend(name, "z1", "a100", 0, 40) for name in ("a1", "a2")
+        )
+        self.lost = build_backend("b1", "z1", "a100", 40, 80)
+        self.gateway: Any = mock.Mock()
+        self.gateway.now.return_value = 1.0
+        self.run: Any = mock.Mock(
+            attempt_events=0,
+            events_before_repair=3,
+            excluded_incarnations=set(),
+            suspected_incarnations=set(),
+            wait_logged=False,
+            reroutes=0,
+        )
+        self.run.backend_request.backend = self.first
+        self.order = mock.AsyncMock()
+        for name, replacement in {
+            "record_broken_attempt": mock.AsyncMock(),
+            "compute_refusal_s": mock.Mock(return_value=0.0),
+            "choose_detour": mock.Mock(),
+            "reserve_switch": mock.Mock(return_value=True),
+            "send_reroute_order": self.order,
+            "log_reroute": mock.Mock(),
+        }.items():
+            patch = mock.patch.object(stalls, name, replacement)
+            patch.start()
+            self.addCleanup(patch.stop)
+
+    def supersede(self, *_: object) -> None:
+        self.run.backend_request = mock.Mock(backend=self.next)
+
+    async def seek_proof(self, *_: object) -> bool:
+        self.supersede()
+        return True
+
+    def assert_untouched(self) -> None:
+        self.run.interrupted.set.assert_not_called()
+        self.run.move_to_chain.assert_not_called()
+        self.assertNotIn("a2@1", self.run.excluded_incarnations)
+
+    async def test_next_attempt_is_not_interrupted_for_the_last_one(self) -> None:
+        with mock.patch.object(stalls, "seek_end_proof", self.seek_proof):
+            await stalls._leave_first_stage(self.gateway, self.run, self.first, "")
+        self.assert_untouched()
+
+    async def test_next_attempt_is_not_rerouted_for_the_last_one(self) -> None:
+        with mock.patch.object(stalls, "seek_end_proof", self.seek_proof):
+            await stalls._replace_later_stage(self.gateway, self.run, self.lost)
+        self.order.assert_not_called()
+        self.run.leave.assert_not_called()
+        self.assert_untouched()
+
+    async def test_answer_to_the_last_attempt_does_not_move_the_next_one(self) -> None:
+        async def _follow_order(*_: object) -> RerouteAnswer:
+            self.supersede()
+            return RerouteAnswer(200, "")
+
+        self.order.side_effect = _follow_order
+        await stalls._reroute(self.gateway, self.run, self.lost)
+        self.run.leave.assert_called_once_with(self.lost)
+        self.assert_untouched()
+
+
+class ReplaceTests(unittest.TestCase):
+    """A stream that may neither be resumed nor take another attempt."""
+
+    def setUp(self) -> None:
+        self.stage = build_backend("a1", "z1", "a100", 0, 30)
+        self.run: Any = mock.Mock(left_servers=LeftServers())
+        self.run.gateway.fleet = Fleet()
+        self.run.gateway.now.return_value = 2.5
+        self.run.admitted.route.is_idempotent = False
+        self.set_max_attempts(1)
+
+    def set_max_attempts(self, count: int) -> None:
+        self.run.admitted.route.max_attempts = count
+        for name in ("can_retry", "_has_attempt_left"):
+            method = getattr(StreamRun, name)
+            setattr(self.run, name, functools.partial(method, self.run))
+
+    def can_replace(self) -> bool:
+        return StreamRun.can_replace(self.run, self.stage)
+
+    def test_stage_that_accepts_no_connection_for_long_is_replaced(self) -> None:
+        record_silence(self.stage.health, 600, Silence.CONNECTION)
+        self.assertFalse(self.can_replace())
+        self.run.gateway.now.return_value = 2.6
+        self.assertTrue(self.can_replace())
+
+    def test_silent_stage_that_accepts_connections_takes_an_attempt(self) -> None:
+        record_silence(self.stage.health, 0)
+        self.assertFalse(self.can_replace())
+        self.set_max_attempts(2)
+        self.assertTrue(self.can_replace())
+
+    def test_stage_is_not_replaced_for_one_unanswered_connection(self) -> None:
+        record_silence(self.stage.health, 0)
+        record_silence(self.stage.health, 2_400, Silence.CONNECTION)
+        self.assertFalse(self.can_replace())
+
+    def test_stage_silent_for_a_second_is_waited_for(self) -> None:
+        record_silence(self.stage.health, 1_200)
+        self.set_max_attempts(2)
+        self.assertFalse(self.can_replace())
