Refuse a waiting stream once the loss of its only stages is known

Callers waited for their wait deadline though no server had some layers any more: a stream that queues in the first two seconds of a silence, which is no coverage gap yet, was not looked at again once it had become one. Found by review. The test of a waiting stream whose only first stages crash times out without the change, and passes with it.

--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -173,11 +173,7 @@
         return chain
     ticket = _build_ticket(run)
     now_s = run.gateway.now()
-    service = run.admitted.service
-    is_closed = (
-        run.gateway.estimate_coverage_gap_s(service) > 0
-        or run.gateway.estimate_refusal_s(service) > 0
-    )
+    is_closed = _is_closed(run)
     should_wait = not is_closed and run.queue.should_wait(ticket, now_s)
     if not should_wait and not _must_wait(run):
         run.gateway.log(
@@ -195,7 +191,7 @@
         found_chain = choose_chain(run)
         if found_chain is not None:
             run.reserve(found_chain)
-        elif run.gateway.estimate_refusal_s(service) and not _must_wait(run):
+        elif _is_closed(run) and not _must_wait(run):
             granted.set_result(None)
         return found_chain
 
@@ -210,6 +206,15 @@
         run.queue.remove(ticket)
 
 
+def _is_closed(run: StreamRun) -> bool:
+    """Return whether some layers have no server that accepts requests."""
+    service = run.admitted.service
+    return (
+        run.gateway.estimate_coverage_gap_s(service) > 0
+        or run.gateway.estimate_refusal_s(service) > 0
+    )
+
+
 def _must_wait(run: StreamRun) -> bool:
     """Return whether a stream waits for capacity even if none is likely in time.
 
--- a/tests/platform/test_refusing_servers.py
+++ b/tests/platform/test_refusing_servers.py
@@ -7,7 +7,8 @@
 from tests.platform.deployment import Answer, DeploymentTestCase
 from tests.platform.examples import MODEL
 from yuccareach.gateway.chains import MAX_STARTING_STREAMS
-from yuccareach.health.servers import record_refusal
+from yuccareach.gateway.state import REPLACEMENT_DELAY_S
+from yuccareach.health.servers import EndProof, record_end, record_refusal
 from yuccareach.platform.standin import Runner
 
 RETRY_AFTER_S = 2.0
@@ -195,3 +196,26 @@
             answer = await request
         self.check_refusals([answer])
         self.assertEqual(self.group.arrivals, [])
+
+    async def test_waiting_stream_is_refused_once_its_only_stages_have_crashed(
+        self,
+    ) -> None:
+        gateway = self.gateway.gateway
+        backends = [
+            gateway.fleet.backend_by_name[item.name]
+            for item in (self.near_runners[0], self.far_runners[0])
+        ]
+        for backend in backends:
+            backend.starting_streams = MAX_STARTING_STREAMS
+        request = asyncio.create_task(
+            self.send_request(self.path, "r1", events=self.events)
+        )
+        queue = gateway.get_queue(MODEL)
+        await self.wait_until(lambda: queue.waiting_by_number)
+        for backend in backends:
+            record_end(backend.health, EndProof.REFUSED)
+        async with asyncio.timeout(PROMPT_REFUSAL_S):
+            answer = await request
+        self.assertEqual(answer.status, 503)
+        self.assertGreater(float(answer.headers["Retry-After"]), REPLACEMENT_DELAY_S)
+        self.assertEqual(self.group.arrivals, [])
