Read the limits that backend servers state, and log their changes

The adapter decodes Server-Limit; an answer to a request that was sent after the known value was read is newer, and while that is unknown the lower limit holds. First, changed and ended limits are logged, as are values that are none, once. Nothing is held back for a limit yet.

--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -84,7 +84,7 @@
 
     exchange = Exchange(
         admitted.metadata.request_id,
-        build_response_reader(gateway, backend),
+        build_response_reader(gateway, backend, admitted.metadata.request_id),
         _handle_data if on_data is not None else None,
         buffers=gateway.response_buffers,
     )
--- a/src/yuccareach/gateway/dialect.py
+++ b/src/yuccareach/gateway/dialect.py
@@ -71,6 +71,13 @@
     retry_after_s: float | None = None
     # A value of that time that cannot be read, and is ignored.
     malformed_retry_after: str | None = None
+    # Requests a second that the backend server takes from all gateways together.
+    limit_per_s: float | None = None
+    # A value of that limit that cannot be read, and is ignored.
+    malformed_limit: str | None = None
+    # Whether the backend server itself answered a request, so that a limit that the
+    # answer does not state is over.
+    is_statement: bool = False
 
 
 class Dialect(NamedTuple):
--- a/src/yuccareach/gateway/server_notices.py
+++ b/src/yuccareach/gateway/server_notices.py
@@ -5,10 +5,13 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.health.servers import (
+    StatedLimit,
     compute_refusal_ms,
+    get_limit_per_s,
     record_acceptance,
     record_contact,
     record_leaving,
+    record_limit,
     record_refusal,
 )
 
@@ -24,14 +27,21 @@
 
 
 def build_response_reader(
-    gateway: Gateway, backend: Backend
+    gateway: Gateway, backend: Backend, request_id: bytes | None = None
 ) -> Callable[[int, Headers], ResponseMetadata]:
-    """Return a decoder of a server's answers, which records what they say of it."""
+    """Return a decoder of the answers to a request that is sent now.
+
+    It records what they say of their server. A late answer to an earlier request has
+    another request id, and its limit is not recorded, since it may be out of date.
+    """
+    sent_ms = gateway.now_ms()
 
     def _read_response(status: int, headers: Headers) -> ResponseMetadata:
         metadata = gateway.dialect.read_response(status, headers)
         record_contact(backend.health)
         record_notices(gateway, backend, metadata)
+        if request_id is None or metadata.request_id in (None, request_id):
+            _record_limit(gateway, backend, metadata, sent_ms)
         return metadata
 
     return _read_response
@@ -60,6 +70,37 @@
         )
 
 
+def _record_limit(
+    gateway: Gateway, backend: Backend, metadata: ResponseMetadata, sent_ms: int
+) -> None:
+    """Record the limit that an answer states, or that it states none any more.
+
+    Only changes are logged.
+    """
+    health = backend.health
+    if metadata.malformed_limit is not None:
+        if metadata.malformed_limit != health.malformed_limit:
+            health.malformed_limit = metadata.malformed_limit
+            gateway.log(
+                "server_limit_ignored",
+                backend_server=backend.name,
+                value=metadata.malformed_limit[:MAX_LOGGED_CHARACTERS],
+            )
+        return
+    if metadata.limit_per_s is None and not metadata.is_statement:
+        return
+    previous_per_s = get_limit_per_s(health)
+    stated = StatedLimit(metadata.limit_per_s, sent_ms, gateway.now_ms())
+    if record_limit(health, stated):
+        gateway.log(
+            "server_limit" if stated.per_s is not None else "server_limit_ended",
+            backend_server=backend.name,
+            address=backend.announcement.address,
+            limit_per_s=stated.per_s,
+            previous_per_s=previous_per_s,
+        )
+
+
 def _record_refusal(gateway: Gateway, backend: Backend, retry_after_s: float) -> None:
     """Record for how long a server wants no requests.
 
--- a/src/yuccareach/health/servers.py
+++ b/src/yuccareach/health/servers.py
@@ -9,6 +9,7 @@
 
 import math
 from enum import StrEnum
+from typing import NamedTuple
 
 # A longer time than this, for which a server asks for no requests, counts as this.
 MAX_REFUSAL_MS = 3_600_000
@@ -40,6 +41,19 @@
     REPORTED = "agent_report"
 
 
+class StatedLimit(NamedTuple):
+    """The requests a second that a server takes from all instances together.
+
+    The answer that states it was made at some time between the sending of its request
+    and the reading of its head.
+    """
+
+    # None if the answer states no limit.
+    per_s: float | None
+    sent_ms: int
+    read_ms: int
+
+
 class ServerHealth:
     """Observations of one incarnation; times are in ms of the process's own clock."""
 
@@ -57,6 +71,10 @@
         # Whether it has not accepted a request since then.
         self.needs_trial = False
         self.on_trial_until_ms = 0
+        # What its answers state of the requests that it takes; None if none ever did.
+        self.limit: StatedLimit | None = None
+        # The last value that is no limit, so that it is logged once.
+        self.malformed_limit: str | None = None
 
 
 def record_contact(health: ServerHealth) -> None:
@@ -124,6 +142,33 @@
         health.on_trial_until_ms = 0
 
 
+def record_limit(health: ServerHealth, stated: StatedLimit) -> bool:
+    """Record the limit that an answer states; return whether another one holds now.
+
+    An answer whose request was sent after the known limit was read is newer. Otherwise
+    either may be the older one, and the lower limit holds until a newer answer comes.
+    """
+    known = health.limit
+    if known is None:
+        if stated.per_s is not None:
+            health.limit = stated
+        return stated.per_s is not None
+    is_newer = stated.sent_ms >= known.read_ms
+    if not is_newer and _limit_or_infinity(stated) > _limit_or_infinity(known):
+        return False
+    health.limit = stated._replace(read_ms=max(stated.read_ms, known.read_ms))
+    return stated.per_s != known.per_s
+
+
+def get_limit_per_s(health: ServerHealth) -> float | None:
+    """Return the requests a second that a server takes, or None without a limit."""
+    return health.limit.per_s if health.limit is not None else None
+
+
+def _limit_or_infinity(stated: StatedLimit) -> float:
+    return math.inf if stated.per_s is None else stated.per_s
+
+
 def is_on_trial(health: ServerHealth, now_ms: int) -> bool:
     """Return whether a server that has refused has yet to answer the next request."""
     return now_ms < health.on_trial_until_ms
@@ -134,6 +179,7 @@
     target.is_leaving = source.is_leaving
     target.refuses_until_ms = source.refuses_until_ms
     target.needs_trial = source.needs_trial
+    target.limit = source.limit
 
 
 def has_ended(health: ServerHealth) -> bool:
@@ -197,6 +243,7 @@
     "EndProof",
     "ServerHealth",
     "Silence",
+    "StatedLimit",
     "accepts_connections",
     "accepts_requests",
     "compute_refusal_ms",
@@ -204,6 +251,7 @@
     "copy_notices",
     "find_acceptance_ms",
     "find_cutoff_ms",
+    "get_limit_per_s",
     "has_ended",
     "is_on_trial",
     "is_presumed_lost",
@@ -212,6 +260,7 @@
     "record_contact",
     "record_end",
     "record_leaving",
+    "record_limit",
     "record_refusal",
     "record_request",
     "record_silence",
--- a/src/yuccareach/platform/headers.py
+++ b/src/yuccareach/platform/headers.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 
 from yuccareach.gateway.dialect import (
@@ -39,9 +41,15 @@
 # Seconds, which may have a fraction, for which a refusing runner wants no requests.
 RETRY_AFTER = b"retry-after"
 REFUSED_STATUS = 503
+# Requests a second, a decimal number, that the runner takes from all gateways together.
+SERVER_LIMIT = b"server-limit"
+# The runner at the address is not the one that the request was meant for.
+MISDIRECTED_STATUS = 421
 # Scheme of the Authorization header, in lower case.
 KEY_SCHEME = b"token "
 
+_DECIMAL_NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
+
 # Headers that the gateway consumes, or that only the gateway may set.
 _GATEWAY_HEADERS = frozenset(
     (
@@ -166,11 +174,15 @@
     )
     faulty_address = value_by_name.get(FAULTY_ADDRESS)
     retry_after_s, malformed = _parse_retry_after(status, headers)
+    is_signed = SIGNATURE in value_by_name
+    is_from_target = status != MISDIRECTED_STATUS
+    limit_per_s, malformed_limit = (
+        _parse_limit(headers) if is_from_target else (None, None)
+    )
     return ResponseMetadata(
         request_id=value_by_name.get(REQUEST_ID),
-        is_signed=SIGNATURE in value_by_name,
-        # 421: the request was meant for another runner than the one at the address.
-        has_not_run=NOT_EXECUTED in value_by_name or status == 421,
+        is_signed=is_signed,
+        has_not_run=NOT_EXECUTED in value_by_name or not is_from_target,
         faulty_address=faulty_address.decode("latin-1") if faulty_address else None,
         running_requests=running,
         queued_requests=queued,
@@ -180,9 +192,25 @@
         ),
         retry_after_s=retry_after_s,
         malformed_retry_after=malformed,
+        limit_per_s=limit_per_s,
+        malformed_limit=malformed_limit,
+        is_statement=is_from_target and (is_signed or NOT_EXECUTED in value_by_name),
     )
 
 
+def _parse_limit(headers: Headers) -> tuple[float | None, str | None]:
+    """Return the request limit that an answer states, and a value that is none.
+
+    Several values are none, since they do not tell which one holds.
+    """
+    values = [value.strip() for name, value in headers if name == SERVER_LIMIT]
+    if not values:
+        return None, None
+    if len(values) == 1 and _DECIMAL_NUMBER.fullmatch(values[0]):
+        return float(values[0]), None
+    return None, b", ".join(values).decode("latin-1")
+
+
 def _parse_retry_after(
     status: int, headers: Headers
 ) -> tuple[float | None, str | None]:
--- a/src/yuccareach/platform/standin.py
+++ b/src/yuccareach/platform/standin.py
@@ -216,6 +216,8 @@
     ) -> None:
         if self.faults.announces_leaving:
             response.headers["Server-Leaving"] = "1"
+        for value in self.faults.stated_limits:
+            response.headers.add("Server-Limit", value)
 
     async def _send_raw(self, request: web.Request, kind: RawAnswer) -> web.Response:
         await send_raw_answer(request, kind, self.name, self.faults.sent_answers)
--- a/src/yuccareach/platform/standin_faults.py
+++ b/src/yuccareach/platform/standin_faults.py
@@ -36,6 +36,8 @@
         self.announces_leaving = False
         # Refuses requests for this long, and says so; None to serve them.
         self.retry_after_s: float | None = None
+        # Values of the header with its request limit in every answer; none if empty.
+        self.stated_limits: tuple[str, ...] = ()
         # Sends this in place of its answers to requests, or to calls for its report and
         # orders.
         self.raw_answer: RawAnswer | None = None
--- a/tests/gateway/test_server_notices.py
+++ b/tests/gateway/test_server_notices.py
@@ -8,12 +8,13 @@
 from unittest import mock
 
 from tests.gateway.fleet import build_backend
+from yuccareach.gateway.dialect import Headers
 from yuccareach.gateway.http_client import ConnectionPool, call_backend
 from yuccareach.gateway.server_notices import (
     MAX_LOGGED_CHARACTERS,
     build_response_reader,
 )
-from yuccareach.health.servers import is_on_trial, record_request
+from yuccareach.health.servers import get_limit_per_s, is_on_trial, record_request
 from yuccareach.platform.headers import DIALECT
 
 LEAVING = [(b"server-leaving", b"1")]
@@ -77,6 +78,35 @@
             self.read_response(200, headers)
             self.assertEqual(is_on_trial(self.backend.health, 5_001), expected)
 
+    def test_limit_is_logged_when_it_is_stated_changed_and_over(self) -> None:
+        for value in (b"3", b"3", b"2", b"2"):
+            self.read_at(1_000, [*SIGNED, (b"server-limit", value)])
+        self.read_at(1_000, SIGNED)
+        self.read_at(1_000, SIGNED)
+        self.assertEqual(
+            self.list_events(), ["server_limit", "server_limit", "server_limit_ended"]
+        )
+
+    def test_malformed_limit_is_logged_once_and_does_not_avoid_the_server(self) -> None:
+        for _ in range(3):
+            self.read_at(1_000, [*SIGNED, (b"server-limit", b"-" * 5_000)])
+        self.assertEqual(self.list_events(), ["server_limit_ignored"])
+        value = self.gateway.log.call_args.kwargs["value"]
+        self.assertEqual(len(value), MAX_LOGGED_CHARACTERS)
+        self.assertIsNone(get_limit_per_s(self.backend.health))
+        self.assertFalse(self.backend.is_avoided(1.0))
+
+    def test_limit_in_a_late_answer_to_an_earlier_request_is_not_recorded(self) -> None:
+        reader = build_response_reader(self.gateway, self.backend, b"r2")
+        late = [*SIGNED, (b"yuccareach-request-id", b"r1"), (b"server-limit", b"1")]
+        reader(200, late)
+        self.assertIsNone(get_limit_per_s(self.backend.health))
+
+    def read_at(self, now_ms: int, headers: Headers) -> None:
+        """Read the answer to a request that was sent at the same time."""
+        self.gateway.now_ms = lambda: now_ms
+        build_response_reader(self.gateway, self.backend)(200, headers)
+
     async def test_notice_counts_before_the_body_has_arrived(self) -> None:
         was_read = asyncio.Event()
 
--- a/tests/health/test_servers.py
+++ b/tests/health/test_servers.py
@@ -12,12 +12,14 @@
     EndProof,
     ServerHealth,
     Silence,
+    StatedLimit,
     accepts_connections,
     accepts_requests,
     compute_refusal_ms,
     compute_silence_ms,
     copy_notices,
     find_acceptance_ms,
+    get_limit_per_s,
     has_ended,
     is_on_trial,
     is_presumed_lost,
@@ -26,6 +28,7 @@
     record_contact,
     record_end,
     record_leaving,
+    record_limit,
     record_refusal,
     record_request,
     record_silence,
@@ -171,3 +174,36 @@
         record_acceptance(self.health, 500)
         record_request(self.health, 1_000)
         self.assertTrue(is_on_trial(self.health, 1_001))
+
+
+class LimitTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.health = ServerHealth()
+
+    def record(self, per_s: float | None, sent_ms: int, read_ms: int) -> bool:
+        return record_limit(self.health, StatedLimit(per_s, sent_ms, read_ms))
+
+    def test_answer_to_a_request_sent_after_the_known_one_was_read_holds(self) -> None:
+        self.assertTrue(self.record(2.0, 0, 10))
+        for per_s in (8.0, 1.0, None, 3.0):
+            sent_ms = self.health.limit.read_ms if self.health.limit else 0
+            self.assertTrue(self.record(per_s, sent_ms, sent_ms + 10))
+            self.assertEqual(get_limit_per_s(self.health), per_s)
+
+    def test_late_answer_that_states_an_older_higher_limit_changes_nothing(
+        self,
+    ) -> None:
+        self.record(2.0, 50, 60)
+        for per_s in (8.0, None):
+            self.assertFalse(self.record(per_s, 0, 70))
+            self.assertEqual(get_limit_per_s(self.health), 2.0)
+
+    def test_lower_limit_holds_while_it_is_unknown_which_is_newer(self) -> None:
+        self.record(8.0, 50, 60)
+        self.assertTrue(self.record(1.0, 40, 70))
+        self.assertFalse(self.record(8.0, 55, 80))
+        self.assertEqual(get_limit_per_s(self.health), 1.0)
+
+    def test_server_that_never_stated_a_limit_has_none(self) -> None:
+        self.assertFalse(self.record(None, 0, 1))
+        self.assertIsNone(get_limit_per_s(self.health))
--- a/tests/platform/test_headers.py
+++ b/tests/platform/test_headers.py
@@ -116,6 +116,43 @@
             self.assertIsNone(metadata.retry_after_s)
             self.assertIsNone(metadata.malformed_retry_after)
 
+    def test_limit_is_decoded_from_every_answer_of_the_runner(self) -> None:
+        for value, per_s in ((b"4.3", 4.3), (b"0", 0.0), (b" 12 ", 12.0), (b".5", 0.5)):
+            for status in (200, 404, 500, 503):
+                headers = [(b"server-limit", value)]
+                metadata = DIALECT.read_response(status, headers)
+                self.assertEqual(metadata.limit_per_s, per_s)
+                self.assertIsNone(metadata.malformed_limit)
+
+    def test_limit_of_another_runner_at_the_address_is_not_taken_for_this_one(
+        self,
+    ) -> None:
+        for headers in ([(b"server-limit", b"2")], [(b"server-limit", b"x")], []):
+            metadata = DIALECT.read_response(421, headers)
+            self.assertIsNone(metadata.limit_per_s)
+            self.assertIsNone(metadata.malformed_limit)
+            self.assertFalse(metadata.is_statement)
+
+    def test_malformed_limits_are_ignored_and_named(self) -> None:
+        values = (b"-1", b"nan", b"inf", b"two", b"", b"1e3", b"+1", b"9" * 5_000, b".")
+        for value in values:
+            metadata = DIALECT.read_response(200, [(b"server-limit", value)])
+            self.assertIsNone(metadata.limit_per_s, value)
+            self.assertEqual(metadata.malformed_limit, value.decode())
+
+    def test_several_limits_are_ignored(self) -> None:
+        headers = [(b"server-limit", b"2"), (b"server-limit", b"2")]
+        metadata = DIALECT.read_response(200, headers)
+        self.assertIsNone(metadata.limit_per_s)
+        self.assertEqual(metadata.malformed_limit, "2, 2")
+
+    def test_only_the_runners_own_answers_show_that_it_states_no_limit(self) -> None:
+        signature = (b"yuccareach-runner-signature", b"s")
+        refusal = (b"yuccareach-not-executed", b"1")
+        for headers, expected in (([signature], True), ([refusal], True), ([], False)):
+            metadata = DIALECT.read_response(200, headers)
+            self.assertEqual(metadata.is_statement, expected)
+
     def test_malformed_retry_after_is_ignored_and_named(self) -> None:
         date = b"Fri, 04 Dec 2026 10:00:00 GMT"
         for value in (date, b"", b"-1", b"soon", b"nan", b"inf", b"1e9", b"3, 5"):
