--- a/src/yuccareach/platform/standin.py
+++ b/src/yuccareach/platform/standin.py
@@ -58,6 +58,17 @@
         self.crash_times_s: list[float] = []
         # Every request that reached a runner, also one that it refused.
         self.arrivals: list[RunnerArrival] = []
+        # Every request that reached a runner as a later stage of its path.
+        self.later_arrivals: list[RunnerArrival] = []
+
+    def record_later_arrivals(self, request_id: str, addresses: Iterable[str]) -> None:
+        """Record that a request reaches the runners of later stages."""
+        now_s = asyncio.get_running_loop().time()
+        self.later_arrivals += [
+            RunnerArrival(now_s, request_id, runner.name, ())
+            for address in addresses
+            if (runner := self.runner_by_address.get(address)) is not None
+        ]
 
     def is_crashing(self, body: bytes, prompt_parts: tuple[str, ...] = ()) -> bool:
         """Return whether a request crashes the runners that run it."""
@@ -254,6 +265,9 @@
         faulty = self._find_faulty_address(path)
         if faulty:
             return web.json_response({"address": faulty}, status=409)
+        known = {address for address, _, _ in self.path_by_request[order["id"]]}
+        added = [address for address, _, _ in path if address not in known]
+        self.group.record_later_arrivals(order["id"], added)
         self.path_by_request[order["id"]] = path
         self.stalled_address_by_request.pop(order["id"], None)
         return web.Response(status=200)
@@ -327,6 +341,8 @@
             return web.Response(status=503, headers=refusal)
         self.group.executed_request_ids.append(request_id)
         self.path_by_request[request_id] = path
+        later = [address for address, _, _ in path[1:]]
+        self.group.record_later_arrivals(request_id, later)
         response = web.StreamResponse(headers=headers)
         response.content_type = "text/event-stream"
         await response.prepare(request)
