Keep the limits that backend servers state, over all gateways

Cause: nothing read the limit, and nothing could have shared it: a gateway knows its own requests only. Every request now takes a grant at each limited server that it will reach, at all of them or at none, in gateway/server_limits.py; the leader of control grants with the views that gateways poll for. Calls and streams that no server takes in time are refused at once, with a time from the limits; others wait in the admission queue.

--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -37,6 +37,7 @@
 from yuccareach.control.views import EntryReports, ReadBatcher
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import add_ControlServicer_to_server
+from yuccareach.quota.allocation import AllocationTable
 from yuccareach.runtime.http import HttpServer
 from yuccareach.runtime.logs import Log, logger, write_log
 from yuccareach.runtime.process import new_incarnation
@@ -78,6 +79,9 @@
             monotonic_ms(), options.member_lease_ms, options.member_warm_up_ms
         )
         self.entry_reports = EntryReports()
+        # Of the term in which this instance leads.
+        self._limit_allocations = AllocationTable()
+        self._limits_term = 0
         self.read_batcher = ReadBatcher(lambda: self.dispatch_and_wait(ReadRequested))
         saved_heartbeats = self.store.load_members().heard
         self.members.restore((item.member for item in saved_heartbeats), monotonic_ms())
@@ -337,6 +341,16 @@
         previous.set()
         self.notify_member_watchers()
 
+    def get_limit_allocations(self) -> AllocationTable:
+        """Return the limits of servers and their allocations of the current term.
+
+        Each term starts with none, since another leader may have granted meanwhile.
+        """
+        if self._limits_term != self.state.term:
+            self._limits_term = self.state.term
+            self._limit_allocations = AllocationTable()
+        return self._limit_allocations
+
     def notify_member_watchers(self) -> None:
         """Wake the watchers of members and replace the event that they waited for."""
         previous, self.members_change_event = self.members_change_event, asyncio.Event()
--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -13,6 +13,8 @@
 from yuccareach.control.errors import RequestRefusedError
 from yuccareach.control.raft_types import Role
 from yuccareach.proto import control_pb2 as cpb
+from yuccareach.quota import allocation
+from yuccareach.quota.allocation import LimitReport
 from yuccareach.runtime.reducer import monotonic_ms, wall_clock_ms
 
 if TYPE_CHECKING:
@@ -202,14 +204,31 @@
         return _redirect_to_leader(
             process, process.state.address_of(process.state.leader)
         )
-    process.entry_reports.record(request, monotonic_ms())
+    now_ms = monotonic_ms()
+    process.entry_reports.record(request, now_ms)
+    reports = _read_limit_reports(request)
+    table = process.get_limit_allocations()
+    allocation.record_reports(table, request.instance, reports, now_ms)
     if not _has_changes(process, request):
-        await _wait_for_changes(process, request)
+        await _wait_for_changes(process, request, reports)
     try:
         await process.read_batcher.confirm()
     except RequestRefusedError as error:
         return _redirect_to_leader(process, error.leader_address)
-    return _build_view(process, request)
+    return _build_view(process, request, reports)
+
+
+def _read_limit_reports(request: cpb.ViewRequest) -> list[LimitReport]:
+    return [
+        LimitReport(
+            report.incarnation,
+            report.limit_per_s if report.limited else None,
+            report.age_ms,
+            report.wanted,
+            report.returned,
+        )
+        for report in request.limits
+    ]
 
 
 def _has_changes(process: ControlProcess, request: cpb.ViewRequest) -> bool:
@@ -218,20 +237,31 @@
         or request.source != process.run_id
         or request.members_version < process.members.version
         or request.loss_changes < process.machine.loss_counts.changes
+        or _find_known_limit_change(process, request)
+        < process.get_limit_allocations().changes
     )
 
 
-async def _wait_for_changes(process: ControlProcess, request: cpb.ViewRequest) -> None:
+async def _wait_for_changes(
+    process: ControlProcess, request: cpb.ViewRequest, reports: list[LimitReport]
+) -> None:
+    """Wait for a change, for a request of a limit that can be granted, or the end."""
     deadline_ms = monotonic_ms() + LONG_POLL_TIMEOUT_MS
     while not _has_changes(process, request):
-        remaining_ms = deadline_ms - monotonic_ms()
+        now_ms = monotonic_ms()
+        grant_delay_ms = allocation.find_grant_delay_ms(
+            process.get_limit_allocations(), reports, now_ms
+        )
+        if grant_delay_ms <= 0:
+            return
+        remaining_ms = min(grant_delay_ms, deadline_ms - now_ms)
         if remaining_ms <= 0 or process.state.role is not Role.LEADER:
             return
         try:
             async with asyncio.timeout(remaining_ms / 1000):
                 await process.members_change_event.wait()
         except TimeoutError:
-            return
+            continue
 
 
 def _redirect_to_leader(process: ControlProcess, leader_address: str) -> cpb.View:
@@ -246,7 +276,9 @@
     return [peer.address for peer in process.state.membership.peers]
 
 
-def _build_view(process: ControlProcess, request: cpb.ViewRequest) -> cpb.View:
+def _build_view(
+    process: ControlProcess, request: cpb.ViewRequest, reports: list[LimitReport]
+) -> cpb.View:
     is_same_source = request.source == process.run_id
     members_version = request.members_version if is_same_source else 0
     delta = process.members.delta_since(members_version, monotonic_ms())
@@ -267,9 +299,45 @@
     if request.document_version < process.machine.document.version:
         view.document.CopyFrom(process.machine.document)
     _add_losses(view, process.machine.loss_counts, request.loss_changes)
+    _add_limits(view, process, request, reports)
     return view
 
 
+def _find_known_limit_change(process: ControlProcess, request: cpb.ViewRequest) -> int:
+    """Return the newest change of limits in this term that an entry has received."""
+    is_same_leader = (
+        request.source == process.run_id and request.limits_term == process.state.term
+    )
+    return request.limit_changes if is_same_leader else 0
+
+
+def _add_limits(
+    view: cpb.View,
+    process: ControlProcess,
+    request: cpb.ViewRequest,
+    reports: list[LimitReport],
+) -> None:
+    """Add what is granted to an entry, and the limits that it does not know."""
+    table = process.get_limit_allocations()
+    known_change = _find_known_limit_change(process, request)
+    notices = allocation.build_notices(
+        table, request.instance, reports, known_change, monotonic_ms()
+    )
+    view.limits.extend(
+        cpb.LimitNotice(
+            incarnation=notice.incarnation,
+            limited=notice.limit_per_s is not None,
+            limit_per_s=notice.limit_per_s or 0.0,
+            age_ms=notice.age_ms,
+            granted=notice.granted,
+        )
+        for notice in notices
+    )
+    view.limit_changes = table.changes
+    view.grants_limits = True
+    view.limits_term = process.state.term
+
+
 def _add_losses(view: cpb.View, counts: LossCounts, known_change: int) -> None:
     """Add the loss counts that changed after the last change that an entry knows.
 
--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -13,6 +13,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter, deque
 from typing import TYPE_CHECKING, Generic, NamedTuple, TypeVar
 
@@ -108,6 +109,14 @@
             (self.count_tokens_ahead(ticket) + ticket.tokens) * span_s / granted_tokens
         )
 
+    def estimate_grant_interval_s(self, now_s: float) -> float:
+        """Return the time between two of the recent grants; infinity without any."""
+        self._expire_grants(now_s)
+        if not self.recent_grants:
+            return math.inf
+        span_s = max(MIN_RATE_SPAN_S, now_s - self.recent_grants[0][0])
+        return span_s / len(self.recent_grants)
+
     def should_wait(self, ticket: Ticket, now_s: float) -> bool:
         """Return whether a grant is likely before the request's wait deadline."""
         wait_s = self.estimate_wait_s(ticket, now_s)
--- a/src/yuccareach/gateway/admitted_requests.py
+++ b/src/yuccareach/gateway/admitted_requests.py
@@ -63,6 +63,8 @@
 # Reason of a refusal because earlier runs of the request, or requests with the same
 # prompt part, crashed backend servers.
 QUARANTINED = "quarantined"
+# Reason of a refusal because the limits of backend servers leave no room in time.
+LIMITED = "limited"
 # A caller closed its connection, whereupon CallerServer cancels the request's task.
 CALLER_LEFT = Outcome(0, "caller_left")
 
@@ -135,6 +137,7 @@
 
 __all__ = [
     "CALLER_LEFT",
+    "LIMITED",
     "QUARANTINED",
     "AdmittedRequest",
     "Outcome",
--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -5,6 +5,11 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.http_client import Ending, Exchange, encode_request
+from yuccareach.gateway.server_limits import (
+    Reservation,
+    cancel_reservation,
+    renew_reservation,
+)
 from yuccareach.gateway.server_notices import build_response_reader
 from yuccareach.health.servers import record_contact, record_request
 
@@ -49,12 +54,14 @@
     admitted: AdmittedRequest,
     backend: Backend,
     metadata: ForwardMetadata,
+    reservation: Reservation,
     on_data: Callable[[bytes], int] | None = None,
 ) -> BackendRequest | None:
     """Send a request; return None if no connection could be opened.
 
-    In that case the request has not run. Otherwise on_data receives the body of a
-    signed success as it arrives, and returns how many bytes it buffers.
+    The same holds if its grants have run out and there are no others. In both cases the
+    request has not run. Otherwise on_data receives the body of a signed success as it
+    arrives, and returns how many bytes it buffers.
     """
     record_request(backend.health, gateway.now_ms())
     pool = backend.pool
@@ -66,6 +73,7 @@
         try:
             connection = await pool.connect()
         except (OSError, TimeoutError) as error:
+            cancel_reservation(reservation)
             refused = isinstance(error, ConnectionRefusedError)
             backend.record_connect_failure(gateway.now(), refused=refused)
             gateway.log(
@@ -77,6 +85,14 @@
             )
             return None
         backend.record_connect_success()
+    if renew_reservation(gateway, reservation) is None:
+        pool.release(connection)
+        gateway.log(
+            "grant_expired",
+            request=admitted.request_id,
+            backend_server=backend.name,
+        )
+        return None
 
     def _handle_data(data: bytes) -> int:
         record_contact(backend.health)
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -329,28 +329,43 @@
         ]
 
 
-def choose_backend(
+def rank_backends(
     candidates: list[Backend], zone: str, now_s: float, excluded_incarnations: set[str]
-) -> Backend | None:
-    """Return the backend server to send a call to, or None without a candidate.
+) -> list[Backend]:
+    """Return the backend servers that a call may be sent to, the preferred one first.
 
-    Servers that accept no requests now, or that are excluded, are no candidates. Those
-    that are to be avoided come last. Otherwise the least loaded server is chosen, with
-    its load weighted by its failure rate, and between equals one in the entry's
-    availability zone.
+    Servers that accept no requests now, or that are excluded, are left out. Those that
+    are to be avoided come last. Otherwise the least loaded server is preferred, with
+    its load weighted by its failure rate, and between equals one in the entry's zone.
     """
 
     def _rank(backend: Backend) -> tuple[bool, float, bool]:
         load = (backend.running_requests + 1) / max(0.05, 1 - backend.failure_rate)
-        return (backend.is_avoided(now_s), load, backend.announcement.zone != zone)
+        is_remote = backend.announcement.zone != zone
+        return (backend.is_avoided(now_s), load, is_remote)
 
-    usable = [
+    usable = (
         item
         for item in candidates
         if item.announcement.incarnation not in excluded_incarnations
         and item.accepts_requests(now_s)
-    ]
-    return min(usable, key=_rank, default=None)
+    )
+    return sorted(usable, key=_rank)
 
 
-__all__ = ["Announcement", "Backend", "Fleet", "ProbeResult", "choose_backend"]
+def choose_backend(
+    candidates: list[Backend], zone: str, now_s: float, excluded_incarnations: set[str]
+) -> Backend | None:
+    """Return the preferred backend server for a call, or None without a candidate."""
+    ranked = rank_backends(candidates, zone, now_s, excluded_incarnations)
+    return next(iter(ranked), None)
+
+
+__all__ = [
+    "Announcement",
+    "Backend",
+    "Fleet",
+    "ProbeResult",
+    "choose_backend",
+    "rank_backends",
+]
--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -6,8 +6,14 @@
 import math
 from typing import TYPE_CHECKING, NamedTuple
 
+from yuccareach.gateway.admission import (
+    MAX_WAIT_OBJECTIVES,
+    Ticket,
+    WaitingRequest,
+)
 from yuccareach.gateway.admitted_requests import (
     CALLER_LEFT,
+    LIMITED,
     QUARANTINED,
     AdmittedRequest,
     Outcome,
@@ -23,7 +29,7 @@
     record_left,
 )
 from yuccareach.gateway.backend_requests import BackendRequest, send_request
-from yuccareach.gateway.backends import Backend, choose_backend
+from yuccareach.gateway.backends import Backend, choose_backend, rank_backends
 from yuccareach.gateway.crashes import record_broken_attempt, seek_end_proof
 from yuccareach.gateway.dialect import ForwardMetadata
 from yuccareach.gateway.http_client import Ending, ResponseHead
@@ -34,6 +40,15 @@
     record_answer,
     start_attempt,
 )
+from yuccareach.gateway.server_limits import (
+    Reservation,
+    cancel_reservation,
+    estimate_interval_s,
+    may_send,
+    plan_return_s,
+    record_miss,
+    reserve_requests,
+)
 from yuccareach.health.servers import find_acceptance_ms
 
 if TYPE_CHECKING:
@@ -54,6 +69,9 @@
 MIN_REMAINING_MS = 5
 # Interval between checks for members that have yet to announce themselves.
 MEMBERS_CHECK_INTERVAL_S = 0.02
+# Interval between checks for a grant of a call that waits for one. Grants of control
+# are handed on as they come.
+QUEUE_CHECK_INTERVAL_S = 0.05
 # Retry delay for a refused call. A full service has free capacity again after about the
 # duration of a call.
 FULL_RETRY_DELAY_S = 0.1
@@ -98,6 +116,13 @@
 _NOT_SENT = Attempt(Ending.NOT_SENT, None, b"")
 
 
+class CallPlace(NamedTuple):
+    """A backend server for a call, and the grant that the call takes there."""
+
+    backend: Backend
+    reservation: Reservation
+
+
 class CallRun:
     """The attempts of one call so far."""
 
@@ -114,6 +139,8 @@
         # Whether the retry budget has already granted the next attempt.
         self.retry_reserved = False
         self.last_attempt = _NOT_SENT
+        # Tickets with which the call was granted a place in the queue.
+        self.queued_tickets: list[Ticket] = []
 
 
 async def serve_call(gateway: Gateway, admitted: AdmittedRequest, reply: Reply) -> None:
@@ -124,6 +151,10 @@
     except asyncio.CancelledError:
         record_outcome(gateway, admitted, CALLER_LEFT, run.attempts)
         raise
+    finally:
+        queue = gateway.get_call_queue(admitted.service.name)
+        for ticket in run.queued_tickets:
+            queue.release(ticket.workspace, ticket.tokens)
     outcome = _deliver_answer(
         gateway,
         admitted,
@@ -144,21 +175,24 @@
     quarantined. A call that has left an open attempt is sent on until its time is up.
     """
     while _compute_remaining_ms(gateway, admitted) >= MIN_REMAINING_MS:
-        backend = _choose_backend(gateway, admitted, run)
-        if backend is None and gateway.is_awaiting_members:
+        place = await _find_place(gateway, admitted, run)
+        if place is None and gateway.is_awaiting_members:
             await asyncio.sleep(MEMBERS_CHECK_INTERVAL_S)
             continue
         if run.attempts and compute_refusal_s(gateway, admitted):
+            _cancel_place(place)
             return
-        if backend is None or not _reserve_retry(gateway, admitted, run):
+        if place is None or not _reserve_retry(gateway, admitted, run):
+            _cancel_place(place)
             if not run.has_left_open_attempt:
                 return
             await asyncio.sleep(SWITCH_CHECK_INTERVAL_S)
             continue
+        backend = place.backend
         run.attempts += 1
         run.retry_reserved = False
         tracked_attempt = start_attempt(gateway, admitted)
-        last_attempt = await _send_attempt(gateway, admitted, backend, run)
+        last_attempt = await _send_attempt(gateway, admitted, place, run)
         run.last_attempt = last_attempt
         run.excluded_incarnations.add(backend.announcement.incarnation)
         _log_attempt(gateway, admitted, backend, last_attempt)
@@ -181,21 +215,122 @@
             return
 
 
-def _choose_backend(
+async def _find_place(
     gateway: Gateway, admitted: AdmittedRequest, run: CallRun
-) -> Backend | None:
-    """Return the server for the next attempt, or None.
+) -> CallPlace | None:
+    """Return the server for the next attempt with a grant there, or None.
 
-    A call that has left an open attempt may go back there if all others refuse it.
+    A call that has left an open attempt may go back there if all others refuse it. If
+    only limits of servers stand in the way, it waits as long as that is of use.
     """
+    queue = gateway.get_call_queue(admitted.service.name)
+    if not queue.waiting_by_number:
+        place = _choose_place(gateway, admitted, run)
+        if place is not None:
+            return place
+    if not _has_candidate(gateway, admitted, run):
+        return None
+    ticket = _build_ticket(admitted, run)
+    interval_s = estimate_interval_s(gateway, admitted.service, queue)
+    wait_s = (queue.count_tokens_ahead(ticket) + 1) * interval_s
+    if gateway.now() + wait_s >= ticket.wait_deadline_s:
+        return None
+    return await _wait_for_place(gateway, admitted, run, ticket)
+
+
+def _choose_place(
+    gateway: Gateway, admitted: AdmittedRequest, run: CallRun
+) -> CallPlace | None:
+    """Return the preferred server that has a grant left, and take it."""
+    for excluded in _list_exclusions(run):
+        ranked = rank_backends(
+            gateway.fleet.find_by_service(admitted.service.name),
+            gateway.settings.zone,
+            gateway.now(),
+            excluded,
+        )
+        for backend in ranked:
+            reservation = reserve_requests(gateway, (backend,))
+            if reservation is not None:
+                if backend is not ranked[0]:
+                    gateway.registry.count("limited_requests", "moved")
+                return CallPlace(backend, reservation)
+            record_miss(gateway, backend, id(run))
+    return None
+
+
+def _list_exclusions(run: CallRun) -> list[set[str]]:
+    """Return the incarnations to leave out at first, and where all others refuse."""
+    exclusions = [run.excluded_incarnations]
+    if run.has_left_open_attempt:
+        open_incarnations = list_open_incarnations(run.left_servers)
+        exclusions.append(run.excluded_incarnations - open_incarnations)
+    return exclusions
+
+
+def _has_candidate(gateway: Gateway, admitted: AdmittedRequest, run: CallRun) -> bool:
+    """Return whether a server accepts requests, whatever its limit."""
     candidates = gateway.fleet.find_by_service(admitted.service.name)
-    zone, now_s = gateway.settings.zone, gateway.now()
-    excluded = run.excluded_incarnations
-    backend = choose_backend(candidates, zone, now_s, excluded)
-    if backend is None and run.has_left_open_attempt:
-        excluded = excluded - list_open_incarnations(run.left_servers)
-        backend = choose_backend(candidates, zone, now_s, excluded)
-    return backend
+    return any(
+        choose_backend(candidates, gateway.settings.zone, gateway.now(), excluded)
+        for excluded in _list_exclusions(run)
+    )
+
+
+def _build_ticket(admitted: AdmittedRequest, run: CallRun) -> Ticket:
+    route, workspace = admitted.route, admitted.workspace
+    workspace_priority = workspace.priority if workspace else None
+    remaining_s = admitted.deadline_s - admitted.request.received_s
+    objective_s = min(
+        route.objective_ms / 1000, remaining_s / (MAX_WAIT_OBJECTIVES + 1)
+    )
+    return Ticket(
+        number=id(run),
+        workspace=workspace.name if workspace else "",
+        priority=route.priority if workspace_priority is None else workspace_priority,
+        tokens=1,
+        arrived_s=admitted.request.received_s,
+        objective_s=objective_s,
+        # After that, it can hardly be served in time.
+        give_up_s=admitted.deadline_s - objective_s,
+    )
+
+
+async def _wait_for_place(
+    gateway: Gateway, admitted: AdmittedRequest, run: CallRun, ticket: Ticket
+) -> CallPlace | None:
+    """Wait for a server with a grant left; return None if there is none in time."""
+    queue = gateway.get_call_queue(admitted.service.name)
+    granted: asyncio.Future[CallPlace | None] = (
+        asyncio.get_running_loop().create_future()
+    )
+
+    def _reserve_place() -> CallPlace | None:
+        place = _choose_place(gateway, admitted, run)
+        if place is not None:
+            queue.record_grant(ticket.workspace, ticket.tokens, gateway.now())
+            run.queued_tickets.append(ticket)
+        return place
+
+    queue.add(WaitingRequest(ticket, _reserve_place, granted))
+    gateway.registry.count("limited_requests", "waited")
+    try:
+        queue.grant_capacity(gateway.now())
+        while not granted.done():
+            await asyncio.wait((granted,), timeout=QUEUE_CHECK_INTERVAL_S)
+            queue.grant_capacity(gateway.now())
+        return granted.result()
+    except asyncio.CancelledError:
+        if granted.done():
+            _cancel_place(granted.result())
+        raise
+    finally:
+        queue.remove(ticket)
+
+
+def _cancel_place(place: CallPlace | None) -> None:
+    if place is not None:
+        cancel_reservation(place.reservation)
 
 
 def _can_retry(
@@ -239,6 +374,8 @@
     )
     if backend is None or backend.is_avoided(gateway.now()):
         return False
+    if not may_send(gateway, backend):
+        return False
     return _reserve_retry(gateway, admitted, run)
 
 
@@ -247,9 +384,10 @@
 
 
 async def _send_attempt(
-    gateway: Gateway, admitted: AdmittedRequest, backend: Backend, run: CallRun
+    gateway: Gateway, admitted: AdmittedRequest, place: CallPlace, run: CallRun
 ) -> Attempt:
     """Send a call to one backend server and return the result."""
+    backend = place.backend
     remaining_ms = _compute_remaining_ms(gateway, admitted)
     sent_s = gateway.now()
     metadata = ForwardMetadata(
@@ -262,7 +400,9 @@
     )
     backend.running_requests += 1
     try:
-        backend_request = await send_request(gateway, admitted, backend, metadata)
+        backend_request = await send_request(
+            gateway, admitted, backend, metadata, place.reservation
+        )
         if backend_request is None:
             return _NOT_SENT
         try:
@@ -356,9 +496,13 @@
         return Outcome(last_attempt.head.status, "answered")
     refusal_s = compute_refusal_s(gateway, admitted)
     if not may_have_run:
-        reason = QUARANTINED if refusal_s else "not_run"
-        retry_s = refusal_s or _estimate_retry_after_s(gateway, admitted.service)
-        return send_refusal(reply, retry_s, reason)
+        if refusal_s:
+            return send_refusal(reply, refusal_s, QUARANTINED)
+        retry_s = _estimate_retry_after_s(gateway, admitted.service)
+        queue = gateway.get_call_queue(admitted.service.name)
+        return_s = plan_return_s(gateway, admitted.service, queue)
+        reason = LIMITED if return_s else "not_run"
+        return send_refusal(reply, max(retry_s, return_s), reason)
     if last_attempt.ending is Ending.TIMED_OUT:
         return send_failure(reply, 504, "timed_out")
     return send_failure(reply, 502, QUARANTINED if refusal_s else "outcome_unknown")
--- a/src/yuccareach/gateway/chain_choice.py
+++ b/src/yuccareach/gateway/chain_choice.py
@@ -2,18 +2,30 @@
 
 from __future__ import annotations
 
+import itertools
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.attempts import list_open_incarnations
-from yuccareach.gateway.chains import Chain, ChainRequirements, find_chain
+from yuccareach.gateway.chains import (
+    Chain,
+    ChainRequirements,
+    ChainStage,
+    LayerGraph,
+    find_chain,
+)
 from yuccareach.gateway.losses import compute_refusal_s
+from yuccareach.gateway.server_limits import may_send, record_miss
 
 if TYPE_CHECKING:
     from yuccareach.gateway.backends import Backend
     from yuccareach.gateway.stream_run import StreamRun
+    from yuccareach.gateway.table import ModelProfile
 
 # No stream is started or resumed with less time than this before its deadline.
 MIN_REMAINING_S = 0.1
+# Chains that are tried in the order of their cost before all servers without a grant
+# are left out.
+MAX_LIMITED_SEARCHES = 4
 
 
 def choose_chain(run: StreamRun) -> Chain | None:
@@ -44,11 +56,57 @@
     if service.model is None:
         return None
     graph = gateway.get_graph(service)
-    if not graph.complete_zones and not gateway.is_awaiting_members:
-        return find_chain(graph, service.model, requirements)
-    return find_chain(
-        graph, service.model, requirements._replace(cross_zone_allowed=False)
-    )
+    if graph.complete_zones or gateway.is_awaiting_members:
+        requirements = requirements._replace(cross_zone_allowed=False)
+    return _find_granted_chain(run, graph, service.model, requirements)
+
+
+def _find_granted_chain(
+    run: StreamRun,
+    graph: LayerGraph,
+    model: ModelProfile,
+    requirements: ChainRequirements,
+    first_stage: ChainStage | None = None,
+) -> Chain | None:
+    """Return the cheapest chain whose limited servers have grants left, or None.
+
+    If a first stage is given, the servers of the current chain have the request
+    already. Servers of cheaper chains without a grant are recorded as missed.
+    """
+    gateway = run.gateway
+    excluded = requirements.excluded_incarnations
+    current_stages = run.chain.stages if first_stage and run.chain else ()
+    current = {stage.backend.announcement.incarnation for stage in current_stages}
+
+    def _lacks_grant(backend: Backend) -> bool:
+        is_new = backend.announcement.incarnation not in current
+        return is_new and not may_send(gateway, backend)
+
+    for _ in range(MAX_LIMITED_SEARCHES):
+        chain = find_chain(
+            graph,
+            model,
+            requirements._replace(excluded_incarnations=excluded),
+            first_stage,
+        )
+        if chain is None:
+            return None
+        backends = (stage.backend for stage in chain.stages)
+        missed = [backend for backend in backends if _lacks_grant(backend)]
+        if not missed:
+            if excluded != requirements.excluded_incarnations:
+                gateway.registry.count("limited_requests", "moved")
+            return chain
+        for backend in missed:
+            record_miss(gateway, backend, id(run))
+        excluded |= {backend.announcement.incarnation for backend in missed}
+    ungranted = {
+        backend.announcement.incarnation
+        for backend in itertools.chain.from_iterable(graph.backends_by_boundary)
+        if _lacks_grant(backend)
+    }
+    requirements = requirements._replace(excluded_incarnations=excluded | ungranted)
+    return find_chain(graph, model, requirements, first_stage)
 
 
 def reserve_switch(run: StreamRun) -> bool:
@@ -124,7 +182,7 @@
     requirements = run.build_requirements()._replace(
         cross_zone_allowed=cross_zone_allowed
     )
-    return find_chain(graph, service.model, requirements, first_stage)
+    return _find_granted_chain(run, graph, service.model, requirements, first_stage)
 
 
 def _reserve_resume(run: StreamRun) -> bool:
@@ -141,7 +199,8 @@
         return False
     requirements = _exclude_backend(run, first_backend)
     requirements = requirements._replace(cross_zone_allowed=False)
-    chain = find_chain(run.gateway.get_graph(service), service.model, requirements)
+    graph = run.gateway.get_graph(service)
+    chain = _find_granted_chain(run, graph, service.model, requirements)
     return _reserve_certain(run, chain)
 
 
--- a/src/yuccareach/gateway/run.py
+++ b/src/yuccareach/gateway/run.py
@@ -9,6 +9,7 @@
 from yuccareach.gateway.handler import handle
 from yuccareach.gateway.http_server import CallerRequest, CallerServer, Reply
 from yuccareach.gateway.probes import retry_unreachable_backends
+from yuccareach.gateway.server_limits import count_limited
 from yuccareach.gateway.stalls import watch_streams
 from yuccareach.gateway.state import Gateway, GatewaySettings
 from yuccareach.gateway.table import Limits
@@ -101,6 +102,7 @@
 
     def _get_gauges(self) -> dict[str, float]:
         gateway = self.gateway
+        limited_servers, limit_grants = count_limited(gateway)
         return {
             "document_version": gateway.table.version if gateway.table else 0,
             "leased": int(gateway.has_lease),
@@ -108,6 +110,8 @@
             "streams_active": len(gateway.streams),
             "loss_counts": len(gateway.quarantine.record_by_fingerprint),
             "backend_servers": len(gateway.fleet.backend_by_name),
+            "limited_servers": limited_servers,
+            "limit_grants": limit_grants,
         }
 
     def _log_crash(self, request: CallerRequest, error: Exception) -> None:
--- a/src/yuccareach/gateway/server_notices.py
+++ b/src/yuccareach/gateway/server_notices.py
@@ -4,6 +4,7 @@
 
 from typing import TYPE_CHECKING
 
+from yuccareach.gateway.server_limits import apply_stated_limit, log_limit
 from yuccareach.health.servers import (
     StatedLimit,
     compute_refusal_ms,
@@ -11,7 +12,6 @@
     record_acceptance,
     record_contact,
     record_leaving,
-    record_limit,
     record_refusal,
 )
 
@@ -34,7 +34,7 @@
     It records what they say of their server. A late answer to an earlier request has
     another request id, and its limit is not recorded, since it may be out of date.
     """
-    sent_ms = gateway.now_ms()
+    sent_ms = gateway.boot_ms()
 
     def _read_response(status: int, headers: Headers) -> ResponseMetadata:
         metadata = gateway.dialect.read_response(status, headers)
@@ -89,16 +89,10 @@
         return
     if metadata.limit_per_s is None and not metadata.is_statement:
         return
-    previous_per_s = get_limit_per_s(health)
-    stated = StatedLimit(metadata.limit_per_s, sent_ms, gateway.now_ms())
-    if record_limit(health, stated):
-        gateway.log(
-            "server_limit" if stated.per_s is not None else "server_limit_ended",
-            backend_server=backend.name,
-            address=backend.announcement.address,
-            limit_per_s=stated.per_s,
-            previous_per_s=previous_per_s,
-        )
+    former_per_s = get_limit_per_s(health)
+    stated = StatedLimit(metadata.limit_per_s, sent_ms, gateway.boot_ms())
+    if apply_stated_limit(gateway, backend, stated):
+        log_limit(gateway, backend, former_per_s, source="answer")
 
 
 def _record_refusal(gateway: Gateway, backend: Backend, retry_after_s: float) -> None:
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -29,6 +29,7 @@
 )
 from yuccareach.gateway.reroutes import log_reroute, send_reroute_order
 from yuccareach.gateway.server_calls import request_report
+from yuccareach.gateway.server_limits import reserve_new_stages
 from yuccareach.gateway.slowdowns import find_due_for_recheck, query_slowdowns
 from yuccareach.gateway.stream_run import StreamRun
 from yuccareach.health.servers import Silence, record_contact, record_silence
@@ -385,7 +386,7 @@
         if orders and run.attempt_events > run.events_before_repair:
             return
         detour = choose_detour(run) if run.can_replace(replaced) else None
-        if detour is None:
+        if detour is None or not reserve_new_stages(gateway, run.chain, detour):
             break
         answer = await send_reroute_order(gateway, run, request.backend, detour)
         log_reroute(gateway, run, replaced, detour, answer)
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -20,6 +20,7 @@
 from yuccareach.gateway.budget import RetryBudget, RetryBudgetLimits
 from yuccareach.gateway.chains import Chain, LayerGraph, build_graph
 from yuccareach.gateway.exchanges import ResponseBuffers
+from yuccareach.gateway.server_limits import ServerLimits
 from yuccareach.gateway.table import Limits
 from yuccareach.health.servers import find_acceptance_ms
 from yuccareach.metrics.registry import Registry
@@ -31,6 +32,7 @@
     from collections.abc import Collection, Coroutine
 
     from yuccareach.gateway.backends import Backend
+    from yuccareach.gateway.calls import CallPlace
     from yuccareach.gateway.dialect import Dialect
     from yuccareach.gateway.stream_run import StreamRun
     from yuccareach.gateway.table import RoutingTable, Service
@@ -102,8 +104,11 @@
         self.is_draining = False
         self.active_requests = 0
         self.streams: set[StreamRun] = set()
+        self.server_limits = ServerLimits()
         self.budget_by_service: dict[str, RetryBudget] = {}
         self.queue_by_service: dict[str, AdmissionQueue[Chain]] = {}
+        # Calls that wait for a grant of a limited server.
+        self.call_queue_by_service: dict[str, AdmissionQueue[CallPlace]] = {}
         self.graph_by_service: dict[str, CachedGraph] = {}
         # Backend servers lost under each request, as all gateways have counted them.
         self.quarantine = QuarantineTable()
@@ -154,6 +159,10 @@
         """Return the loop's time in milliseconds."""
         return int(self.now() * 1000)
 
+    def boot_ms(self) -> int:
+        """Return the milliseconds of get_boot_time_s()."""
+        return int(get_boot_time_s() * 1000)
+
     @property
     def has_lease(self) -> bool:
         """Whether the view is recent enough to admit requests by their key."""
@@ -198,6 +207,21 @@
             queue = self.queue_by_service[service] = AdmissionQueue()
         return queue
 
+    def get_call_queue(self, service: str) -> AdmissionQueue[CallPlace]:
+        """Return the queue of a service's calls that wait for a grant."""
+        queue = self.call_queue_by_service.get(service)
+        if queue is None:
+            queue = self.call_queue_by_service[service] = AdmissionQueue()
+        return queue
+
+    def grant_capacity(self) -> None:
+        """Grant free capacity to waiting streams, and grants to waiting calls."""
+        now_s = self.now()
+        for queue in self.queue_by_service.values():
+            queue.grant_capacity(now_s)
+        for call_queue in self.call_queue_by_service.values():
+            call_queue.grant_capacity(now_s)
+
     def take_retry(self, service: str, *, urgent: bool = False) -> bool:
         """Take one retry from a service's budget; return False if none is left."""
         budget = self.get_retry_budget(service)
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -13,6 +13,11 @@
 from yuccareach.gateway.chains import Chain, ChainRequirements
 from yuccareach.gateway.dialect import Stage
 from yuccareach.gateway.losses import prove_parts, start_attempt
+from yuccareach.gateway.server_limits import (
+    Reservation,
+    cancel_reservation,
+    reserve_requests,
+)
 from yuccareach.gateway.sse import EventSplitter, parse_event_id
 from yuccareach.gateway.suspects import (
     NO_TRIAL,
@@ -55,6 +60,10 @@
         # Reserved for the next attempt before the current one is interrupted.
         self.next_chain: Chain | None = None
         self.next_tokens_by_stage: list[int] = []
+        # The grants of limited servers for the attempt that is about to be sent, and
+        # for the next one.
+        self.reservation: Reservation | None = None
+        self.next_reservation: Reservation | None = None
         self.starting_backend: Backend | None = None
         # Tokens reserved at each stage of the chain.
         self.reserved_tokens_by_stage: list[int] = []
@@ -252,7 +261,11 @@
         )
 
     def reserve(self, chain: Chain) -> None:
-        """Reserve capacity at a chain over which the request is about to be sent."""
+        """Reserve capacity at a chain over which the request is about to be sent.
+
+        Each of its limited servers has a grant left.
+        """
+        self.reservation = reserve_requests(self.gateway, _list_backends(chain))
         self.queue.record_grant(self.workspace, self.tokens, self.gateway.now())
         self.has_proven_parts = False
         self._reserve_at(chain)
@@ -267,15 +280,23 @@
 
     def reserve_next(self, chain: Chain) -> None:
         """Reserve capacity for the next attempt beside that of the current one."""
+        self.next_reservation = reserve_requests(self.gateway, _list_backends(chain))
         self.queue.record_grant(self.workspace, self.tokens, self.gateway.now())
         self.next_chain = chain
         self.next_tokens_by_stage = self._compute_tokens_by_stage(chain)
         _change_usage(chain, self.next_tokens_by_stage, 1)
 
+    def cancel_reservation(self) -> None:
+        """Give back the grants of an attempt that has not been sent, if any."""
+        reservation, self.reservation = self.reservation, None
+        if reservation is not None:
+            cancel_reservation(reservation)
+
     def take_next_chain(self) -> Chain | None:
         """Let the current attempt use the capacity that was reserved for it, if any."""
         chain = self.next_chain
         if chain is not None:
+            self.reservation, self.next_reservation = self.next_reservation, None
             self.release_next_chain()
             self.queue.record_move(self.workspace, self.tokens)
             self.has_proven_parts = False
@@ -285,6 +306,9 @@
     def release_next_chain(self) -> None:
         """Release the capacity that is reserved for the next attempt, if any."""
         chain, self.next_chain = self.next_chain, None
+        reservation, self.next_reservation = self.next_reservation, None
+        if reservation is not None:
+            cancel_reservation(reservation)
         if chain is not None:
             _change_usage(chain, self.next_tokens_by_stage, -1)
             self.queue.release(self.workspace, self.tokens)
@@ -316,6 +340,10 @@
         self.queue.grant_capacity(self.gateway.now())
 
 
+def _list_backends(chain: Chain) -> list[Backend]:
+    return [stage.backend for stage in chain.stages]
+
+
 def _change_usage(chain: Chain, tokens_by_stage: list[int], sign: int) -> None:
     """Add a stream to the usage of a chain's servers; a sign of -1 removes it."""
     chain.stages[0].backend.first_stage_streams += sign
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -14,6 +14,7 @@
 from yuccareach.gateway.admission import Ticket, WaitingRequest
 from yuccareach.gateway.admitted_requests import (
     CALLER_LEFT,
+    LIMITED,
     QUARANTINED,
     AdmittedRequest,
     Outcome,
@@ -35,6 +36,10 @@
     record_answer,
 )
 from yuccareach.gateway.probes import probe_backend
+from yuccareach.gateway.server_limits import (
+    estimate_interval_s,
+    plan_return_s,
+)
 from yuccareach.gateway.sse import EventSplitter
 from yuccareach.gateway.stream_run import StreamRun, format_chain, to_dialect_stages
 from yuccareach.gateway.suspects import must_wait_apart
@@ -81,6 +86,7 @@
     finally:
         run.release_chain()
         run.release_next_chain()
+        run.cancel_reservation()
         gateway.streams.discard(run)
     _record_outcome(run, outcome)
 
@@ -174,7 +180,7 @@
     ticket = _build_ticket(run)
     now_s = run.gateway.now()
     is_closed = _is_closed(run)
-    should_wait = not is_closed and run.queue.should_wait(ticket, now_s)
+    should_wait = not is_closed and _should_wait(run, ticket, now_s)
     if not should_wait and not _must_wait(run):
         run.gateway.log(
             "refused_for_want_of_room",
@@ -206,6 +212,15 @@
         run.queue.remove(ticket)
 
 
+def _should_wait(run: StreamRun, ticket: Ticket, now_s: float) -> bool:
+    """Return whether a chain is likely in time, by the limits of servers if any."""
+    interval_s = estimate_interval_s(run.gateway, run.admitted.service, run.queue)
+    if not interval_s:
+        return run.queue.should_wait(ticket, now_s)
+    wait_s = (len(run.queue.waiting_by_number) + 1) * interval_s
+    return now_s + wait_s < ticket.wait_deadline_s
+
+
 def _is_closed(run: StreamRun) -> bool:
     """Return whether some layers have no server that accepts requests."""
     service = run.admitted.service
@@ -266,7 +281,9 @@
     if not may_have_run and refusal_s:
         return send_refusal(reply, refusal_s, QUARANTINED)
     if not may_have_run:
-        return send_refusal(reply, _estimate_retry_after_s(run), reason)
+        return_s = plan_return_s(run.gateway, run.admitted.service, run.queue)
+        retry_s = _estimate_retry_after_s(run, return_s)
+        return send_refusal(reply, retry_s, LIMITED if return_s else reason)
     if run.failure_head is not None and run.failure_head.metadata.is_signed:
         reply.send(
             run.failure_head.status,
@@ -277,16 +294,20 @@
     return send_failure(reply, status, reason)
 
 
-def _estimate_retry_after_s(run: StreamRun) -> float:
-    """Estimate after how many seconds the same stream is likely to be served."""
+def _estimate_retry_after_s(run: StreamRun, return_s: float) -> float:
+    """Estimate after how many seconds the same stream is likely to be served.
+
+    By the limits of servers, that is after return_s at the earliest.
+    """
     gateway, service = run.gateway, run.admitted.service
     refusal_s = gateway.estimate_refusal_s(service)
+    # Layers of leaving servers only are a coverage gap.
+    refusal_s = refusal_s if math.isfinite(refusal_s) else 0.0
     return run.queue.estimate_retry_after_s(
         _build_ticket(run),
         gateway.now(),
         gateway.estimate_coverage_gap_s(service),
-        # Layers of leaving servers only are a coverage gap.
-        refusal_s if math.isfinite(refusal_s) else 0.0,
+        max(refusal_s, return_s),
     )
 
 
@@ -311,12 +332,21 @@
     run.start_tracking()
     run.last_progress_s = gateway.now()
     _log_attempt(run, chain)
+    reservation, run.reservation = run.reservation, None
     try:
-        run.backend_request = await send_request(
-            gateway, admitted, first_backend, metadata, run.deliver_data
-        )
+        if reservation is not None:
+            run.backend_request = await send_request(
+                gateway,
+                admitted,
+                first_backend,
+                metadata,
+                reservation,
+                run.deliver_data,
+            )
         if run.backend_request is None:
-            run.excluded_incarnations.add(first_backend.announcement.incarnation)
+            if not first_backend.is_connectable:
+                incarnation = first_backend.announcement.incarnation
+                run.excluded_incarnations.add(incarnation)
             return AttemptResult.NOT_RUN
         try:
             return await _await_end(run, run.backend_request, remaining_s)
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -11,6 +11,7 @@
 
 from yuccareach.control.errors import ControlUnavailable
 from yuccareach.errors import YuccareachError
+from yuccareach.gateway import server_limits
 from yuccareach.gateway.backends import Announcement
 from yuccareach.gateway.losses import merge_view, resolve_pending_losses
 from yuccareach.gateway.state import MEMBERS_TIMEOUT_S, get_boot_time_s
@@ -147,6 +148,9 @@
             source=self.source,
             members_version=self.members_version,
             loss_changes=gateway.loss_changes,
+            limits=server_limits.build_reports(gateway),
+            limit_changes=gateway.server_limits.changes,
+            limits_term=gateway.server_limits.term,
             unreachable=gateway.fleet.list_unreachable_incarnations(now_s),
             uses=[
                 cpb.ServerUse(
@@ -228,6 +232,8 @@
             {use.backend_server: (use.tokens, use.first) for use in view.uses}
         )
         gateway.update_entry_count(view.entries)
+        server_limits.apply_view(gateway, view, int(poll_started_s * 1000))
+        gateway.grant_capacity()
         if not gateway.has_lease and gateway.table is not None:
             gateway.log("lease_gained", table=gateway.table.version)
         if not gateway.first_view_received.is_set() and gateway.table is not None:
--- a/src/yuccareach/metrics/catalog.py
+++ b/src/yuccareach/metrics/catalog.py
@@ -50,6 +50,10 @@
         "connections",
         "Callers' connections closed after an invalid request, by status.",
     ),
+    "limited_requests": _describe_counter(
+        "requests",
+        "Requests that a backend server's limit sent elsewhere, delayed or refused.",
+    ),
     "repeats": _describe_counter(
         "requests", "Retries of requests, by whether the retry budget allowed them."
     ),
@@ -142,6 +146,12 @@
     "backend_servers": _describe_gauge(
         "backend servers", "Backend servers known to the process."
     ),
+    "limited_servers": _describe_gauge(
+        "backend servers", "Backend servers that state a limit of requests a second."
+    ),
+    "limit_grants": _describe_gauge(
+        "requests", "Requests that the process may send to limited servers now."
+    ),
     "settings_revision": _describe_gauge(
         "revision", "Revision of the settings in force."
     ),
--- a/src/yuccareach/tracing/explanation.py
+++ b/src/yuccareach/tracing/explanation.py
@@ -14,6 +14,7 @@
     "answered": "it was answered",
     "answered_failure": "the backend server answered with an error status",
     "no_room": "no chain of backend servers had capacity for it in time",
+    "limited": "the backend servers take no more requests a second, as they state",
     "full": "every backend server that was tried had no capacity",
     "over_budget": "the retry budget was used up",
     "broken": "its stream broke and could not be resumed within the route's attempts",
--- a/tests/gateway/test_server_notices.py
+++ b/tests/gateway/test_server_notices.py
@@ -10,6 +10,7 @@
 from tests.gateway.fleet import build_backend
 from yuccareach.gateway.dialect import Headers
 from yuccareach.gateway.http_client import ConnectionPool, call_backend
+from yuccareach.gateway.server_limits import ServerLimits
 from yuccareach.gateway.server_notices import (
     MAX_LOGGED_CHARACTERS,
     build_response_reader,
@@ -26,6 +27,9 @@
     def setUp(self) -> None:
         self.gateway: Any = mock.Mock(dialect=DIALECT)
         self.gateway.now_ms = lambda: 1_000
+        self.gateway.boot_ms = lambda: 1_000
+        self.gateway.entry_count = 2
+        self.gateway.server_limits = ServerLimits()
         self.backend = build_backend("a", "z", "l4", 0, 80)
         self.read_response = build_response_reader(self.gateway, self.backend)
 
@@ -104,7 +108,7 @@
 
     def read_at(self, now_ms: int, headers: Headers) -> None:
         """Read the answer to a request that was sent at the same time."""
-        self.gateway.now_ms = lambda: now_ms
+        self.gateway.boot_ms = lambda: now_ms
         build_response_reader(self.gateway, self.backend)(200, headers)
 
     async def test_notice_counts_before_the_body_has_arrived(self) -> None:
--- a/tests/gateway/test_stalls.py
+++ b/tests/gateway/test_stalls.py
@@ -179,6 +179,7 @@
             "reserve_switch": mock.Mock(return_value=True),
             "send_reroute_order": self.order,
             "log_reroute": mock.Mock(),
+            "reserve_new_stages": mock.Mock(return_value=True),
         }.items():
             patch = mock.patch.object(stalls, name, replacement)
             patch.start()
