Send calls to the equally idle server that was sent nothing for the longest time

Seen: of five equal plain servers under light load, one got 319 of 320 calls (39 of 40 in the test). Cause: the first of equals in the order of the members was chosen, by min(). The preference for the gateway's own zone is meant, for the traffic between zones; the order of members is not. So a limit was passed sooner than need be, and one crash met all that ran. Equal chains still go to one first stage: it has the shared parts of prompts.

Measured: at most twice the mean in the test, 39 of 40 before.

--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -64,6 +64,7 @@
     arrives, and returns how many bytes it buffers.
     """
     record_request(backend.health, gateway.now_ms())
+    backend.last_sent_s = gateway.now()
     pool = backend.pool
     max_idle_s = (
         float("inf") if admitted.route.is_idempotent else MAX_NON_IDEMPOTENT_IDLE_S
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import math
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -92,6 +93,8 @@
         # Streams with their first stage here, of this entry and of other entries.
         self.first_stage_streams = 0
         self.first_stage_streams_elsewhere = 0
+        # When this entry last sent a request here.
+        self.last_sent_s = -math.inf
         self.consecutive_failures = 0
         self.failure_rate = 0.0
         self.avoid_until_s = 0.0
@@ -336,13 +339,14 @@
 
     Servers that accept no requests now, or that are excluded, are left out. Those that
     are to be avoided come last. Otherwise the least loaded server is preferred, with
-    its load weighted by its failure rate, and between equals one in the entry's zone.
+    its load weighted by its failure rate, between equals one in the entry's zone, and
+    between these the one that has been sent nothing for the longest time.
     """
 
-    def _rank(backend: Backend) -> tuple[bool, float, bool]:
+    def _rank(backend: Backend) -> tuple[bool, float, bool, float]:
         load = (backend.running_requests + 1) / max(0.05, 1 - backend.failure_rate)
         is_remote = backend.announcement.zone != zone
-        return (backend.is_avoided(now_s), load, is_remote)
+        return (backend.is_avoided(now_s), load, is_remote, backend.last_sent_s)
 
     usable = (
         item
