Do not let an outdated limit hold again once a server states none

Cause: what control told was dated by its arrival, later than it was read, and a lower limit always held where no order was known, also against a statement that was clearly newer; gateways reported it back with that date. What control tells is dated by the request for it, and a statement read before the known one was asked for is older. The simulation merges by the same function now, and has a limit that ends.

--- a/src/yuccareach/gateway/server_limits.py
+++ b/src/yuccareach/gateway/server_limits.py
@@ -231,7 +231,8 @@
     gateway: Gateway, backend: Backend, notice: cpb.LimitNotice, requested_ms: int
 ) -> None:
     limit_per_s = notice.limit_per_s if notice.limited else None
-    read_ms = gateway.boot_ms() - notice.age_ms
+    # Control sent the age later than it was asked, so that this is the earliest time.
+    read_ms = requested_ms - notice.age_ms
     state = gateway.server_limits
     state.known_by_incarnation[notice.incarnation] = limit_per_s
     former_per_s = get_limit_per_s(backend.health)
--- a/src/yuccareach/health/servers.py
+++ b/src/yuccareach/health/servers.py
@@ -152,15 +152,21 @@
 def merge_limits(known: StatedLimit | None, stated: StatedLimit) -> StatedLimit | None:
     """Return the limit that holds, as far as two statements of one server show it.
 
-    An answer whose request was sent after the known limit was read is newer. Otherwise
-    either may be the older one, and the lower limit holds until a newer answer comes.
+    A statement that was read before the other was asked for is older. If neither is,
+    the lower limit holds until a newer statement comes.
     """
     if known is None:
         return stated if stated.per_s is not None else None
-    is_newer = stated.sent_ms >= known.read_ms
-    if not is_newer and _limit_or_infinity(stated) > _limit_or_infinity(known):
+    if stated.sent_ms >= known.read_ms:
+        return stated
+    is_lower = _limit_or_infinity(stated) <= _limit_or_infinity(known)
+    if stated.read_ms <= known.sent_ms or not is_lower:
         return known
-    return stated._replace(read_ms=max(stated.read_ms, known.read_ms))
+    return StatedLimit(
+        stated.per_s,
+        max(stated.sent_ms, known.sent_ms),
+        max(stated.read_ms, known.read_ms),
+    )
 
 
 def get_limit_per_s(health: ServerHealth) -> float | None:
--- a/tests/health/test_servers.py
+++ b/tests/health/test_servers.py
@@ -204,6 +204,13 @@
         self.assertFalse(self.record(8.0, 55, 80))
         self.assertEqual(get_limit_per_s(self.health), 1.0)
 
+    def test_statement_read_before_the_known_one_was_asked_for_is_older(self) -> None:
+        self.record(None, 0, 10)
+        self.record(5.0, 20, 30)
+        self.record(None, 40, 50)
+        self.assertFalse(self.record(5.0, 30, 40))
+        self.assertIsNone(get_limit_per_s(self.health))
+
     def test_server_that_never_stated_a_limit_has_none(self) -> None:
         self.assertFalse(self.record(None, 0, 1))
         self.assertIsNone(get_limit_per_s(self.health))
--- a/tests/quota/simulation.py
+++ b/tests/quota/simulation.py
@@ -9,7 +9,7 @@
 import random
 from typing import NamedTuple
 
-from yuccareach.health.servers import StatedLimit
+from yuccareach.health.servers import StatedLimit, merge_limits
 from yuccareach.quota import allocation, holdings
 from yuccareach.quota.allocation import AllocationTable, LimitNotice, LimitReport
 from yuccareach.quota.holdings import Holding, Share
@@ -19,6 +19,8 @@
 POLL_DELAY_MS = 200
 POLL_TIMEOUT_MS = 1_200
 MAX_MESSAGE_MS = 30
+# The server answers so long after a request was sent.
+ANSWER_MS = 50
 INCARNATION = "s@1"
 
 
@@ -98,10 +100,8 @@
                 holdings.record_miss(instance.holding, request, self.now_ms)
                 return
         self.sent_times_ms.append(self.now_ms)
-        former_per_s = limit.per_s if limit else None
-        if self.limit_per_s is not None:
-            holdings.scale(instance.holding, former_per_s, self.limit_per_s)
-        instance.limit = StatedLimit(self.limit_per_s, self.now_ms, self.now_ms)
+        stated = StatedLimit(self.limit_per_s, self.now_ms - ANSWER_MS, self.now_ms)
+        self._record_limit(instance, stated)
 
     def _exchange(self, instance: Instance) -> None:
         """Poll control, as a gateway does."""
@@ -149,13 +149,17 @@
         _, sent_ms, notices = reply
         instance.contact_ms = sent_ms
         for notice in notices:
-            read_ms = self.now_ms - notice.age_ms
-            known = instance.limit
-            if known is None or read_ms >= known.read_ms:
-                if known is not None and notice.limit_per_s is not None:
-                    holdings.scale(instance.holding, known.per_s, notice.limit_per_s)
-                instance.limit = StatedLimit(notice.limit_per_s, read_ms, read_ms)
+            read_ms = sent_ms - notice.age_ms
+            stated = StatedLimit(notice.limit_per_s, read_ms, read_ms)
+            self._record_limit(instance, stated)
             holdings.apply_grants(instance.holding, notice.granted, sent_ms)
 
+    def _record_limit(self, instance: Instance, stated: StatedLimit) -> None:
+        known = instance.limit
+        instance.limit = merge_limits(known, stated)
+        per_s = instance.limit.per_s if instance.limit else None
+        if known is not None and per_s is not None:
+            holdings.scale(instance.holding, known.per_s, per_s)
+
 
 __all__ = ["Instance", "Simulation"]
--- a/tests/quota/test_simulation.py
+++ b/tests/quota/test_simulation.py
@@ -89,6 +89,16 @@
             simulation.run(DURATION_MS)
             self.check(simulation, 2 * CONTACT_MS)
 
+    def test_limit_that_is_over_holds_nobody_back_soon_after(self) -> None:
+        for seed in SEEDS:
+            simulation = self.build(seed, 2.0)
+            simulation.limit_per_s = None
+            simulation.run(CONTACT_MS)
+            sent, offered = len(simulation.sent_times_ms), simulation.offered_count
+            simulation.run(CONTACT_MS)
+            sent = len(simulation.sent_times_ms) - sent
+            self.assertEqual(sent, simulation.offered_count - offered)
+
     def test_instances_that_are_all_cut_off_keep_a_limit(self) -> None:
         for seed in SEEDS:
             for instances in (2, 8, 40):
