Do not count losses that a quarantined part explains against the parts beside it

Cause: what the culprit explains stayed evidence against the others. Servers lost under a quarantined part no longer accuse another one; three further losses still do. The test fails without it.

--- a/src/yuccareach/quarantine/parts.py
+++ b/src/yuccareach/quarantine/parts.py
@@ -16,7 +16,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Mapping, Sequence
+    from collections.abc import Container, Iterable, Mapping, Sequence
 
     from yuccareach.quarantine.counts import LossCount
 
@@ -53,6 +53,8 @@
     """A part with enough losses to be accused."""
 
     fingerprint: bytes
+    # The count that was known when the attempt started that was lost.
+    known_count: LossCount
     loss_count: LossCount
     # Its index in the prompt.
     position: int
@@ -98,19 +100,26 @@
     return min(known.losses + 1, ISOLATION_LOSS_THRESHOLD)
 
 
-def is_accusable(known: LossCount, count: LossCount) -> bool:
+def is_accusable(
+    known: LossCount, count: LossCount, explained_servers: Container[int] = ()
+) -> bool:
     """Return whether a loss that follows a known count is enough to accuse a part.
 
     count includes the loss. It has another generation if the part has been shown to be
-    harmless meanwhile.
+    harmless meanwhile. Servers that were lost under a quarantined part are explained by
+    it, and accuse no other one.
     """
     losses = known.losses + 1
+    explained = sum(server in explained_servers for server in count.lost_servers)
+    unexplained = len(count.lost_servers) - explained
+    has_lost_in_a_row = losses >= QUARANTINE_LOSS_THRESHOLD and (
+        not explained or unexplained >= QUARANTINE_LOSS_THRESHOLD
+    )
     has_lost_enough = (
-        losses >= ISOLATION_LOSS_THRESHOLD
-        and len(count.lost_servers) >= MIN_ACCUSING_SERVERS
+        losses >= ISOLATION_LOSS_THRESHOLD and unexplained >= MIN_ACCUSING_SERVERS
     )
     return count.generation == known.generation and (
-        losses >= QUARANTINE_LOSS_THRESHOLD or has_lost_enough
+        has_lost_in_a_row or has_lost_enough
     )
 
 
@@ -128,9 +137,22 @@
     the loss is explained: by a part that is quarantined, or by a more suspicious one
     that other attempts had on the server.
     """
+    explained_servers = {
+        server
+        for count in count_by_part.values()
+        if count.is_quarantined
+        for server in count.lost_servers
+    }
+    candidates = [
+        candidate
+        for candidate in candidates
+        if is_accusable(candidate.known_count, candidate.loss_count, explained_servers)
+    ]
+    if not candidates:
+        return []
     own_parts = {candidate.fingerprint for candidate in candidates}
     suspects = [
-        Candidate(part, count, 0)
+        Candidate(part, count, count, 0)
         for part, count in count_by_part.items()
         if lost_server in count.lost_servers
         and count.losses >= ISOLATION_LOSS_THRESHOLD
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -342,7 +342,9 @@
         count = get_count(table, part.fingerprint, now_ms)
         if is_accusable(part.known_count, count):
             attempt_by_part[part.fingerprint] = attempt
-            candidates.append(Candidate(part.fingerprint, count, position))
+            candidates.append(
+                Candidate(part.fingerprint, part.known_count, count, position)
+            )
     if not candidates:
         return
     count_by_part = {
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -224,6 +224,30 @@
         self.assert_accused()
 
 
+class ExplainedLossTests(PartTestCase):
+    """A sound part that came with a harmful one, which is quarantined by now."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        self.crash_round(MIN_ACCUSING_SERVERS - 1, SHARED, BAD)
+        self.prove(OTHER)
+        self.crash_round(1, SHARED, BAD)
+        self.assertTrue(self.is_refused(BAD))
+        self.assertFalse(self.is_refused(SHARED))
+
+    def test_one_more_loss_does_not_accuse_the_part_that_came_with_the_culprit(
+        self,
+    ) -> None:
+        for _ in range(2):
+            self.crash_round(1, SHARED, OTHER)
+            self.assertFalse(self.is_refused(SHARED))
+
+    def test_losses_that_the_culprit_does_not_explain_still_accuse(self) -> None:
+        for _ in range(QUARANTINE_LOSS_THRESHOLD):
+            self.crash_round(1, SHARED, OTHER)
+        self.assertTrue(self.is_refused(SHARED))
+
+
 class TrialTests(PartTestCase):
     def setUp(self) -> None:
         super().setUp()
