Do not count crashes of plain services against the parts of prompts

Cause: any request with the header counted, and was refused for its parts; plain services process no prompt. Parts are those of requests to a service with a model now. The test fails without it (a part at three losses).

--- a/src/yuccareach/gateway/handler.py
+++ b/src/yuccareach/gateway/handler.py
@@ -85,7 +85,10 @@
     if table.requires_key and not route.is_public:
         workspace = _authorize(gateway, table, metadata)
     fingerprint = _identify_request(request, host, workspace)
-    part_fingerprints = compute_part_fingerprints(metadata.model, metadata.prompt_parts)
+    service = _choose_service(table, route, metadata.request_id)
+    # Plain services process no prompt.
+    prompt_parts = metadata.prompt_parts if service.model is not None else ()
+    part_fingerprints = compute_part_fingerprints(metadata.model, prompt_parts)
     refusal_s = losses.admit(
         gateway,
         metadata.request_id.decode("latin-1"),
@@ -98,7 +101,7 @@
         request,
         metadata,
         route,
-        _choose_service(table, route, metadata.request_id),
+        service,
         workspace,
         request.received_s + deadline_ms / 1000,
         fingerprint,
--- a/tests/platform/test_crashing_parts.py
+++ b/tests/platform/test_crashing_parts.py
@@ -358,6 +358,28 @@
             await self.assert_refused(parts, gateway)
 
 
+class PlainServiceTests(CrashingPartTestCase):
+    async def test_crashes_of_a_plain_service_accuse_no_part(self) -> None:
+        plain = [await self.add_runner(f"p{number}") for number in range(6)]
+        await self.wait_until_known(*(runner.name for runner in plain))
+        self.group.crashing_prefix = b"crash"
+        parts = f"c0 {CRASHING_PART}"
+        for number in range(QUARANTINE_LOSS_THRESHOLD):
+            await self.send_request(
+                "/look/1",
+                f"plain{number}",
+                body=b"crash%d" % number,
+                Yuccareach_Prompt_Prefix=",".join(f"{p}:9" for p in parts.split()),
+            )
+            await asyncio.sleep(0.5)
+        table = self.gateway.gateway.quarantine
+        self.assertGreaterEqual(len(self.group.crash_times_s), 3)
+        for part in compute_part_fingerprints("m", [*parts.encode().split(), b"own"]):
+            self.assertNotIn(part, table.record_by_fingerprint)
+        for part in compute_part_fingerprints("", [*parts.encode().split(), b"own"]):
+            self.assertNotIn(part, table.record_by_fingerprint)
+
+
 class OrdinaryCrashTests(CrashingPartTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
