Let the soak limit backend servers, and check what they get

One server or all of a service state 0, 0.5, 2 or 5 requests a second for six seconds and more; the check is the platform's rule, over all gateways and stages, without those that had a fault. Its tests: a sum over three gateways, later stages, the first three seconds, gateways with a fault.

--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -148,7 +148,7 @@
             f"{runner.name} at {runner.address} closed {runner.closed_s} crashed "
             f"{runner.part_crash_s} silent {runner.silences} links "
             f"{runner.link_faults} refusals {runner.refusals} endless "
-            f"{runner.endless_spans}"
+            f"{runner.endless_spans} limits {runner.limit_spans}"
         )
     for request, arrivals in group_arrivals(observations).items():
         yield f"{request} reached " + ", ".join(
--- a/bench/soak/runner_faults.py
+++ b/bench/soak/runner_faults.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from bench.soak.endless import EndlessKind
+from bench.soak.runners import LimitSpan
 from yuccareach.standin.proxy import Faults
 
 if TYPE_CHECKING:
@@ -38,6 +39,10 @@
 LEAVING_DURATION_S = 3.0
 MIN_RETRY_AFTER_S = 1.0
 MIN_ENDLESS_DURATION_S = 1.0
+# Requests a second that a server in need takes, for long enough that the platform
+# judges the arrivals.
+STATED_LIMITS = ("0", "0.5", "2", "5")
+MIN_LIMITED_DURATION_S = 6.0
 
 
 async def inject_runner_fault(deployment: Deployment, fault: ScheduledFault) -> None:
@@ -51,6 +56,7 @@
         "runner_leaving": _leave,
         "runner_refusing": _refuse,
         "runner_bytes": _answer_without_end,
+        "runner_limited": _limit,
     }
     await action_by_kind[fault.kind](deployment, runners, fault)
 
@@ -159,6 +165,24 @@
     runner.endless_spans.append((started_s, time.monotonic()))
 
 
+async def _limit(
+    deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
+) -> None:
+    """Let one server or all of a service state how many requests they take."""
+    one = _choose(runners, fault)
+    same = [item for item in runners if item.service == one.service]
+    chosen = same if fault.target % 3 == 0 else [one]
+    value = STATED_LIMITS[fault.target % len(STATED_LIMITS)]
+    started_s = time.monotonic()
+    for runner in chosen:
+        runner.faults.stated_limits = (value,)
+    await asyncio.sleep(MIN_LIMITED_DURATION_S + fault.duration_s)
+    for runner in chosen:
+        runner.faults.stated_limits = ()
+        span = LimitSpan(started_s, time.monotonic(), float(value))
+        runner.limit_spans.append(span)
+
+
 def _choose(runners: list[SoakRunner], fault: ScheduledFault) -> SoakRunner:
     """Choose one of the servers to which requests are sent."""
     candidates = [item for item in runners if item.takes_requests] or runners
--- a/bench/soak/runners.py
+++ b/bench/soak/runners.py
@@ -43,6 +43,14 @@
     retry_after_s: float | None
 
 
+class LimitSpan(NamedTuple):
+    """A time in which a backend server stated a limit."""
+
+    started_s: float
+    ended_s: float
+    limit_per_s: float
+
+
 class SoakRunner(Runner):
     """A stand-in that records what reached it and the faults that it had."""
 
@@ -78,6 +86,7 @@
         self.endless_spans: list[Span] = []
         # Until the end of the last Retry-After.
         self.refusals: list[Span] = []
+        self.limit_spans: list[LimitSpan] = []
         # Bytes sent of each endless answer, by the request and a number.
         self.endless_bytes_by_answer: Counter[tuple[str, int]] = Counter()
 
@@ -206,4 +215,4 @@
         self.silences.append((now_s, now_s + duration_s))
 
 
-__all__ = ["Arrival", "Rejection", "SoakRunner"]
+__all__ = ["Arrival", "LimitSpan", "Rejection", "SoakRunner"]
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -22,6 +22,7 @@
     "runner_refusing": 0.15,
     "runner_bytes": 0.15,
     "caller_part": 0.0,
+    "runner_limited": 0.1,
 }
 # Targets are drawn below this number. It exceeds the number of processes of any role.
 MAX_TARGETS = 300
--- a/bench/soak/server_promises.py
+++ b/bench/soak/server_promises.py
@@ -6,6 +6,7 @@
 
 from bench.soak.deployment import Program
 from bench.soak.documents import MAX_ATTEMPTS_BY_PREFIX
+from bench.soak.limit_promises import check_limits
 from bench.soak.observations import (
     find_fault_kinds,
     group_arrivals,
@@ -241,6 +242,7 @@
     _check_leaving,
     _check_refusals_of_servers,
     _check_endless_answers,
+    check_limits,
 )
 
 __all__ = ["SERVER_CHECKS", "had_trouble"]
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -6,7 +6,7 @@
 
 from bench.soak.deployment import Program
 from bench.soak.faults import InjectedFault
-from bench.soak.runners import Arrival, Rejection
+from bench.soak.runners import Arrival, LimitSpan, Rejection
 from bench.soak.server_promises import (
     MAX_ARRIVALS_DESPITE_REFUSAL,
     MAX_ENDLESS_BYTES,
@@ -216,3 +216,92 @@
         refused = make_record(status=503, retry_after="1", body=b"")
         runner = make_runner(endless_bytes_by_answer={("r1", 0): 1})
         self.assertEqual(len(self.check_records(refused, runners=[runner])), 1)
+
+
+class LimitTests(CheckTestCase):
+    """Requests that reach a server while it takes one a second."""
+
+    limit_per_s = 1.0
+    # 1.5 times what the limit allows in 4 s, and 5.
+    allowed = 11
+
+    def check_arrivals(
+        self, times_s: list[float], *gateways: int, **fields: Any
+    ) -> list[str]:
+        """Return the violations if requests arrive then, from these gateways in turn.
+
+        The first request of each gateway is told of the limit at 1 s.
+        """
+        chosen = gateways or (0,)
+        told = [(1.0, gateway) for gateway in sorted(set(chosen))]
+        sent = [
+            *told,
+            *((at, chosen[i % len(chosen)]) for i, at in enumerate(times_s)),
+        ]
+        records = [
+            make_record(
+                path="/look/1",
+                request=f"r{number}",
+                echoed_request=f"r{number}",
+                body=f"r{number}".encode(),
+                gateway=gateway,
+                started_s=at_s,
+                answered_s=at_s,
+                ended_s=at_s + 0.1,
+            )
+            for number, (at_s, gateway) in enumerate(sent)
+        ]
+        runner = make_runner(
+            *(Arrival(at_s, f"r{i}", "") for i, (at_s, _) in enumerate(sent)),
+            limit_spans=[LimitSpan(0.5, 20.0, self.limit_per_s)],
+        )
+        return self.check_records(*records, runners=[runner], **fields)
+
+    def spread(self, count: int, from_s: float) -> list[float]:
+        return [from_s + 0.1 * number for number in range(count)]
+
+    def test_arrivals_over_the_limit_are_found(self) -> None:
+        self.assertEqual(self.check_arrivals(self.spread(self.allowed, 6.0)), [])
+        self.assertEqual(
+            len(self.check_arrivals(self.spread(self.allowed + 1, 6.0))), 1
+        )
+
+    def test_sum_over_gateways_is_judged(self) -> None:
+        over = self.spread(self.allowed + 1, 6.0)
+        self.assertEqual(len(self.check_arrivals(over, 0, 1, 2)), 1)
+
+    def test_arrivals_soon_after_the_first_statement_are_allowed(self) -> None:
+        self.assertEqual(self.check_arrivals(self.spread(self.allowed + 1, 1.6)), [])
+
+    def test_requests_of_a_gateway_with_a_fault_are_exempt(self) -> None:
+        over = self.spread(self.allowed + 1, 6.0)
+        for program, expected in (
+            (Program("gateway", 0), 0),
+            (Program("gateway", 1), 1),
+        ):
+            fault = InjectedFault("pause", program, 5.0, 5.5)
+            found = self.check_arrivals(over, injected_faults=[fault])
+            self.assertEqual(len(found), expected)
+
+    def test_requests_that_pass_a_server_as_a_later_stage_count(self) -> None:
+        path = ("address of i-2", "address of i-1")
+        records = [
+            make_record(
+                path="/look/1",
+                request=f"r{number}",
+                echoed_request=f"r{number}",
+                body=f"r{number}".encode(),
+                started_s=at_s,
+                answered_s=at_s,
+                ended_s=at_s + 0.1,
+            )
+            for number, at_s in enumerate([1.0, *self.spread(12, 6.0)])
+        ]
+        limited = make_runner(
+            Arrival(1.0, "r0", ""), limit_spans=[LimitSpan(0.5, 20.0, 1.0)]
+        )
+        first = make_runner(
+            *(Arrival(item.started_s, item.request, "", path) for item in records[1:]),
+            name="i-2",
+        )
+        self.assertEqual(len(self.check_records(*records, runners=[limited, first])), 1)
