Keep background loops running after an unexpected error

Callers would see: a gateway that lists servers which have long gone, since one error while it applied a view ended its polling for good, without a log line; stall detection, probes, loss reports, and control's ticks, relays and placement alike.

--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import itertools
+from functools import partial
 from random import Random
 from typing import TYPE_CHECKING, Any
 
@@ -43,7 +44,7 @@
 from yuccareach.runtime.process import new_incarnation
 from yuccareach.runtime.reducer import Tick, monotonic_ms, wall_clock_ms
 from yuccareach.runtime.rpc import listen
-from yuccareach.runtime.tasks import cancel_tasks
+from yuccareach.runtime.tasks import cancel_tasks, keep_running
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -143,9 +144,12 @@
             now = monotonic_ms()
             self.perform(raft.bootstrap(self.state, self.own_peer(), now))
         self.tasks = [
-            asyncio.create_task(self._tick()),
-            asyncio.create_task(relay_members_periodically(self)),
-            asyncio.create_task(save_members_periodically(self)),
+            asyncio.create_task(keep_running(run_loop, partial(write_log, _log)))
+            for run_loop in (
+                self._tick,
+                partial(relay_members_periodically, self),
+                partial(save_members_periodically, self),
+            )
         ]
         if options.join:
             self.tasks.append(asyncio.create_task(stay_joined(self)))
--- a/src/yuccareach/gateway/run.py
+++ b/src/yuccareach/gateway/run.py
@@ -14,7 +14,7 @@
 from yuccareach.gateway.state import Gateway, GatewaySettings
 from yuccareach.gateway.table import Limits
 from yuccareach.gateway.view import ViewPoller
-from yuccareach.runtime.tasks import cancel_tasks
+from yuccareach.runtime.tasks import cancel_tasks, keep_running
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -74,17 +74,26 @@
         if self.addresses.metrics:
             await _listen(self.monitoring_server, self.addresses.metrics)
         self.tasks = [
-            asyncio.create_task(self.view_poller.run()),
-            asyncio.create_task(
-                self.gateway.loss_reporter.run(
-                    self.view_poller.submit, self.gateway.write_log
-                )
-            ),
-            asyncio.create_task(watch_streams(self.gateway)),
-            asyncio.create_task(retry_unreachable_backends(self.gateway)),
+            asyncio.create_task(keep_running(run_loop, self.gateway.write_log))
+            for run_loop in (
+                self.view_poller.run,
+                self._report_losses,
+                self._watch_streams,
+                self._retry_backends,
+            )
         ]
         self.gateway.log("started", address=self.addresses.callers)
 
+    async def _report_losses(self) -> None:
+        gateway = self.gateway
+        await gateway.loss_reporter.run(self.view_poller.submit, gateway.write_log)
+
+    async def _watch_streams(self) -> None:
+        await watch_streams(self.gateway)
+
+    async def _retry_backends(self) -> None:
+        await retry_unreachable_backends(self.gateway)
+
     async def _handle_request(self, request: CallerRequest, reply: Reply) -> None:
         await handle(self.gateway, request, reply)
 
--- a/src/yuccareach/platform/run_control.py
+++ b/src/yuccareach/platform/run_control.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import zlib
+from functools import partial
 from pathlib import Path
 from typing import TYPE_CHECKING
 
@@ -16,7 +17,8 @@
 from yuccareach.platform.orders import send_place_order
 from yuccareach.platform.process import run_process
 from yuccareach.platform.settings import ProcessSettings, load_settings
-from yuccareach.runtime.tasks import cancel_tasks
+from yuccareach.runtime.logs import logger, write_log
+from yuccareach.runtime.tasks import cancel_tasks, keep_running
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -38,6 +40,9 @@
 VOLATILE_DATA_FOLDER = "/tmp/yuccareach-control"
 
 
+_log = logger("platform")
+
+
 class PlatformControl:
     """A control instance, with the controller that places layers while it leads."""
 
@@ -70,7 +75,9 @@
     async def start(self) -> None:
         """Start serving and placing layers."""
         await self.process.start()
-        self.placement_task = asyncio.create_task(self.placement.run())
+        self.placement_task = asyncio.create_task(
+            keep_running(self.placement.run, partial(write_log, _log))
+        )
 
     async def drain(self) -> None:
         """Report this instance as not ready and wait briefly for calls in flight."""
