Quarantine a part that was accused on little for 30 s, not for ten minutes

Callers saw: a sound part accused after two losses in a row and four servers was refused for 600 s at every gateway, and only an attempt that happened to be under way could clear it. Cause: one duration for all accusations. After two losses in a row the quarantine is provisional now: 30 s, then a trial, which gateways start at different times (2 s apart on average, within which a loss is known everywhere), since the platform counts later arrivals from all of them. A loss in the trial, or three losses in a row at once, make it ten minutes.

--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import random
 import time
 from collections import Counter, deque
 from typing import TYPE_CHECKING, Any, NamedTuple
@@ -48,6 +49,9 @@
 # Share of the maximum revocation delay for which a view permits admitting requests by
 # their key. The rest is left for the last admitted requests to reach backend servers.
 LEASE_FRACTION = 0.88
+# Mean time between the trials of two gateways: the loss of a server under the first one
+# is known everywhere within it.
+PART_TRIAL_SPACING_MS = 2_000
 _log = logger("gateway")
 
 
@@ -113,6 +117,8 @@
         # Backend servers lost under each request, as all gateways have counted them.
         self.quarantine = QuarantineTable()
         self.loss_reporter = LossReporter()
+        # Part of the time in which all gateways start their trials at which it does.
+        self.trial_phase = random.random()
         # Streams with each prompt part whose attempt has not proven it yet.
         self.unproven_streams_by_part: Counter[bytes] = Counter()
         # The newest change of those counts that control has sent.
@@ -199,6 +205,9 @@
         if count != self.entry_count:
             self.log("entry_count", entries=count, previous=self.entry_count)
         self.entry_count = count
+        self.quarantine.part_trial_delay_ms = int(
+            self.trial_phase * count * PART_TRIAL_SPACING_MS
+        )
 
     def get_queue(self, service: str) -> AdmissionQueue[Chain]:
         """Return the queue of a service's requests that wait for free capacity."""
--- a/src/yuccareach/quarantine/counts.py
+++ b/src/yuccareach/quarantine/counts.py
@@ -22,6 +22,11 @@
 # first quarantine of a fingerprint lasts.
 QUARANTINE_MS = 600_000
 MAX_QUARANTINE_DOUBLINGS = 7
+# How long a part is quarantined that was accused after two losses in a row only, or
+# whose trial has yet to show more.
+PROVISIONAL_QUARANTINE_MS = 30_000
+# Losses that are recorded of a part that three losses in a row, or a trial, accuse.
+CONFIRMED_PART_LOSSES = QUARANTINE_LOSS_THRESHOLD + 1
 MAX_FINGERPRINTS = 20_000
 # Lost servers that a count names.
 MAX_LOST_SERVERS = 8
@@ -77,6 +82,11 @@
     excess = count.losses - QUARANTINE_LOSS_THRESHOLD
     if excess < 0:
         return 0
+    if count.lost_servers:
+        # Only counts of parts name servers.
+        excess -= CONFIRMED_PART_LOSSES - QUARANTINE_LOSS_THRESHOLD
+    if excess < 0:
+        return PROVISIONAL_QUARANTINE_MS
     return QUARANTINE_MS << min(excess, MAX_QUARANTINE_DOUBLINGS)
 
 
@@ -109,11 +119,13 @@
 
 
 __all__ = [
+    "CONFIRMED_PART_LOSSES",
     "ISOLATION_LOSS_THRESHOLD",
     "MAX_FINGERPRINTS",
     "MAX_LOST_SERVERS",
     "MIN_SUSPECT_SERVERS",
     "NO_LOSSES",
+    "PROVISIONAL_QUARANTINE_MS",
     "QUARANTINE_LOSS_THRESHOLD",
     "QUARANTINE_MS",
     "LossCount",
--- a/src/yuccareach/quarantine/parts.py
+++ b/src/yuccareach/quarantine/parts.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.quarantine.counts import (
+    CONFIRMED_PART_LOSSES,
     ISOLATION_LOSS_THRESHOLD,
     QUARANTINE_LOSS_THRESHOLD,
 )
@@ -100,6 +101,15 @@
     return min(known.losses + 1, ISOLATION_LOSS_THRESHOLD)
 
 
+def compute_accused_losses(known: LossCount) -> int:
+    """Return the losses of a part that is accused by a loss that follows a count.
+
+    Fewer than three losses in a row lead to a short quarantine and a trial.
+    """
+    is_confirmed = known.losses + 1 >= QUARANTINE_LOSS_THRESHOLD
+    return CONFIRMED_PART_LOSSES if is_confirmed else QUARANTINE_LOSS_THRESHOLD
+
+
 def is_accusable(
     known: LossCount, count: LossCount, explained_servers: Container[int] = ()
 ) -> bool:
@@ -188,6 +198,7 @@
     "Candidate",
     "PartHistory",
     "PartUse",
+    "compute_accused_losses",
     "compute_part_losses",
     "is_accusable",
     "record_part_loss",
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -21,7 +21,6 @@
 from yuccareach.quarantine.counts import (
     MAX_FINGERPRINTS,
     NO_LOSSES,
-    QUARANTINE_LOSS_THRESHOLD,
     LossCount,
     compute_quarantine_ms,
     compute_retention_ms,
@@ -33,6 +32,7 @@
 from yuccareach.quarantine.parts import (
     Candidate,
     PartHistory,
+    compute_accused_losses,
     compute_part_losses,
     is_accusable,
     record_part_loss,
@@ -114,6 +114,9 @@
         # Oldest first.
         self.pending_by_incarnation: dict[str, deque[PendingLoss]] = {}
         self.trial_end_ms_by_fingerprint: dict[bytes, int] = {}
+        # So long after the end of a part's quarantine this instance starts a trial.
+        # Instances have different delays, so that mostly one tries it at a time.
+        self.part_trial_delay_ms = 0
         self.part_history = PartHistory()
         self.lost_positions = LostPositions()
 
@@ -128,14 +131,15 @@
 
 def compute_refusal_ms(table: QuarantineTable, fingerprint: bytes, now_ms: int) -> int:
     """Return how long a fingerprint stays quarantined; 0 if it is not."""
-    count = get_count(table, fingerprint, now_ms)
-    if not count.is_quarantined:
+    if not get_count(table, fingerprint, now_ms).is_quarantined:
         return 0
+    return max(0, _find_quarantine_end_ms(table, fingerprint) - now_ms)
+
+
+def _find_quarantine_end_ms(table: QuarantineTable, fingerprint: bytes) -> int:
     record = table.record_by_fingerprint[fingerprint]
-    quarantine_end_ms = (
-        record.expires_ms - compute_retention_ms(count) + compute_quarantine_ms(count)
-    )
-    return max(0, quarantine_end_ms - now_ms)
+    quarantine_ms = compute_quarantine_ms(record.loss_count)
+    return record.expires_ms - compute_retention_ms(record.loss_count) + quarantine_ms
 
 
 def select_refusal(
@@ -185,7 +189,12 @@
     table: QuarantineTable, fingerprint: bytes, now_ms: int
 ) -> int:
     trial_end_ms = table.trial_end_ms_by_fingerprint.get(fingerprint, 0)
-    return max(0, compute_refusal_ms(table, fingerprint, now_ms), trial_end_ms - now_ms)
+    refusal_ms = max(
+        _find_quarantine_end_ms(table, fingerprint) - now_ms, trial_end_ms - now_ms
+    )
+    if not get_count(table, fingerprint, now_ms).lost_servers:
+        return max(0, refusal_ms)
+    return max(0, refusal_ms + table.part_trial_delay_ms)
 
 
 def record_loss(
@@ -355,7 +364,8 @@
     for accused in select_accused(
         table.part_history, candidates, count_by_part, lost_server
     ):
-        part_count = accused.loss_count._replace(losses=QUARANTINE_LOSS_THRESHOLD)
+        losses = compute_accused_losses(accused.known_count)
+        part_count = accused.loss_count._replace(losses=losses)
         attempt = attempt_by_part[accused.fingerprint]
         change = _change_count(
             table, attempt, accused.fingerprint, part_count, incarnation, now_ms
