--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -20,12 +20,17 @@
 DATA_PATH = Path("docs/capacity/slopes.json")
 GATEWAY_DATA_PATH = Path("docs/capacity/gateway.json")
 LOSSES_DATA_PATH = Path("docs/capacity/losses.json")
+LIMITS_PATH = Path("docs/capacity/limits.json")
 PAGE_PATH = Path("docs/CAPACITY.md")
 PLOTS_FOLDER = Path("docs/capacity")
 MAX_FIT_ERROR = 0.2
 
 # Sizes and limits of the two-year target.
 NODE_COUNT = 370
+# Polls of a gateway a second while limits of backend servers hold requests back.
+LIMIT_POLLS_PER_S = 4
+LIMITED_SERVERS_PER_GATEWAY = (2, 10, 40)
+LIMITED_SHARE = 0.7
 RUNNER_COUNT = 3_300
 REQUESTS_PER_S = 1_500.0
 TOKENS_PER_S = 550_000.0
@@ -348,6 +353,7 @@
     yield from _render_failures(fits)
     yield from _render_gateway()
     yield from _render_losses()
+    yield from _render_limits()
     yield from _render_slopes(data, fits)
 
 
@@ -534,6 +540,42 @@
     yield ""
 
 
+def _render_limits() -> Iterator[str]:
+    """Yield the lines on the limits that backend servers state."""
+    cost = json.loads(LIMITS_PATH.read_text(encoding="utf-8"))
+    yield "## Limits of backend servers"
+    yield ""
+    yield (
+        "| limited servers that a gateway has demand for | gateway, each way | gateway | "
+        "leader, each way | leader |"
+    )
+    yield "| --- | --- | --- | --- | --- |"
+    for servers in LIMITED_SERVERS_PER_GATEWAY:
+        reports_per_s = servers * LIMIT_POLLS_PER_S
+        gateway_bytes = reports_per_s * cost["report_bytes"]
+        yield (
+            f"| {servers} | {gateway_bytes / 1000:.1f} KB/s | "
+            f"{reports_per_s * cost['wish_us'] / 1e4:.2f}% of a core | "
+            f"{gateway_bytes * NODE_COUNT / 1000:.0f} KB/s | "
+            f"{reports_per_s * cost['report_us'] * NODE_COUNT / 1e6:.2f} cores |"
+        )
+    yield ""
+    limited = LIMITED_SHARE * RUNNER_COUNT
+    yield (
+        f"Worked out from `python -m bench.limits` for {NODE_COUNT} gateways that poll "
+        f"{LIMIT_POLLS_PER_S} times a second, the most that they do while something is "
+        f"held back. A limit takes {cost['bytes_per_limit']:.0f} bytes at the leader: "
+        f"{limited * cost['bytes_per_limit'] / 1e6:.1f} MB with {LIMITED_SHARE:.0%} of "
+        f"{RUNNER_COUNT} servers limited; a request takes {cost['send_us']:.1f} µs more "
+        "at each limited server that it reaches. Without limits there is nothing to "
+        "send. What breaks first is the leader's processor time, where most servers "
+        "are limited and each gateway uses many of them: then each service, or each "
+        "zone, needs a granting instance of its own, which the design allows, since "
+        "grants of different servers have nothing in common."
+    )
+    yield ""
+
+
 def _render_slopes(data: dict[str, Any], fits: dict[str, Fit]) -> Iterator[str]:
     """Yield the lines on the fits and the links to their plots."""
     yield "## Measured slopes"
--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.control.errors import RequestRefusedError
@@ -15,6 +16,8 @@
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.quota import allocation
 from yuccareach.quota.allocation import LimitReport
+from yuccareach.quota.limits import is_valid_limit
+from yuccareach.runtime.logs import Log, logger, write_log
 from yuccareach.runtime.reducer import monotonic_ms, wall_clock_ms
 
 if TYPE_CHECKING:
@@ -23,6 +26,7 @@
     from yuccareach.control.loss_counts import LossCounts
     from yuccareach.control.run import ControlProcess
 
+_log = logger("control")
 # A poll is answered after this long even if nothing has changed.
 LONG_POLL_TIMEOUT_MS = 400
 # An entry that sends no request for this long no longer counts, and neither does its
@@ -219,6 +223,11 @@
 
 
 def _read_limit_reports(request: cpb.ViewRequest) -> list[LimitReport]:
+    """Decode an entry's reports; those whose limit is none are logged and ignored."""
+    for report in request.limits:
+        if not is_valid_limit(report.limit_per_s):
+            fields = {"entry": request.instance, "incarnation": report.incarnation}
+            write_log(_log, Log("limit_report_ignored", fields, logging.WARNING))
     return [
         LimitReport(
             report.incarnation,
@@ -228,6 +237,7 @@
             report.returned,
         )
         for report in request.limits
+        if is_valid_limit(report.limit_per_s)
     ]
 
 
--- a/src/yuccareach/quota/allocation.py
+++ b/src/yuccareach/quota/allocation.py
@@ -172,11 +172,12 @@
         report.incarnation: _grant(table, instance, report, now_ms)
         for report in reports
     }
-    changed = (
+    allocations = table.allocation_by_incarnation
+    changed = [
         incarnation
-        for incarnation, allocation in table.allocation_by_incarnation.items()
-        if allocation.change > after_change
-    )
+        for incarnation in (allocations if table.changes > after_change else ())
+        if allocations[incarnation].change > after_change
+    ]
     return [
         LimitNotice(
             incarnation,
@@ -187,8 +188,7 @@
         for incarnation in dict.fromkeys(
             itertools.chain(granted_by_incarnation, changed)
         )
-        if (allocation := table.allocation_by_incarnation.get(incarnation))
-        and allocation.limit is not None
+        if (allocation := allocations.get(incarnation)) and allocation.limit is not None
     ]
 
 
--- a/src/yuccareach/quota/limits.py
+++ b/src/yuccareach/quota/limits.py
@@ -7,6 +7,8 @@
 
 from __future__ import annotations
 
+import math
+
 # A grant that has not been used within this time after its request was sent is void.
 GRANT_LIFETIME_MS = 1_200
 # A server that wants no requests gets this many a second from all instances, since only
@@ -18,6 +20,11 @@
 MAX_EXTRA_BUCKET_REQUESTS = 1.0
 
 
+def is_valid_limit(limit_per_s: float) -> bool:
+    """Return whether a number that another process sent can be a limit."""
+    return math.isfinite(limit_per_s) and limit_per_s >= 0
+
+
 def compute_rate_per_s(limit_per_s: float) -> float:
     """Return the requests a second that are granted to all instances together."""
     return max(limit_per_s, TRIAL_RATE_PER_S)
@@ -29,4 +36,9 @@
     return MIN_BUCKET_REQUESTS + extra + BUCKET_S * limit_per_s
 
 
-__all__ = ["GRANT_LIFETIME_MS", "compute_bucket_capacity", "compute_rate_per_s"]
+__all__ = [
+    "GRANT_LIFETIME_MS",
+    "compute_bucket_capacity",
+    "compute_rate_per_s",
+    "is_valid_limit",
+]
