Search for missed servers of a waiting stream twice a second, not fifty times

It counts as missed for a second, so that two a second are enough; in between one search without the servers that have no grant is made.

--- a/src/yuccareach/gateway/chain_choice.py
+++ b/src/yuccareach/gateway/chain_choice.py
@@ -26,6 +26,8 @@
 # Chains that are tried in the order of their cost before all servers without a grant
 # are left out.
 MAX_LIMITED_SEARCHES = 4
+# Interval between the times at which a waiting stream counts as missed.
+MISS_INTERVAL_S = 0.5
 
 
 def choose_chain(run: StreamRun) -> Chain | None:
@@ -82,7 +84,9 @@
         is_new = backend.announcement.incarnation not in current
         return is_new and not may_send(gateway, backend)
 
-    for _ in range(MAX_LIMITED_SEARCHES):
+    # A stream that waits is tried again many times a second, and missed once.
+    searches = MAX_LIMITED_SEARCHES if gateway.now() >= run.next_miss_s else 0
+    for _ in range(searches):
         chain = find_chain(
             graph,
             model,
@@ -97,6 +101,7 @@
             if excluded != requirements.excluded_incarnations:
                 gateway.registry.count("limited_requests", "moved")
             return chain
+        run.next_miss_s = gateway.now() + MISS_INTERVAL_S
         for backend in missed:
             record_miss(gateway, backend, id(run))
         excluded |= {backend.announcement.incarnation for backend in missed}
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -89,6 +89,8 @@
         self.has_left_open_attempt = False
         # Whether the log tells that the current attempt is waited for.
         self.wait_logged = False
+        # Until then the servers without a grant for the stream count as missed.
+        self.next_miss_s = 0.0
         # No repair starts before this time.
         self.next_repair_s = 0.0
         self.excluded_incarnations: set[str] = set()
--- a/tests/gateway/test_stalls.py
+++ b/tests/gateway/test_stalls.py
@@ -100,7 +100,7 @@
 
     def choose_detour(self) -> tuple[Chain | None, bool]:
         """Return the detour, and whether a retry was reserved to resume instead."""
-        run: Any = mock.Mock()
+        run: Any = mock.Mock(next_miss_s=0.0)
         run.chain = Chain((ChainStage(self.first_backend, 0, 20),), 1.0)
         run.admitted.service.model = SMALL_MODEL
         run.gateway.get_graph.return_value = build_graph(
