Let a gateway send a share of its own until control knows of a new limit

Seen in the design: a gateway that reads a limit has no grant until its next poll is answered, up to 0.6 s later, and all gateways read it at about the same time, also one of a hundred a second. Until control has answered, the share of one that is cut off holds.

--- a/src/yuccareach/quota/holdings.py
+++ b/src/yuccareach/quota/holdings.py
@@ -1,7 +1,8 @@
 """An instance's part of the limits of backend servers: what it may send.
 
 While control answers, an instance sends what it was granted, within the lifetime of a
-grant. One that is cut off sends a safe share of its own instead. Times are those of a
+grant. One that is cut off, or has just learned of a limit, sends a safe share of its
+own instead. Times are those of a
 clock that goes on while the machine is suspended, so that an instance that was paused
 does not use a grant that has run out.
 """
@@ -41,6 +42,8 @@
     """What an instance may send to one incarnation of a limited server."""
 
     def __init__(self, phase: float) -> None:
+        # Whether control has answered a report of the limit.
+        self.is_known = False
         # Granted requests, in the order of their expiry.
         self.grants: deque[Grant] = deque()
         # Requests of the own share that are not whole yet. Instances start at different
@@ -77,7 +80,7 @@
 
 def count_available(holding: Holding, share: Share) -> int:
     """Return how many requests may be sent now."""
-    if share.is_cut_off:
+    if _has_own_share(holding, share):
         _add_own_share(holding, share)
     else:
         _drop_own_share(holding)
@@ -85,6 +88,11 @@
     return len(holding.grants)
 
 
+def _has_own_share(holding: Holding, share: Share) -> bool:
+    """Return whether control has not granted anything, or nothing that still holds."""
+    return share.is_cut_off or not holding.is_known
+
+
 def _add_own_share(holding: Holding, share: Share) -> None:
     """Add the own share of a limit since the last time.
 
@@ -141,6 +149,7 @@
 def apply_grants(holding: Holding, granted: int, requested_ms: int) -> None:
     """Add what control has granted in answer to a request that was sent at a time."""
     _drop_own_share(holding)
+    holding.is_known = True
     expires_ms = requested_ms + GRANT_LIFETIME_MS
     holding.grants.extend(Grant(expires_ms) for _ in range(granted))
     holding.grants = deque(sorted(holding.grants))
@@ -165,7 +174,7 @@
     """Return what to ask control for; what is returned may not be sent any more."""
     count_available(holding, share)
     needed = math.ceil(DEMAND_HORIZON_S * _measure_demand(holding, share.now_ms))
-    if share.is_cut_off:
+    if _has_own_share(holding, share):
         return Wish(needed, 0)
     needed = max(needed, _compute_stock(holding, share))
     former = holding.grants
--- a/tests/quota/test_holdings.py
+++ b/tests/quota/test_holdings.py
@@ -30,6 +30,8 @@
 class HoldingTestCase(unittest.TestCase):
     def setUp(self) -> None:
         self.holding = Holding(0.0)
+        # Control knows of the limit.
+        apply_grants(self.holding, 0, 0)
 
     def count(self, now_ms: int, contact_ms: int | None = None) -> int:
         return count_available(self.holding, build_share(now_ms, contact_ms))
@@ -104,6 +106,15 @@
         self.assertEqual(plan_wish(self.holding, later), Wish(0, 0))
 
 
+class NewLimitTests(HoldingTestCase):
+    def test_share_of_its_own_bridges_the_time_until_control_answers(self) -> None:
+        holding = Holding(0.5)
+        self.assertEqual(count_available(holding, build_share(0)), 0)
+        self.assertEqual(count_available(holding, build_share(1_000)), 1)
+        apply_grants(holding, 0, 1_000)
+        self.assertEqual(count_available(holding, build_share(1_100)), 0)
+
+
 class CutOffTests(HoldingTestCase):
     """An instance that control has not answered since time 0."""
 
