Do not take a delay of the own process for a server that accepts no connection

Probes allowed for that, connections for requests did not. A time-out that fires late waits 0.1 s more now. The test, which blocks the loop, fails with TimeoutError without it.

--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -24,6 +24,10 @@
     from collections.abc import Callable
 
 CONNECT_TIMEOUT_S = 0.4
+# A timer that fires this much too late shows that this process itself was delayed, for
+# instance for lack of processor time. A connection then gets this much longer.
+TIMER_DELAY_THRESHOLD_S = 0.02
+DELAYED_CONNECT_TIMEOUT_S = 0.1
 # A connection is reused for this much less than the keep-alive timeout that a backend
 # server states, since the server may be closing the connection already.
 KEEP_ALIVE_MARGIN_S = 1.0
@@ -265,11 +269,26 @@
         """
         self.opened_count += 1
         loop = asyncio.get_running_loop()
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, connection = await loop.create_connection(
-                BackendConnection, self.host, self.port
-            )
-        return connection
+        attempt = asyncio.ensure_future(
+            loop.create_connection(BackendConnection, self.host, self.port)
+        )
+        started_s = loop.time()
+        try:
+            await asyncio.wait((attempt,), timeout=CONNECT_TIMEOUT_S)
+            elapsed_s = loop.time() - started_s
+            if elapsed_s > CONNECT_TIMEOUT_S + TIMER_DELAY_THRESHOLD_S:
+                # This process was delayed: the server's answer may not be read yet.
+                await asyncio.wait((attempt,), timeout=DELAYED_CONNECT_TIMEOUT_S)
+            if not attempt.done():
+                raise TimeoutError
+            _, connection = attempt.result()
+            return connection
+        except asyncio.CancelledError:
+            if attempt.done() and not attempt.exception():
+                attempt.result()[0].abort()
+            raise
+        finally:
+            attempt.cancel()
 
     def add_unused(self, connection: BackendConnection) -> None:
         """Add a new connection on which nothing has been sent yet."""
@@ -373,6 +392,7 @@
 
 
 __all__ = [
+    "TIMER_DELAY_THRESHOLD_S",
     "BackendConnection",
     "BackendResponse",
     "ConnectionPool",
--- a/src/yuccareach/gateway/probes.py
+++ b/src/yuccareach/gateway/probes.py
@@ -11,6 +11,7 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.backends import ProbeResult
+from yuccareach.gateway.http_client import TIMER_DELAY_THRESHOLD_S
 from yuccareach.gateway.losses import confirm_crash
 from yuccareach.gateway.server_calls import request_report
 from yuccareach.health.servers import record_contact
@@ -27,9 +28,6 @@
 CONNECT_TIMEOUT_S = 0.04
 # A single lost packet must not make a server count as lost.
 MAX_CONNECT_ATTEMPTS = 2
-# A timer that fires this much too late shows that this process itself was delayed, for
-# instance for lack of processor time.
-TIMER_DELAY_THRESHOLD_S = 0.02
 # Time to read an answer that came while this process was delayed.
 LATE_ANSWER_TIMEOUT_S = 0.01
 # The result of a probe stays valid for this long.
@@ -190,7 +188,6 @@
 
 
 __all__ = [
-    "TIMER_DELAY_THRESHOLD_S",
     "find_lost_backends",
     "is_suspiciously_idle",
     "probe_backend",
--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -20,10 +20,10 @@
 )
 from yuccareach.gateway.crashes import record_broken_attempt, seek_end_proof
 from yuccareach.gateway.exchanges import Ending
+from yuccareach.gateway.http_client import TIMER_DELAY_THRESHOLD_S
 from yuccareach.gateway.losses import compute_refusal_s
 from yuccareach.gateway.probes import (
     MIN_SUSPICIOUS_PAUSE_S,
-    TIMER_DELAY_THRESHOLD_S,
     find_lost_backends,
     is_suspiciously_idle,
 )
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -5,9 +5,12 @@
 import asyncio
 import socket
 import struct
+import time
 import unittest
 
 from yuccareach.gateway.http_client import (
+    CONNECT_TIMEOUT_S,
+    TIMER_DELAY_THRESHOLD_S,
     BackendConnection,
     BackendResponse,
     ConnectionPool,
@@ -335,3 +338,31 @@
         await asyncio.wait_for(closed.wait(), 5)
         # What the sockets may hold is sent too.
         self.assertLess(sent_bytes, MAX_REPORT_BYTES + (8 << 20))
+
+
+class ConnectTests(unittest.IsolatedAsyncioTestCase):
+    async def test_delay_of_the_own_process_is_no_failure_to_connect(self) -> None:
+        server = await asyncio.start_server(lambda *_: None, "127.0.0.1", 0)
+        self.addCleanup(server.close)
+        pool = ConnectionPool(f"127.0.0.1:{server.sockets[0].getsockname()[1]}")
+        attempt = asyncio.create_task(pool.connect())
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        time.sleep(CONNECT_TIMEOUT_S + 2 * TIMER_DELAY_THRESHOLD_S)
+        connection = await attempt
+        connection.transport.abort()
+
+    async def test_server_that_answers_no_connection_times_out(self) -> None:
+        listener = socket.socket()
+        self.addCleanup(listener.close)
+        listener.bind(("127.0.0.1", 0))
+        listener.listen(0)
+        # The queue of connections holds one; further ones get no answer.
+        port = listener.getsockname()[1]
+        fillers = [socket.socket() for _ in range(4)]
+        for filler in fillers:
+            self.addCleanup(filler.close)
+            filler.setblocking(False)
+            filler.connect_ex(("127.0.0.1", port))
+        with self.assertRaises(TimeoutError):
+            await ConnectionPool(f"127.0.0.1:{port}").connect()
