Do not hold calls back behind one that waits for a limited server alone

Found while reading the change: a call that has tried the only server without a limit waits for a grant of a limited one; later calls queued behind it and, once it had waited for half of its time, were held back although that server was free. Where a server has no limit, only what has no place waits, and a call, as small as any, blocks nobody's overtaking. Also: a switch to another server looks at all that have a grant, and a call whose request is quarantined while it waits is not sent.

--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -36,6 +36,8 @@
 # Smaller requests may overtake a waiting one until it has waited for this fraction of
 # its maximum waiting time.
 MAX_OVERTAKING_FRACTION = 0.5
+# A request of so many tokens is as small as any, so that none overtakes it by its size.
+MAX_SMALL_TOKENS = 1
 
 Capacity = TypeVar("Capacity")
 
@@ -219,6 +221,8 @@
                 break
 
     def _should_block_overtaking(self, ticket: Ticket, now_s: float) -> bool:
+        if ticket.tokens <= MAX_SMALL_TOKENS:
+            return False
         waited_s = now_s - ticket.arrived_s
         return waited_s > MAX_OVERTAKING_FRACTION * (
             ticket.wait_deadline_s - ticket.arrived_s
--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -179,7 +179,7 @@
         if place is None and gateway.is_awaiting_members:
             await asyncio.sleep(MEMBERS_CHECK_INTERVAL_S)
             continue
-        if run.attempts and compute_refusal_s(gateway, admitted):
+        if compute_refusal_s(gateway, admitted):
             _cancel_place(place)
             return
         if place is None or not _reserve_retry(gateway, admitted, run):
@@ -224,14 +224,15 @@
     only limits of servers stand in the way, it waits as long as that is of use.
     """
     queue = gateway.get_call_queue(admitted.service.name)
-    if not queue.waiting_by_number:
+    interval_s = estimate_interval_s(gateway, admitted.service, queue)
+    # Those that wait although a server has no limit have tried that server.
+    if not interval_s or not queue.waiting_by_number:
         place = _choose_place(gateway, admitted, run)
         if place is not None:
             return place
     if not _has_candidate(gateway, admitted, run):
         return None
     ticket = _build_ticket(admitted, run)
-    interval_s = estimate_interval_s(gateway, admitted.service, queue)
     wait_s = (queue.count_tokens_ahead(ticket) + 1) * interval_s
     if gateway.now() + wait_s >= ticket.wait_deadline_s:
         return None
@@ -366,16 +367,15 @@
         return False
     if compute_refusal_s(gateway, admitted):
         return False
-    backend = choose_backend(
+    ranked = rank_backends(
         gateway.fleet.find_by_service(admitted.service.name),
         gateway.settings.zone,
         gateway.now(),
         run.excluded_incarnations | {open_backend.announcement.incarnation},
     )
+    backend = next((item for item in ranked if may_send(gateway, item)), None)
     if backend is None or backend.is_avoided(gateway.now()):
         return False
-    if not may_send(gateway, backend):
-        return False
     return _reserve_retry(gateway, admitted, run)
 
 
--- a/tests/platform/test_limited_servers.py
+++ b/tests/platform/test_limited_servers.py
@@ -284,3 +284,28 @@
         self.assertGreaterEqual(len(refused), 2)
         for answer in refused:
             self.assertGreaterEqual(float(answer.headers["Retry-After"]), 0.5)
+
+
+class ExhaustedCallTests(LimitedTestCase):
+    """Calls that have tried the only server without a limit."""
+
+    async def test_call_that_waits_for_a_limited_server_does_not_hold_others_back(
+        self,
+    ) -> None:
+        await self.add_gateways(1)
+        self.runners = [await self.add_runner(f"p{number}") for number in range(2)]
+        await self.wait_until_all_known()
+        limited, full = self.runners
+        limited.faults.stated_limits = ("0",)
+        await self.apply_load(20.0, 1.5)
+        full.is_full = True
+        waiting = asyncio.create_task(self.send_request(self.path, "waiting"))
+        queue = self.gateway.gateway.get_call_queue("claims")
+        await self.wait_until(lambda: queue.waiting_by_number)
+        full.is_full = False
+        await asyncio.sleep(0.3)
+        async with asyncio.timeout(PROMPT_REFUSAL_S):
+            answer = await self.send_request(self.path, "later")
+        self.assertEqual(answer.status, 200)
+        self.assertFalse(waiting.done())
+        await waiting
