--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -72,8 +72,7 @@
         if not gateway.streams:
             continue
         _compensate_own_delay(gateway, gateway.now() - due_s)
-        for queue in gateway.queue_by_service.values():
-            queue.grant_capacity(gateway.now())
+        gateway.grant_capacity()
         if due_backends := find_due_for_recheck(gateway):
             gateway.start_background_task(query_slowdowns(gateway, due_backends))
         open_runs = [
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -218,7 +218,10 @@
     if not interval_s:
         return run.queue.should_wait(ticket, now_s)
     wait_s = (len(run.queue.waiting_by_number) + 1) * interval_s
-    return now_s + wait_s < ticket.wait_deadline_s
+    if now_s + wait_s >= ticket.wait_deadline_s:
+        return False
+    run.gateway.registry.count("limited_requests", "waited")
+    return True
 
 
 def _is_closed(run: StreamRun) -> bool:
