--- a/tests/platform/test_refusing_servers.py
+++ b/tests/platform/test_refusing_servers.py
@@ -6,6 +6,7 @@
 
 from tests.platform.deployment import Answer, DeploymentTestCase
 from tests.platform.examples import MODEL
+from yuccareach.gateway.backends import Backend
 from yuccareach.gateway.chains import MAX_STARTING_STREAMS
 from yuccareach.gateway.state import REPLACEMENT_DELAY_S
 from yuccareach.health.servers import EndProof, record_end, record_refusal
@@ -175,9 +176,8 @@
         orders = [order for runner in self.runners for order in runner.received_orders]
         self.assertEqual(orders, [])
 
-    async def test_waiting_stream_is_refused_once_every_first_stage_refuses(
-        self,
-    ) -> None:
+    async def start_waiting_stream(self) -> tuple[asyncio.Task[Answer], list[Backend]]:
+        """Send a stream that waits, as both first stages can start no more."""
         gateway = self.gateway.gateway
         backends = [
             gateway.fleet.backend_by_name[item.name]
@@ -190,8 +190,15 @@
         )
         queue = gateway.get_queue(MODEL)
         await self.wait_until(lambda: queue.waiting_by_number)
+        return request, backends
+
+    async def test_waiting_stream_is_refused_once_every_first_stage_refuses(
+        self,
+    ) -> None:
+        request, backends = await self.start_waiting_stream()
         for backend in backends:
-            record_refusal(backend.health, gateway.now_ms(), 1000 * RETRY_AFTER_S)
+            now_ms = self.gateway.gateway.now_ms()
+            record_refusal(backend.health, now_ms, 1000 * RETRY_AFTER_S)
         async with asyncio.timeout(PROMPT_REFUSAL_S):
             answer = await request
         self.check_refusals([answer])
@@ -200,18 +207,7 @@
     async def test_waiting_stream_is_refused_once_its_only_stages_have_crashed(
         self,
     ) -> None:
-        gateway = self.gateway.gateway
-        backends = [
-            gateway.fleet.backend_by_name[item.name]
-            for item in (self.near_runners[0], self.far_runners[0])
-        ]
-        for backend in backends:
-            backend.starting_streams = MAX_STARTING_STREAMS
-        request = asyncio.create_task(
-            self.send_request(self.path, "r1", events=self.events)
-        )
-        queue = gateway.get_queue(MODEL)
-        await self.wait_until(lambda: queue.waiting_by_number)
+        request, backends = await self.start_waiting_stream()
         for backend in backends:
             record_end(backend.health, EndProof.REFUSED)
         async with asyncio.timeout(PROMPT_REFUSAL_S):
--- a/tests/quota/test_simulation.py
+++ b/tests/quota/test_simulation.py
@@ -5,7 +5,7 @@
 import bisect
 import unittest
 
-from tests.quota.simulation import Simulation
+from bench.quota_simulation import Simulation
 
 # The platform's rule: from CONTACT_MS after a limit was first stated, or changed, no
 # more than LIMIT_FACTOR times what it allows and SLACK_REQUESTS in any WINDOW_MS.
--- a/tests/soak.py
+++ b/tests/soak.py
@@ -21,6 +21,20 @@
     return values._replace(**fields)
 
 
+def make_call_record(request: str, at_s: float, gateway: int = 0) -> RequestRecord:
+    """Return the record of a plain call that was answered at once."""
+    return make_record(
+        path="/look/1",
+        request=request,
+        echoed_request=request,
+        body=request.encode(),
+        gateway=gateway,
+        started_s=at_s,
+        answered_s=at_s,
+        ended_s=at_s + 0.1,
+    )
+
+
 def make_stream_record(body: bytes, **fields: Any) -> RequestRecord:
     """Return the record of a request for two events, answered with this body."""
     return make_record(path="/draft/1", body=body, events=2, **fields)
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -16,6 +16,7 @@
 )
 from tests.soak import (
     CheckTestCase,
+    make_call_record,
     make_event,
     make_record,
     make_runner,
@@ -239,16 +240,7 @@
             *((at, chosen[i % len(chosen)]) for i, at in enumerate(times_s)),
         ]
         records = [
-            make_record(
-                path="/look/1",
-                request=f"r{number}",
-                echoed_request=f"r{number}",
-                body=f"r{number}".encode(),
-                gateway=gateway,
-                started_s=at_s,
-                answered_s=at_s,
-                ended_s=at_s + 0.1,
-            )
+            make_call_record(f"r{number}", at_s, gateway)
             for number, (at_s, gateway) in enumerate(sent)
         ]
         runner = make_runner(
@@ -286,15 +278,7 @@
     def test_requests_that_pass_a_server_as_a_later_stage_count(self) -> None:
         path = ("address of i-2", "address of i-1")
         records = [
-            make_record(
-                path="/look/1",
-                request=f"r{number}",
-                echoed_request=f"r{number}",
-                body=f"r{number}".encode(),
-                started_s=at_s,
-                answered_s=at_s,
-                ended_s=at_s + 0.1,
-            )
+            make_call_record(f"r{number}", at_s)
             for number, at_s in enumerate([1.0, *self.spread(12, 6.0)])
         ]
         limited = make_runner(
