--- a/tests/control/test_loss_counts.py
+++ b/tests/control/test_loss_counts.py
@@ -6,7 +6,12 @@
 
 from yuccareach.control.state_machine import StateMachine, load_state_machine
 from yuccareach.proto import control_pb2 as cpb
-from yuccareach.quarantine.counts import MAX_FINGERPRINTS, QUARANTINE_MS, LossCount
+from yuccareach.quarantine.counts import (
+    CONFIRMED_PART_LOSSES,
+    MAX_FINGERPRINTS,
+    QUARANTINE_MS,
+    LossCount,
+)
 from yuccareach.quarantine.reporting import build_command
 
 
@@ -73,7 +78,7 @@
 
     def test_report_of_fewer_losses_leaves_the_time_of_a_quarantine(self) -> None:
         for count, at_ms in (
-            (LossCount(0, 3, (1,)), 1_000),
+            (LossCount(0, CONFIRMED_PART_LOSSES, (1,)), 1_000),
             (LossCount(0, 2, (2,)), 9),
         ):
             command = build_command({b"a": count})
--- a/tests/platform/test_silent_servers.py
+++ b/tests/platform/test_silent_servers.py
@@ -21,8 +21,8 @@
 )
 from yuccareach.gateway.budget import RetryBudgetLimits
 from yuccareach.platform.standin import put_document
+from yuccareach.quarantine.counts import QUARANTINE_LOSS_THRESHOLD
 from yuccareach.quarantine.table import (
-    QUARANTINE_LOSS_THRESHOLD,
     LossCount,
     compute_retention_ms,
     merge_count,
