Do not accuse a part that all share before the one that crashes with it

Traced: the first part had been on one server that was lost for another reason and on two that the harmful part crashed, three losses in a row; the harmful part had only two, and so was no candidate. A part of the same requests with two losses in a row that is more suspicious explains the loss now: the next one shows which it is.

--- a/src/yuccareach/quarantine/parts.py
+++ b/src/yuccareach/quarantine/parts.py
@@ -135,7 +135,7 @@
 
 def select_accused(
     history: PartHistory,
-    candidates: Sequence[Candidate],
+    charged_parts: Sequence[Candidate],
     count_by_part: Mapping[bytes, LossCount],
     lost_server: int,
 ) -> list[Candidate]:
@@ -145,7 +145,8 @@
     them, then the one in the fewest requests, and then the later one in the prompt,
     since requests share the first parts of their prompts most. Nobody is accused if
     the loss is explained: by a part that is quarantined, or by a more suspicious one
-    that other attempts had on the server.
+    that other attempts had on the server, or that these have lost two servers with in a
+    row, and that the next loss accuses.
     """
     explained_servers = {
         server
@@ -155,12 +156,12 @@
     }
     candidates = [
         candidate
-        for candidate in candidates
+        for candidate in charged_parts
         if is_accusable(candidate.known_count, candidate.loss_count, explained_servers)
     ]
     if not candidates:
         return []
-    own_parts = {candidate.fingerprint for candidate in candidates}
+    accusable = {candidate.fingerprint for candidate in candidates}
     suspects = [
         Candidate(part, count, count, 0)
         for part, count in count_by_part.items()
@@ -174,7 +175,14 @@
         for suspect in suspects
         if len(suspect.loss_count.lost_servers) >= MIN_ACCUSING_SERVERS
         and suspect.fingerprint in history.use_by_part
-        and suspect.fingerprint not in own_parts
+        and suspect.fingerprint not in accusable
+    ]
+    rivals += [
+        charged
+        for charged in charged_parts
+        if charged.fingerprint not in accusable
+        and charged.loss_count.losses >= ISOLATION_LOSS_THRESHOLD
+        and explained_servers.isdisjoint(charged.loss_count.lost_servers)
     ]
 
     def _rank(candidate: Candidate) -> tuple[float, int, int, int]:
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -345,16 +345,19 @@
         )
         if change is not None:
             yield change
-    attempt_by_part: dict[bytes, TrackedAttempt] = {}
-    candidates = []
-    for attempt, position, part in charged:
-        count = get_count(table, part.fingerprint, now_ms)
-        if is_accusable(part.known_count, count):
-            attempt_by_part[part.fingerprint] = attempt
-            candidates.append(
-                Candidate(part.fingerprint, part.known_count, count, position)
-            )
-    if not candidates:
+    attempt_by_part = {part.fingerprint: attempt for attempt, _, part in charged}
+    charged_parts = [
+        Candidate(
+            part.fingerprint,
+            part.known_count,
+            get_count(table, part.fingerprint, now_ms),
+            position,
+        )
+        for _, position, part in charged
+    ]
+    if not any(
+        is_accusable(item.known_count, item.loss_count) for item in charged_parts
+    ):
         return
     count_by_part = {
         fingerprint: record.loss_count
@@ -362,7 +365,7 @@
         if record.expires_ms > now_ms
     }
     for accused in select_accused(
-        table.part_history, candidates, count_by_part, lost_server
+        table.part_history, charged_parts, count_by_part, lost_server
     ):
         losses = compute_accused_losses(accused.known_count)
         part_count = accused.loss_count._replace(losses=losses)
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -226,6 +226,22 @@
         self.assert_accused()
 
 
+class SharedPartTests(PartTestCase):
+    """A part of all requests, none of which has been answered yet."""
+
+    def test_part_of_all_requests_is_not_accused_before_the_one_that_crashes(
+        self,
+    ) -> None:
+        # An ordinary crash, and then two by the harmful part.
+        self.crash_round(1, SHARED, OTHER)
+        for _ in range(2):
+            self.crash_round(1, SHARED, BAD)
+        self.assertFalse(self.is_refused(SHARED))
+        self.crash_round(1, SHARED, BAD)
+        self.assertTrue(self.is_refused(BAD))
+        self.assertFalse(self.is_refused(SHARED))
+
+
 class ExplainedLossTests(PartTestCase):
     """A sound part that came with a harmful one, which is quarantined by now."""
 
