--- a/bench/soak/runner_faults.py
+++ b/bench/soak/runner_faults.py
@@ -141,9 +141,7 @@
     deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
 ) -> None:
     """Make one server or all of a service ask for no requests for a time."""
-    one = _choose(runners, fault)
-    same = [item for item in runners if item.service == one.service]
-    chosen = same if fault.target % 3 == 0 else [one]
+    chosen = _choose_one_or_service(runners, fault)
     retry_after_s = MIN_RETRY_AFTER_S + fault.duration_s
     started_s = time.monotonic()
     for runner in chosen:
@@ -169,9 +167,7 @@
     deployment: Deployment, runners: list[SoakRunner], fault: ScheduledFault
 ) -> None:
     """Let one server or all of a service state how many requests they take."""
-    one = _choose(runners, fault)
-    same = [item for item in runners if item.service == one.service]
-    chosen = same if fault.target % 3 == 0 else [one]
+    chosen = _choose_one_or_service(runners, fault)
     value = STATED_LIMITS[fault.target % len(STATED_LIMITS)]
     started_s = time.monotonic()
     for runner in chosen:
@@ -189,4 +185,13 @@
     return candidates[fault.target % len(candidates)]
 
 
+def _choose_one_or_service(
+    runners: list[SoakRunner], fault: ScheduledFault
+) -> list[SoakRunner]:
+    """Choose one of these servers, or all of its service."""
+    one = _choose(runners, fault)
+    same = [item for item in runners if item.service == one.service]
+    return same if fault.target % 3 == 0 else [one]
+
+
 __all__ = ["inject_runner_fault"]
