Run the deployments of platform tests without asyncio's debug mode

Cause: the IsolatedAsyncioTestCase of unittest turns on the loop's debug mode, in which every task and callback records its stack. All processes of a deployment share that loop, so that gateways, control and stand-ins run several times slower than in production, and losses are detected after 0.2 to 1 s. The soak's tests turn it off for the same reason; bounds stay as they are.

--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -71,6 +71,9 @@
     revocation_ms = 5_000
 
     async def asyncSetUp(self) -> None:
+        # unittest sets debug mode, which slows all processes of the deployment down
+        # several times.
+        asyncio.get_running_loop().set_debug(False)
         folder = tempfile.TemporaryDirectory()
         self.addCleanup(folder.cleanup)
         self.folder = Path(folder.name)
