Do not accuse a part of losses that a more suspicious one explains

Traced in 1 of 16 plays at a time of test_sound_requests_are_served_while_most_servers_are_down: request p54 (c0, bad) lost three servers in its attempts, of which only the first counts against its parts; beside it three sound requests (c0, d0..d2) lost the same servers, through the other gateway too, and counted three in a row against c0. So the culprit had one loss, and c0 three.

Counts now also name the servers that were lost under further attempts. Servers that one more suspicious part was on, or a request that lost several, are explained by it, whoever else lost them; a part is accused by the unexplained ones only. This takes the place of the rule that looked for such a part in the same request alone. A shared part that turns harmful is still accused among new parts: each of them explains one server.

--- a/src/yuccareach/control/loss_counts.py
+++ b/src/yuccareach/control/loss_counts.py
@@ -78,6 +78,7 @@
             change=self.changes,
             generation=count.generation,
             lost_servers=count.lost_servers,
+            exposed_servers=count.exposed_servers,
         )
         while len(records) > MAX_FINGERPRINTS:
             evicted = select_eviction(
--- a/src/yuccareach/quarantine/counts.py
+++ b/src/yuccareach/quarantine/counts.py
@@ -28,8 +28,8 @@
 # Losses that are recorded of a part that three losses in a row, or a trial, accuse.
 CONFIRMED_PART_LOSSES = QUARANTINE_LOSS_THRESHOLD + 1
 MAX_FINGERPRINTS = 20_000
-# Lost servers that a count names.
-MAX_LOST_SERVERS = 8
+# Servers of each kind that a count names.
+MAX_LOST_SERVERS = 16
 SERVER_HASH_BYTES = 4
 
 
@@ -39,9 +39,12 @@
     # How often the losses have been reset.
     generation: int
     losses: int
-    # Hashes of the incarnations that were lost under a prompt part, in ascending order;
-    # empty for a request.
+    # Hashes of the incarnations whose loss counts against a prompt part, in ascending
+    # order; empty for a request.
     lost_servers: tuple[int, ...] = ()
+    # Hashes of all incarnations that were lost while they ran the request or part. So
+    # it may explain losses that count against others.
+    exposed_servers: tuple[int, ...] = ()
 
     @property
     def is_quarantined(self) -> bool:
@@ -64,14 +67,18 @@
     """Return a count with all that two counts of the same fingerprint know."""
     if one.generation != other.generation:
         return max(one, other)
-    lost_servers = sorted({*one.lost_servers, *other.lost_servers})
     return LossCount(
         one.generation,
         max(one.losses, other.losses),
-        tuple(lost_servers[:MAX_LOST_SERVERS]),
+        _merge_servers(one.lost_servers, other.lost_servers),
+        _merge_servers(one.exposed_servers, other.exposed_servers),
     )
 
 
+def _merge_servers(one: tuple[int, ...], other: tuple[int, ...]) -> tuple[int, ...]:
+    return tuple(sorted({*one, *other})[:MAX_LOST_SERVERS])
+
+
 def has_more_losses(count: LossCount, known: LossCount) -> bool:
     """Return whether a count is of a later generation or has more losses in a row."""
     return (count.generation, count.losses) > (known.generation, known.losses)
--- a/src/yuccareach/quarantine/parts.py
+++ b/src/yuccareach/quarantine/parts.py
@@ -17,7 +17,7 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Container, Iterable, Mapping, Sequence
+    from collections.abc import Iterable, Mapping, Sequence, Set as AbstractSet
 
     from yuccareach.quarantine.counts import LossCount
 
@@ -25,6 +25,9 @@
 # before QUARANTINE_LOSS_THRESHOLD losses in a row. A loss in a row that follows an
 # earlier one is needed too, since a rack that fails ends many servers at once.
 MIN_ACCUSING_SERVERS = 4
+# Lost servers that a fingerprint must have been on to explain them. Each request is on
+# the one under which it counted against its parts.
+MIN_EXPLAINED_SERVERS = 2
 # Parts whose use, and requests whose losses, an entry remembers.
 MAX_PARTS_REMEMBERED = 20_000
 MAX_REQUESTS_REMEMBERED = 20_000
@@ -33,11 +36,15 @@
 class PartUse(NamedTuple):
     """What one entry has seen of a prompt part."""
 
-    requests: int = 0
+    requests: float = 0
     # When an attempt last showed that the part is harmless; None if none has.
     proven_ms: int | None = None
 
 
+# Of a part that only other entries have seen, by whose counts it is known.
+UNSEEN_PART = PartUse(float("inf"))
+
+
 class PartHistory:
     """Use by the part's fingerprint, and requests whose losses counted against parts.
 
@@ -57,8 +64,9 @@
     # The count that was known when the attempt started that was lost.
     known_count: LossCount
     loss_count: LossCount
+    use: PartUse
     # Its index in the prompt.
-    position: int
+    position: int = 0
 
 
 def record_request(history: PartHistory, parts: Iterable[bytes]) -> None:
@@ -111,60 +119,63 @@
 
 
 def is_accusable(
-    known: LossCount, count: LossCount, explained_servers: Container[int] = ()
+    candidate: Candidate, explained_servers: AbstractSet[int] = frozenset()
 ) -> bool:
     """Return whether a loss that follows a known count is enough to accuse a part.
 
-    count includes the loss. It has another generation if the part has been shown to be
-    harmless meanwhile. Servers that were lost under a quarantined part are explained by
-    it, and accuse no other one.
+    Explained servers accuse nobody.
     """
+    known, count = candidate.known_count, candidate.loss_count
+    if count.generation != known.generation:
+        # The part has been shown to be harmless meanwhile.
+        return False
     losses = known.losses + 1
-    explained = sum(server in explained_servers for server in count.lost_servers)
-    unexplained = len(count.lost_servers) - explained
+    unexplained = set(count.lost_servers) - explained_servers
     has_lost_in_a_row = losses >= QUARANTINE_LOSS_THRESHOLD and (
-        not explained or unexplained >= QUARANTINE_LOSS_THRESHOLD
+        explained_servers.isdisjoint(count.lost_servers)
+        or len(unexplained) >= QUARANTINE_LOSS_THRESHOLD
     )
     has_lost_enough = (
-        losses >= ISOLATION_LOSS_THRESHOLD and unexplained >= MIN_ACCUSING_SERVERS
-    )
-    return count.generation == known.generation and (
-        has_lost_in_a_row or has_lost_enough
+        losses >= ISOLATION_LOSS_THRESHOLD and len(unexplained) >= MIN_ACCUSING_SERVERS
     )
+    return has_lost_in_a_row or has_lost_enough
 
 
 def select_accused(
     history: PartHistory,
     charged_parts: Sequence[Candidate],
-    count_by_part: Mapping[bytes, LossCount],
+    count_by_fingerprint: Mapping[bytes, LossCount],
     lost_server: int,
 ) -> list[Candidate]:
     """Return the most suspicious of the parts that may have crashed a server.
 
-    It is the one that was proven harmless the longest ago by this entry, then by all of
-    them, then the one in the fewest requests, and then the later one in the prompt,
-    since requests share the first parts of their prompts most. Nobody is accused if
-    the loss is explained: by a part that is quarantined, or by a more suspicious one
-    that other attempts had on the server, or that these have lost two servers with in a
-    row, and that the next loss accuses.
+    The loss of a server counts against no part if a quarantined one explains it, or a
+    more suspicious one that was on several of the same servers. Nobody is accused if a
+    quarantined part explains this loss, or if a more suspicious one that other attempts
+    had on the server has enough losses already.
     """
-    explained_servers = {
+    quarantined_servers = {
         server
-        for count in count_by_part.values()
-        if count.is_quarantined
-        for server in count.lost_servers
+        for count in count_by_fingerprint.values()
+        if count.is_quarantined and count.lost_servers
+        for server in (*count.lost_servers, *count.exposed_servers)
     }
     candidates = [
         candidate
         for candidate in charged_parts
-        if is_accusable(candidate.known_count, candidate.loss_count, explained_servers)
+        if is_accusable(candidate)
+        and is_accusable(
+            candidate,
+            quarantined_servers
+            | find_explained_servers(history, candidate, count_by_fingerprint),
+        )
     ]
     if not candidates:
         return []
     accusable = {candidate.fingerprint for candidate in candidates}
     suspects = [
-        Candidate(part, count, count, 0)
-        for part, count in count_by_part.items()
+        _build_suspect(history, fingerprint, count)
+        for fingerprint, count in count_by_fingerprint.items()
         if lost_server in count.lost_servers
         and count.losses >= ISOLATION_LOSS_THRESHOLD
     ]
@@ -177,37 +188,80 @@
         and suspect.fingerprint in history.use_by_part
         and suspect.fingerprint not in accusable
     ]
-    rivals += [
-        charged
-        for charged in charged_parts
-        if charged.fingerprint not in accusable
-        and charged.loss_count.losses >= ISOLATION_LOSS_THRESHOLD
-        and explained_servers.isdisjoint(charged.loss_count.lost_servers)
-    ]
+    least = min(_rank(item) for item in (*candidates, *rivals))
+    return [item for item in candidates if _rank(item) == least]
 
-    def _rank(candidate: Candidate) -> tuple[float, int, int, int]:
-        use = history.use_by_part.get(candidate.fingerprint, PartUse())
-        proven_ms = float("-inf") if use.proven_ms is None else use.proven_ms
-        return (
-            proven_ms,
-            candidate.loss_count.generation,
-            use.requests,
-            -candidate.position,
-        )
 
-    least = min(_rank(candidate) for candidate in (*candidates, *rivals))
-    return [candidate for candidate in candidates if _rank(candidate) == least]
+def find_explained_servers(
+    history: PartHistory,
+    candidate: Candidate,
+    count_by_fingerprint: Mapping[bytes, LossCount],
+) -> set[int]:
+    """Return the lost servers of a part that one other fingerprint explains best.
+
+    That is a more suspicious part, or a request that has lost several servers in a row,
+    which was on at least MIN_EXPLAINED_SERVERS of them.
+    """
+    lost_servers = set(candidate.loss_count.lost_servers)
+    explained: set[int] = set()
+    for fingerprint, count in count_by_fingerprint.items():
+        common = lost_servers.intersection(count.exposed_servers)
+        if (
+            len(common) >= max(MIN_EXPLAINED_SERVERS, len(explained) + 1)
+            and count.losses
+            and fingerprint != candidate.fingerprint
+            and _is_more_suspicious(history, fingerprint, count, candidate)
+        ):
+            explained = common
+    return explained
+
+
+def _is_more_suspicious(
+    history: PartHistory, fingerprint: bytes, count: LossCount, candidate: Candidate
+) -> bool:
+    """Return whether a request or a part rather crashes servers than a candidate."""
+    if not count.lost_servers:
+        # Only counts of parts name servers that count against them.
+        return count.losses >= ISOLATION_LOSS_THRESHOLD
+    return _rank(_build_suspect(history, fingerprint, count)) < _rank(candidate)
+
+
+def _build_suspect(
+    history: PartHistory, fingerprint: bytes, count: LossCount
+) -> Candidate:
+    use = history.use_by_part.get(fingerprint, UNSEEN_PART)
+    return Candidate(fingerprint, count, count, use)
+
+
+def _rank(candidate: Candidate) -> tuple[float, int, float, int]:
+    """Return a key by which the most suspicious part comes first.
+
+    It is the one that was proven harmless the longest ago by this entry, then by all of
+    them, then the one in the fewest requests, and then the later one in the prompt,
+    since requests share the first parts of their prompts most.
+    """
+    use = candidate.use
+    proven_ms = float("-inf") if use.proven_ms is None else use.proven_ms
+    return (
+        proven_ms,
+        candidate.loss_count.generation,
+        use.requests,
+        -candidate.position,
+    )
 
 
 __all__ = [
     "MAX_PARTS_REMEMBERED",
     "MAX_REQUESTS_REMEMBERED",
     "MIN_ACCUSING_SERVERS",
+    "MIN_EXPLAINED_SERVERS",
+    "UNSEEN_PART",
     "Candidate",
     "PartHistory",
     "PartUse",
     "compute_accused_losses",
     "compute_part_losses",
+    "find_explained_servers",
     "is_accusable",
     "record_part_loss",
     "record_proof",
--- a/src/yuccareach/quarantine/reporting.py
+++ b/src/yuccareach/quarantine/reporting.py
@@ -89,6 +89,7 @@
                     losses=count.losses,
                     retention_ms=compute_retention_ms(count),
                     lost_servers=count.lost_servers,
+                    exposed_servers=count.exposed_servers,
                 )
                 for fingerprint, count in count_by_fingerprint.items()
             ]
@@ -99,7 +100,10 @@
 def read_count(message: cpb.LossReport | cpb.QuarantineRecord) -> LossCount:
     """Return the count in a report or a record."""
     return LossCount(
-        message.generation, message.losses, tuple(sorted(message.lost_servers))
+        message.generation,
+        message.losses,
+        tuple(sorted(message.lost_servers)),
+        tuple(sorted(message.exposed_servers)),
     )
 
 
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -30,6 +30,7 @@
     select_eviction,
 )
 from yuccareach.quarantine.parts import (
+    UNSEEN_PART,
     Candidate,
     PartHistory,
     compute_accused_losses,
@@ -206,7 +207,10 @@
         table.lost_positions, attempt.fingerprint, attempt.request, attempt.progress
     ):
         return None
-    count = LossCount(known.generation, known.losses + 1)
+    servers = (hash_incarnation(incarnation),)
+    count = LossCount(known.generation, known.losses + 1, (), servers)
+    if not has_more_losses(count, get_count(table, attempt.fingerprint, now_ms)):
+        return None
     return _change_count(
         table, attempt, attempt.fingerprint, count, incarnation, now_ms
     )
@@ -329,43 +333,42 @@
     one is accused, so that it is the most suspicious of them.
     """
     lost_server = hash_incarnation(incarnation)
+    unproven = [attempt for attempt in attempts if not attempt.has_proven_parts]
+    charged_attempts = [
+        attempt
+        for attempt in unproven
+        if not get_count(table, attempt.fingerprint, now_ms).is_quarantined
+        and record_part_loss(table.part_history, attempt.request, incarnation)
+    ]
     charged = [
         (attempt, position, part)
-        for attempt in attempts
-        if not attempt.has_proven_parts
-        and not get_count(table, attempt.fingerprint, now_ms).is_quarantined
-        and record_part_loss(table.part_history, attempt.request, incarnation)
+        for attempt in charged_attempts
         for position, part in enumerate(attempt.parts)
     ]
-    for attempt, _, part in charged:
-        known = part.known_count
-        count = LossCount(known.generation, compute_part_losses(known), (lost_server,))
-        change = _change_count(
-            table, attempt, part.fingerprint, count, incarnation, now_ms
+    for attempt in unproven:
+        yield from _count_part_losses(
+            table, attempt, incarnation, now_ms, is_charged=attempt in charged_attempts
         )
-        if change is not None:
-            yield change
     attempt_by_part = {part.fingerprint: attempt for attempt, _, part in charged}
     charged_parts = [
         Candidate(
             part.fingerprint,
             part.known_count,
             get_count(table, part.fingerprint, now_ms),
+            table.part_history.use_by_part.get(part.fingerprint, UNSEEN_PART),
             position,
         )
         for _, position, part in charged
     ]
-    if not any(
-        is_accusable(item.known_count, item.loss_count) for item in charged_parts
-    ):
+    if not any(is_accusable(item) for item in charged_parts):
         return
-    count_by_part = {
+    count_by_fingerprint = {
         fingerprint: record.loss_count
         for fingerprint, record in table.record_by_fingerprint.items()
         if record.expires_ms > now_ms
     }
     for accused in select_accused(
-        table.part_history, charged_parts, count_by_part, lost_server
+        table.part_history, charged_parts, count_by_fingerprint, lost_server
     ):
         losses = compute_accused_losses(accused.known_count)
         part_count = accused.loss_count._replace(losses=losses)
@@ -377,6 +380,31 @@
             yield change
 
 
+def _count_part_losses(
+    table: QuarantineTable,
+    attempt: TrackedAttempt,
+    incarnation: str,
+    now_ms: int,
+    *,
+    is_charged: bool,
+) -> Iterator[CountChange]:
+    """Count a lost server against the parts of an attempt, or only as exposed to them.
+
+    Parts under which no loss has counted need no record.
+    """
+    servers = (hash_incarnation(incarnation),)
+    for part, known in attempt.parts:
+        count = known._replace(lost_servers=(), exposed_servers=servers)
+        if is_charged:
+            losses = compute_part_losses(known)
+            count = count._replace(losses=losses, lost_servers=servers)
+        elif not get_count(table, part, now_ms).losses:
+            continue
+        change = _change_count(table, attempt, part, count, incarnation, now_ms)
+        if change is not None:
+            yield change
+
+
 def resolve_pending_losses(
     table: QuarantineTable,
     present_incarnations: Container[str],
