Try out a new part apart after its first loss, and accuse it after two requests

Callers saw: gateways that are cut off from control lost all twelve first stages to one crashing part before each had quarantined it, so that nothing was served (test_gateways_that_are_cut_off_quarantine_a_part_alone, listed before): each crashing request takes up to three servers by its retries, and three requests had to be lost; several started before the first losses were known.

A part that nobody has shown to be harmless is suspect after one loss now, so that one stream at a time tries it out. It can be accused once two of its requests were lost and four servers by their attempts. Parts that were proven before keep the stricter rule.

--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -88,7 +88,7 @@
 
 def is_suspect(gateway: Gateway, fingerprint: bytes) -> bool:
     """Return whether requests with a prompt part should run apart from others."""
-    return table.get_count(gateway.quarantine, fingerprint, gateway.now_ms()).is_suspect
+    return table.is_suspect_part(gateway.quarantine, fingerprint, gateway.now_ms())
 
 
 def record_answer(gateway: Gateway, attempt: TrackedAttempt) -> None:
--- a/src/yuccareach/quarantine/parts.py
+++ b/src/yuccareach/quarantine/parts.py
@@ -118,12 +118,18 @@
     return CONFIRMED_PART_LOSSES if is_confirmed else QUARANTINE_LOSS_THRESHOLD
 
 
+def is_proven(use: PartUse, count: LossCount) -> bool:
+    """Return whether a part was ever shown to be harmless."""
+    return use.proven_ms is not None or count.generation > 0
+
+
 def is_accusable(
     candidate: Candidate, explained_servers: AbstractSet[int] = frozenset()
 ) -> bool:
     """Return whether a loss that follows a known count is enough to accuse a part.
 
-    Explained servers accuse nobody.
+    Explained servers accuse nobody. A part that was never shown to be harmless is also
+    accused by the servers that further attempts of its requests have lost.
     """
     known, count = candidate.known_count, candidate.loss_count
     if count.generation != known.generation:
@@ -135,8 +141,11 @@
         explained_servers.isdisjoint(count.lost_servers)
         or len(unexplained) >= QUARANTINE_LOSS_THRESHOLD
     )
+    accusing = unexplained
+    if not is_proven(candidate.use, count):
+        accusing = accusing | (set(count.exposed_servers) - explained_servers)
     has_lost_enough = (
-        losses >= ISOLATION_LOSS_THRESHOLD and len(unexplained) >= MIN_ACCUSING_SERVERS
+        losses >= ISOLATION_LOSS_THRESHOLD and len(accusing) >= MIN_ACCUSING_SERVERS
     )
     return has_lost_in_a_row or has_lost_enough
 
@@ -250,6 +259,16 @@
     )
 
 
+def is_suspect(history: PartHistory, fingerprint: bytes, count: LossCount) -> bool:
+    """Return whether requests with a part should run apart from others.
+
+    A single loss is enough of a part in use that was never shown to be harmless.
+    """
+    use = history.use_by_part.get(fingerprint)
+    is_new = use is not None and not is_proven(use, count)
+    return count.is_suspect or (count.losses > 0 and is_new)
+
+
 __all__ = [
     "MAX_PARTS_REMEMBERED",
     "MAX_REQUESTS_REMEMBERED",
@@ -263,6 +282,8 @@
     "compute_part_losses",
     "find_explained_servers",
     "is_accusable",
+    "is_proven",
+    "is_suspect",
     "record_part_loss",
     "record_proof",
     "record_request",
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -36,6 +36,7 @@
     compute_accused_losses,
     compute_part_losses,
     is_accusable,
+    is_suspect,
     record_part_loss,
     record_proof,
     select_accused,
@@ -130,6 +131,12 @@
     return record.loss_count
 
 
+def is_suspect_part(table: QuarantineTable, fingerprint: bytes, now_ms: int) -> bool:
+    """Return whether requests with a part of a prompt should run apart from others."""
+    count = get_count(table, fingerprint, now_ms)
+    return is_suspect(table.part_history, fingerprint, count)
+
+
 def compute_refusal_ms(table: QuarantineTable, fingerprint: bytes, now_ms: int) -> int:
     """Return how long a fingerprint stays quarantined; 0 if it is not."""
     if not get_count(table, fingerprint, now_ms).is_quarantined:
@@ -437,6 +444,7 @@
     "compute_refusal_ms",
     "confirm_losses",
     "get_count",
+    "is_suspect_part",
     "merge_count",
     "prove_parts",
     "record_answer",
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -28,6 +28,7 @@
     MIN_SUSPECT_SERVERS,
     LossCount,
 )
+from yuccareach.quarantine.parts import record_proof, record_request
 from yuccareach.quarantine.table import QuarantineTable
 
 PART = b"p" * 16
@@ -85,6 +86,15 @@
         self.make_suspect(losses=1, servers=MIN_SUSPECT_SERVERS)
         self.assertTrue(is_suspect_run(self.build_run()))
 
+    def test_new_part_is_suspect_after_one_loss_until_it_is_proven(self) -> None:
+        history = self.gateway.quarantine.part_history
+        record_request(history, [PART])
+        self.assertFalse(is_suspect_run(self.build_run()))
+        self.make_suspect(losses=1, servers=1)
+        self.assertTrue(is_suspect_run(self.build_run()))
+        record_proof(history, [PART], 0)
+        self.assertFalse(is_suspect_run(self.build_run()))
+
     def test_streams_without_a_suspect_part_do_not_wait(self) -> None:
         self.make_suspect(ISOLATION_LOSS_THRESHOLD - 1)
         begin_trial(self.build_run(), self.chain)
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -264,6 +264,12 @@
         self.assertTrue(self.is_refused(BAD))
         self.assertFalse(self.is_refused(SHARED))
 
+    def test_new_part_is_accused_by_two_requests_that_lost_four_servers(self) -> None:
+        self.retry_beside_sound_requests(SHARED, BAD)
+        self.crash_round(1, SHARED, BAD)
+        self.assertTrue(self.is_refused(BAD))
+        self.assertFalse(self.is_refused(SHARED))
+
     def test_shared_part_that_turns_harmful_is_accused_among_new_parts(self) -> None:
         for number in range(QUARANTINE_LOSS_THRESHOLD + 1):
             self.crash_round(1, SHARED, b"new part %d" % number)
