Answer requests that outlast the grace period of a shutdown

Traced with kept logs: the call came on an open connection 2.3 s after SIGTERM, lost two servers, and waited at a third, a silent one, with 0.8 s left of its 6 s when the grace period of 8 s ended. The log named it caller_left.

Tasks of requests are cancelled before their connections are closed now, and reply: 504 if the request may have run, 503 with Retry-After if it was never sent. Streams that have begun are cut, as before. stopped counts them before they are cancelled; it always said 0.

All three new tests fail before (the connection is closed without an answer).

--- a/src/yuccareach/gateway/admitted_requests.py
+++ b/src/yuccareach/gateway/admitted_requests.py
@@ -67,6 +67,10 @@
 LIMITED = "limited"
 # A caller closed its connection, whereupon CallerServer cancels the request's task.
 CALLER_LEFT = Outcome(0, "caller_left")
+# Reason of the end of a request that outlasts the grace period of a shutdown.
+SHUT_DOWN = "shut_down"
+# Retry delay after it. Other gateways serve meanwhile.
+SHUT_DOWN_RETRY_DELAY_S = 0.1
 
 
 def strip_connection_headers(head: ResponseHead) -> Headers:
@@ -95,6 +99,17 @@
     return Outcome(status, reason)
 
 
+def end_cancelled(reply: Reply, *, may_have_run: bool) -> Outcome:
+    """Reply to a cancelled request whose caller has not left."""
+    if not reply.is_connected:
+        return CALLER_LEFT
+    if reply.has_started:
+        return Outcome(0, SHUT_DOWN)
+    if may_have_run:
+        return send_failure(reply, 504, SHUT_DOWN)
+    return send_refusal(reply, SHUT_DOWN_RETRY_DELAY_S, SHUT_DOWN)
+
+
 def record_outcome(
     gateway: Gateway,
     admitted: AdmittedRequest,
@@ -139,8 +154,10 @@
     "CALLER_LEFT",
     "LIMITED",
     "QUARANTINED",
+    "SHUT_DOWN",
     "AdmittedRequest",
     "Outcome",
+    "end_cancelled",
     "record_outcome",
     "send_failure",
     "send_refusal",
--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -12,11 +12,11 @@
     WaitingRequest,
 )
 from yuccareach.gateway.admitted_requests import (
-    CALLER_LEFT,
     LIMITED,
     QUARANTINED,
     AdmittedRequest,
     Outcome,
+    end_cancelled,
     record_outcome,
     send_failure,
     send_refusal,
@@ -149,7 +149,8 @@
     try:
         await _run_attempts(gateway, admitted, run)
     except asyncio.CancelledError:
-        record_outcome(gateway, admitted, CALLER_LEFT, run.attempts)
+        outcome = end_cancelled(reply, may_have_run=run.attempts > 0)
+        record_outcome(gateway, admitted, outcome, run.attempts)
         raise
     finally:
         queue = gateway.get_call_queue(admitted.service.name)
--- a/src/yuccareach/gateway/http_server.py
+++ b/src/yuccareach/gateway/http_server.py
@@ -97,6 +97,11 @@
         self.has_finished = True
         self.connection.abort()
 
+    @property
+    def is_connected(self) -> bool:
+        """Whether the caller can still receive a reply."""
+        return not self.connection.transport.is_closing()
+
     def _write_head(self, status: int, headers: Headers, body: bytes) -> None:
         self.has_started = True
         self.status = status
@@ -375,11 +380,17 @@
         return any(not connection.is_idle for connection in self.connections)
 
     async def stop(self) -> None:
-        """Close all listeners and connections."""
+        """Close all listeners and connections.
+
+        Requests in progress are cancelled first, so that they can still reply.
+        """
         self.close_listeners()
+        tasks = [connection.task for connection in self.connections if connection.task]
         if self.sweep_task is not None:
-            self.sweep_task.cancel()
-            await asyncio.gather(self.sweep_task, return_exceptions=True)
+            tasks.append(self.sweep_task)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
         for connection in tuple(self.connections):
             connection.transport.close()
 
--- a/src/yuccareach/gateway/run.py
+++ b/src/yuccareach/gateway/run.py
@@ -155,11 +155,12 @@
 
     async def stop(self) -> None:
         """Stop the background tasks and close all connections."""
+        active = self.gateway.active_requests
         await cancel_tasks(self.tasks)
         await self.caller_server.stop()
         await self.monitoring_server.stop()
         await self.view_poller.close()
-        self.gateway.log("stopped", active=self.gateway.active_requests)
+        self.gateway.log("stopped", active=active)
 
 
 async def _listen(server: CallerServer, address: str) -> None:
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -13,11 +13,11 @@
 
 from yuccareach.gateway.admission import Ticket, WaitingRequest
 from yuccareach.gateway.admitted_requests import (
-    CALLER_LEFT,
     LIMITED,
     QUARANTINED,
     AdmittedRequest,
     Outcome,
+    end_cancelled,
     record_outcome,
     send_failure,
     send_refusal,
@@ -81,7 +81,7 @@
     try:
         outcome = await _run_attempts(run)
     except asyncio.CancelledError:
-        _record_outcome(run, CALLER_LEFT)
+        _record_outcome(run, end_cancelled(reply, may_have_run=run.attempts > 0))
         raise
     finally:
         run.release_chain()
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -40,6 +40,8 @@
             await self.may_reply.wait()
         except asyncio.CancelledError:
             self.cancelled_count += 1
+            if request.path == "/last" and reply.is_connected:
+                reply.send(504, [])
             raise
         if request.path == "/stream":
             reply.start(200, [])
@@ -179,3 +181,13 @@
         self.assertEqual(await asyncio.wait_for(idle.read(), 5), b"")
         self.may_reply.set()
         self.assertIn(b"200 OK", await asyncio.wait_for(busy.readline(), 5))
+
+    async def test_request_in_progress_can_still_reply_when_the_server_stops(
+        self,
+    ) -> None:
+        self.may_reply.clear()
+        reader, writer = await self.connect()
+        writer.write(b"GET /last HTTP/1.1\r\nHost: h\r\n\r\n")
+        await self.wait_until(lambda: self.requests)
+        await self.server.stop()
+        self.assertIn(b"504 Gateway Timeout", await asyncio.wait_for(reader.read(), 5))
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -410,3 +410,23 @@
         answer = await stream
         self.assertTrue(answer.is_complete)
         self.assertEqual(len(read_event_ids(answer)), 70)
+
+    async def test_call_that_outlasts_the_grace_period_is_not_cut_off(self) -> None:
+        runner = await self.add_runner("p1")
+        await self.wait_until_known("p1")
+        runner.is_silent = True
+        call = asyncio.create_task(self.send_request("/look/1", "r1"))
+        await self.wait_until(lambda: runner.received_headers)
+        await self.gateway.stop()
+        self.assertEqual((await call).status, 504)
+
+    async def test_stream_that_waits_when_the_grace_period_ends_is_not_cut_off(
+        self,
+    ) -> None:
+        self.gateway.gateway.awaiting_members_until_s = float("inf")
+        stream = asyncio.create_task(self.send_request("/draft/1", "r1", events=5))
+        await self.wait_until(lambda: self.gateway.gateway.streams)
+        await self.gateway.stop()
+        answer = await stream
+        self.assertEqual(answer.status, 503)
+        self.assertIn("Retry-After", answer.headers)
