Suspect the part that lost the most servers for each of its attempts first

Among parts that were proven alike, the one with the most lost servers for each of its ended attempts comes first now, and then the later one in the prompt. Requests that wait are no evidence, so that attempts are counted at their end, not requests at their admission. A part explains all servers that both were exposed to, not only those that count.

--- a/bench/losses.py
+++ b/bench/losses.py
@@ -13,7 +13,7 @@
 from yuccareach.control.state_machine import StateMachine
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.quarantine.counts import NO_LOSSES, LossCount
-from yuccareach.quarantine.parts import MIN_ACCUSING_SERVERS, record_request
+from yuccareach.quarantine.parts import MIN_ACCUSING_SERVERS, record_attempt
 from yuccareach.quarantine.reporting import build_command, merge_records
 from yuccareach.quarantine.table import (
     QuarantineTable,
@@ -93,7 +93,7 @@
     known = LossCount(0, 2, tuple(range(MIN_ACCUSING_SERVERS)))
     for stream in range(STREAMS):
         parts = [_identify(stream, part) for part in range(1, PARTS + 1)]
-        record_request(table.part_history, parts)
+        record_attempt(table.part_history, parts)
         tracked = tuple(TrackedPart(part, known) for part in parts)
         for part in parts:
             merge_count(table, part, known, 10_000, 0)
--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -38,6 +38,7 @@
     compute_refusal_s,
     prove_parts,
     record_answer,
+    record_attempt,
     start_attempt,
 )
 from yuccareach.gateway.server_limits import (
@@ -194,6 +195,7 @@
         run.retry_reserved = False
         tracked_attempt = start_attempt(gateway, admitted)
         last_attempt = await _send_attempt(gateway, admitted, place, run)
+        record_attempt(gateway, admitted.part_fingerprints)
         run.last_attempt = last_attempt
         run.excluded_incarnations.add(backend.announcement.incarnation)
         _log_attempt(gateway, admitted, backend, last_attempt)
--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -54,8 +54,6 @@
     )
     if refusal_ms:
         _log_refusal(gateway, request_id, fingerprints, fingerprint, refusal_ms)
-    else:
-        parts.record_request(gateway.quarantine.part_history, fingerprints[1:])
     return refusal_ms / 1000
 
 
@@ -188,6 +186,11 @@
                 granted.set_result(None)
 
 
+def record_attempt(gateway: Gateway, part_fingerprints: Iterable[bytes]) -> None:
+    """Count an attempt that has ended, or proven its parts, for each of them."""
+    parts.record_attempt(gateway.quarantine.part_history, part_fingerprints)
+
+
 def _report(gateway: Gateway, changes: list[CountChange]) -> None:
     for change in changes:
         gateway.write_log(reporting.build_log(change))
@@ -206,6 +209,7 @@
     "merge_view",
     "prove_parts",
     "record_answer",
+    "record_attempt",
     "refuse_waiting",
     "resolve_pending_losses",
     "start_attempt",
--- a/src/yuccareach/gateway/suspects.py
+++ b/src/yuccareach/gateway/suspects.py
@@ -8,7 +8,7 @@
 
 from typing import TYPE_CHECKING, NamedTuple
 
-from yuccareach.gateway.losses import is_suspect
+from yuccareach.gateway.losses import is_suspect, record_attempt
 
 if TYPE_CHECKING:
     from yuccareach.gateway.backends import Backend
@@ -58,6 +58,7 @@
 def end_trial(run: StreamRun) -> None:
     """Stop counting a stream as one that has not proven the parts of its prompt."""
     trial, run.trial = run.trial, NO_TRIAL
+    record_attempt(run.gateway, trial.parts)
     unproven_streams = run.gateway.unproven_streams_by_part
     unproven_streams.subtract(trial.parts)
     for part in trial.parts:
--- a/src/yuccareach/quarantine/parts.py
+++ b/src/yuccareach/quarantine/parts.py
@@ -36,13 +36,15 @@
 class PartUse(NamedTuple):
     """What one entry has seen of a prompt part."""
 
-    requests: float = 0
+    attempts: int = 0
+    # Its index in the prompt of the last one.
+    position: int = 0
     # When an attempt last showed that the part is harmless; None if none has.
     proven_ms: int | None = None
 
 
 # Of a part that only other entries have seen, by whose counts it is known.
-UNSEEN_PART = PartUse(float("inf"))
+UNSEEN_PART = PartUse()
 
 
 class PartHistory:
@@ -65,15 +67,13 @@
     known_count: LossCount
     loss_count: LossCount
     use: PartUse
-    # Its index in the prompt.
-    position: int = 0
 
 
-def record_request(history: PartHistory, parts: Iterable[bytes]) -> None:
-    """Count a request for each of the parts of its prompt."""
-    for part in parts:
-        use = history.use_by_part.pop(part, PartUse())
-        history.use_by_part[part] = use._replace(requests=use.requests + 1)
+def record_attempt(history: PartHistory, parts: Iterable[bytes]) -> None:
+    """Count an attempt for each of the parts of its prompt."""
+    for position, part in enumerate(parts):
+        use = history.use_by_part.pop(part, UNSEEN_PART)
+        history.use_by_part[part] = PartUse(use.attempts + 1, position, use.proven_ms)
     while len(history.use_by_part) > MAX_PARTS_REMEMBERED:
         del history.use_by_part[next(iter(history.use_by_part))]
 
@@ -169,17 +169,28 @@
         if count.is_quarantined and count.lost_servers
         for server in (*count.lost_servers, *count.exposed_servers)
     }
-    candidates = [
-        candidate
-        for candidate in charged_parts
-        if is_accusable(candidate)
-        and is_accusable(
-            candidate,
-            quarantined_servers
-            | find_explained_servers(history, candidate, count_by_fingerprint),
-        )
-    ]
-    if not candidates:
+    candidates = sorted(filter(is_accusable, charged_parts), key=_rank)
+    candidate_servers = {
+        server for item in candidates for server in item.loss_count.exposed_servers
+    }
+    exposed_by_fingerprint = {
+        fingerprint: count
+        for fingerprint, count in count_by_fingerprint.items()
+        if not candidate_servers.isdisjoint(count.exposed_servers)
+    }
+    accused = next(
+        (
+            item
+            for item in candidates
+            if is_accusable(
+                item,
+                quarantined_servers
+                | find_explained_servers(history, item, exposed_by_fingerprint),
+            )
+        ),
+        None,
+    )
+    if accused is None:
         return []
     accusable = {candidate.fingerprint for candidate in candidates}
     suspects = [
@@ -190,15 +201,17 @@
     ]
     if any(item.loss_count.is_quarantined for item in (*candidates, *suspects)):
         return []
-    rivals = [
+    rivals = (
         suspect
         for suspect in suspects
         if len(suspect.loss_count.lost_servers) >= MIN_ACCUSING_SERVERS
         and suspect.fingerprint in history.use_by_part
         and suspect.fingerprint not in accusable
-    ]
-    least = min(_rank(item) for item in (*candidates, *rivals))
-    return [item for item in candidates if _rank(item) == least]
+    )
+    rank = _rank(accused)
+    if any(_rank(rival) < rank for rival in rivals):
+        return []
+    return [item for item in candidates if _rank(item) == rank]
 
 
 def find_explained_servers(
@@ -206,33 +219,33 @@
     candidate: Candidate,
     count_by_fingerprint: Mapping[bytes, LossCount],
 ) -> set[int]:
-    """Return the lost servers of a part that one other fingerprint explains best.
+    """Return the servers whose loss a part and a request explain, of a part's servers.
 
-    That is a more suspicious part, or a request that has lost several servers in a row,
-    which was on at least MIN_EXPLAINED_SERVERS of them.
+    They are the more suspicious part, and the request that has lost several servers in
+    a row, that explain the most of them. Each needs MIN_EXPLAINED_SERVERS.
     """
-    lost_servers = set(candidate.loss_count.lost_servers)
-    explained: set[int] = set()
-    for fingerprint, count in count_by_fingerprint.items():
-        common = lost_servers.intersection(count.exposed_servers)
-        if (
-            len(common) >= max(MIN_EXPLAINED_SERVERS, len(explained) + 1)
-            and count.losses
-            and fingerprint != candidate.fingerprint
-            and _is_more_suspicious(history, fingerprint, count, candidate)
-        ):
-            explained = common
-    return explained
-
-
-def _is_more_suspicious(
-    history: PartHistory, fingerprint: bytes, count: LossCount, candidate: Candidate
-) -> bool:
-    """Return whether a request or a part rather crashes servers than a candidate."""
-    if not count.lost_servers:
+    count = candidate.loss_count
+    explained_by_part: set[int] = set()
+    explained_by_request: set[int] = set()
+    for fingerprint, other in count_by_fingerprint.items():
+        if not other.losses or fingerprint == candidate.fingerprint:
+            continue
         # Only counts of parts name servers that count against them.
-        return count.losses >= ISOLATION_LOSS_THRESHOLD
-    return _rank(_build_suspect(history, fingerprint, count)) < _rank(candidate)
+        if other.lost_servers:
+            common = {*count.exposed_servers, *count.lost_servers}.intersection(
+                other.exposed_servers
+            )
+            suspect = _build_suspect(history, fingerprint, other)
+            if len(common) >= max(
+                MIN_EXPLAINED_SERVERS, len(explained_by_part) + 1
+            ) and _rank(suspect) < _rank(candidate):
+                explained_by_part = common
+        elif other.losses >= ISOLATION_LOSS_THRESHOLD:
+            # Each attempt at a request exposes its parts. The first one counts.
+            common = set(count.lost_servers).intersection(other.exposed_servers)
+            if len(common) >= max(MIN_EXPLAINED_SERVERS, len(explained_by_request) + 1):
+                explained_by_request = common
+    return explained_by_part | explained_by_request
 
 
 def _build_suspect(
@@ -242,21 +255,18 @@
     return Candidate(fingerprint, count, count, use)
 
 
-def _rank(candidate: Candidate) -> tuple[float, int, float, int]:
+def _rank(candidate: Candidate) -> tuple[float, int, float, int, int]:
     """Return a key by which the most suspicious part comes first.
 
     It is the one that was proven harmless the longest ago by this entry, then by all of
-    them, then the one in the fewest requests, and then the later one in the prompt,
-    since requests share the first parts of their prompts most.
+    them, then the one with the most lost servers for each of its attempts, and then the
+    later one in the prompt, since requests share the first parts of their prompts most.
     """
-    use = candidate.use
+    use, count = candidate.use, candidate.loss_count
     proven_ms = float("-inf") if use.proven_ms is None else use.proven_ms
-    return (
-        proven_ms,
-        candidate.loss_count.generation,
-        use.requests,
-        -candidate.position,
-    )
+    servers = len({*count.exposed_servers, *count.lost_servers})
+    loss_rate = min(1.0, servers / use.attempts) if use.attempts else 0.0
+    return proven_ms, count.generation, -loss_rate, -use.position, -servers
 
 
 def is_suspect(history: PartHistory, fingerprint: bytes, count: LossCount) -> bool:
@@ -284,8 +294,8 @@
     "is_accusable",
     "is_proven",
     "is_suspect",
+    "record_attempt",
     "record_part_loss",
     "record_proof",
-    "record_request",
     "select_accused",
 ]
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -348,24 +348,21 @@
         and record_part_loss(table.part_history, attempt.request, incarnation)
     ]
     charged = [
-        (attempt, position, part)
-        for attempt in charged_attempts
-        for position, part in enumerate(attempt.parts)
+        (attempt, part) for attempt in charged_attempts for part in attempt.parts
     ]
     for attempt in unproven:
         yield from _count_part_losses(
             table, attempt, incarnation, now_ms, is_charged=attempt in charged_attempts
         )
-    attempt_by_part = {part.fingerprint: attempt for attempt, _, part in charged}
+    attempt_by_part = {part.fingerprint: attempt for attempt, part in charged}
     charged_parts = [
         Candidate(
             part.fingerprint,
             part.known_count,
             get_count(table, part.fingerprint, now_ms),
             table.part_history.use_by_part.get(part.fingerprint, UNSEEN_PART),
-            position,
         )
-        for _, position, part in charged
+        for _, part in charged
     ]
     if not any(is_accusable(item) for item in charged_parts):
         return
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -28,7 +28,7 @@
     MIN_SUSPECT_SERVERS,
     LossCount,
 )
-from yuccareach.quarantine.parts import record_proof, record_request
+from yuccareach.quarantine.parts import record_attempt, record_proof
 from yuccareach.quarantine.table import QuarantineTable
 
 PART = b"p" * 16
@@ -88,7 +88,7 @@
 
     def test_new_part_is_suspect_after_one_loss_until_it_is_proven(self) -> None:
         history = self.gateway.quarantine.part_history
-        record_request(history, [PART])
+        record_attempt(history, [PART])
         self.assertFalse(is_suspect_run(self.build_run()))
         self.make_suspect(losses=1, servers=1)
         self.assertTrue(is_suspect_run(self.build_run()))
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -44,7 +44,7 @@
     ) -> TrackedAttempt:
         """Start an attempt at a request that nobody has sent before."""
         chosen = quarantine_table or self.table
-        part_rules.record_request(chosen.part_history, parts)
+        part_rules.record_attempt(chosen.part_history, parts)
         number = next(self.numbers)
         return TrackedAttempt(
             number.to_bytes(16, "big"),
