Accuse a part only once other gateways and attempts have reported

Traced: a sound request at front-1 and a crashing one at front-0 ran on the same server; front-1 counted a third loss in a row and accused 2 ms before front-0 reported that the crashing part had been there, and 16 ms after front-0 had proven.

An accusation is due 0.3 s after the loss now, when reports have reached all gateways, and is decided by what is known then; a proof meanwhile cancels it. All attempts on one server are judged together.

Both new tests fail before. Tests with a mocked gateway give it the state of limits.

--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import asyncio
 from typing import TYPE_CHECKING
 
+from yuccareach.gateway.server_limits import is_cut_off
 from yuccareach.quarantine import parts, reporting, table
 from yuccareach.quarantine.fingerprints import format_fingerprint
 from yuccareach.quarantine.table import TrackedAttempt, TrackedPart
@@ -18,6 +20,13 @@
     from yuccareach.quarantine.table import CountChange
 
 
+# Parts are accused this long after a loss. By then, all gateways know of it, and of
+# theirs: a report is committed, and the next poll comes after POLL_DELAY_S.
+ACCUSATION_DELAY_MS = 300
+# The delay without control. By then, all attempts at the server have ended.
+ISOLATED_ACCUSATION_DELAY_MS = 20
+
+
 def start_attempt(
     gateway: Gateway, admitted: AdmittedRequest, *, has_proven_parts: bool = False
 ) -> TrackedAttempt:
@@ -129,6 +138,9 @@
 
 def confirm_crash(gateway: Gateway, backend: Backend) -> None:
     """Count the pending losses of a backend server that has crashed."""
+    gateway.quarantine.accusation_delay_ms = (
+        ISOLATED_ACCUSATION_DELAY_MS if is_cut_off(gateway) else ACCUSATION_DELAY_MS
+    )
     _report(
         gateway,
         table.confirm_losses(
@@ -191,12 +203,25 @@
     parts.record_attempt(gateway.quarantine.part_history, part_fingerprints)
 
 
+def _schedule_accusation(gateway: Gateway) -> None:
+    """Call _accuse_parts once the first accusation is due."""
+    charge = next(iter(gateway.quarantine.charge_by_incarnation.values()), None)
+    if charge is not None:
+        delay_s = max(1, charge.due_ms - gateway.now_ms()) / 1000
+        asyncio.get_running_loop().call_later(delay_s, _accuse_parts, gateway)
+
+
+def _accuse_parts(gateway: Gateway) -> None:
+    _report(gateway, list(table.accuse_parts(gateway.quarantine, gateway.now_ms())))
+
+
 def _report(gateway: Gateway, changes: list[CountChange]) -> None:
     for change in changes:
         gateway.write_log(reporting.build_log(change))
     gateway.loss_reporter.add(changes)
     if any(change.loss_count.is_quarantined for change in changes):
         refuse_waiting(gateway)
+    _schedule_accusation(gateway)
 
 
 __all__ = [
--- a/src/yuccareach/gateway/server_limits.py
+++ b/src/yuccareach/gateway/server_limits.py
@@ -16,6 +16,7 @@
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.quota import holdings
 from yuccareach.quota.holdings import Grant, Holding, Share
+from yuccareach.quota.limits import GRANT_LIFETIME_MS
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Hashable, Iterable
@@ -137,6 +138,12 @@
     )
 
 
+def is_cut_off(gateway: Gateway) -> bool:
+    """Return whether control has not answered a poll for some time."""
+    contact_ms = gateway.server_limits.contact_ms
+    return gateway.boot_ms() >= contact_ms + GRANT_LIFETIME_MS
+
+
 def count_instances(gateway: Gateway) -> int:
     """Return how many gateways share the limits, as far as is known."""
     return gateway.entry_count or RetryBudget.ASSUMED_ENTRIES
@@ -337,6 +344,7 @@
     "cancel_reservation",
     "count_limited",
     "estimate_interval_s",
+    "is_cut_off",
     "log_limit",
     "may_send",
     "plan_return_s",
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+import itertools
 from collections import deque
 from typing import TYPE_CHECKING, NamedTuple
 
@@ -107,6 +108,14 @@
     expires_ms: int
 
 
+class Charge(NamedTuple):
+    """The loss of a server, for which one of these parts may be accused later."""
+
+    due_ms: int
+    # Each part with its attempt.
+    parts: list[tuple[TrackedAttempt, TrackedPart]]
+
+
 class QuarantineTable:
     """Counts by fingerprint, and losses that are not confirmed yet."""
 
@@ -119,6 +128,11 @@
         # So long after the end of a part's quarantine this instance starts a trial.
         # Instances have different delays, so that mostly one tries it at a time.
         self.part_trial_delay_ms = 0
+        # Parts are accused this long after a loss, when other instances have reported
+        # theirs and sound parts are proven.
+        self.accusation_delay_ms = 0
+        # Oldest first.
+        self.charge_by_incarnation: dict[str, Charge] = {}
         self.part_history = PartHistory()
         self.lost_positions = LostPositions()
 
@@ -325,6 +339,7 @@
     return [
         *(change for change in changes if change is not None),
         *_charge_parts(table, attempts, incarnation, now_ms),
+        *accuse_parts(table, now_ms),
     ]
 
 
@@ -336,10 +351,8 @@
 ) -> Iterator[CountChange]:
     """Count a loss against the parts of prompts that its attempts have not proven.
 
-    A request that is quarantined itself explains the loss. All parts are counted before
-    one is accused, so that it is the most suspicious of them.
+    A request that is quarantined itself explains the loss.
     """
-    lost_server = hash_incarnation(incarnation)
     unproven = [attempt for attempt in attempts if not attempt.has_proven_parts]
     charged_attempts = [
         attempt
@@ -347,41 +360,17 @@
         if not get_count(table, attempt.fingerprint, now_ms).is_quarantined
         and record_part_loss(table.part_history, attempt.request, incarnation)
     ]
-    charged = [
-        (attempt, part) for attempt in charged_attempts for part in attempt.parts
-    ]
     for attempt in unproven:
         yield from _count_part_losses(
             table, attempt, incarnation, now_ms, is_charged=attempt in charged_attempts
         )
-    attempt_by_part = {part.fingerprint: attempt for attempt, part in charged}
     charged_parts = [
-        Candidate(
-            part.fingerprint,
-            part.known_count,
-            get_count(table, part.fingerprint, now_ms),
-            table.part_history.use_by_part.get(part.fingerprint, UNSEEN_PART),
-        )
-        for _, part in charged
+        (attempt, part) for attempt in charged_attempts for part in attempt.parts
     ]
-    if not any(is_accusable(item) for item in charged_parts):
-        return
-    count_by_fingerprint = {
-        fingerprint: record.loss_count
-        for fingerprint, record in table.record_by_fingerprint.items()
-        if record.expires_ms > now_ms
-    }
-    for accused in select_accused(
-        table.part_history, charged_parts, count_by_fingerprint, lost_server
-    ):
-        losses = compute_accused_losses(accused.known_count)
-        part_count = accused.loss_count._replace(losses=losses)
-        attempt = attempt_by_part[accused.fingerprint]
-        change = _change_count(
-            table, attempt, accused.fingerprint, part_count, incarnation, now_ms
-        )
-        if change is not None:
-            yield change
+    if charged_parts:
+        due_ms = now_ms + table.accusation_delay_ms
+        charge = table.charge_by_incarnation.setdefault(incarnation, Charge(due_ms, []))
+        charge.parts.extend(charged_parts)
 
 
 def _count_part_losses(
@@ -409,6 +398,51 @@
             yield change
 
 
+def accuse_parts(table: QuarantineTable, now_ms: int) -> Iterator[CountChange]:
+    """Accuse the most suspicious part for each loss whose accusation is due."""
+    charges = table.charge_by_incarnation
+    due = list(
+        itertools.takewhile(lambda item: item[1].due_ms <= now_ms, charges.items())
+    )
+    for incarnation, charge in due:
+        del charges[incarnation]
+        yield from _accuse_part(table, charge, incarnation, now_ms)
+
+
+def _accuse_part(
+    table: QuarantineTable, charge: Charge, incarnation: str, now_ms: int
+) -> Iterator[CountChange]:
+    attempt_by_part = {part.fingerprint: attempt for attempt, part in charge.parts}
+    charged_parts = [
+        Candidate(
+            part.fingerprint,
+            part.known_count,
+            get_count(table, part.fingerprint, now_ms),
+            table.part_history.use_by_part.get(part.fingerprint, UNSEEN_PART),
+        )
+        for _, part in charge.parts
+    ]
+    if not any(is_accusable(item) for item in charged_parts):
+        return
+    count_by_fingerprint = {
+        fingerprint: record.loss_count
+        for fingerprint, record in table.record_by_fingerprint.items()
+        if record.expires_ms > now_ms
+    }
+    lost_server = hash_incarnation(incarnation)
+    for accused in select_accused(
+        table.part_history, charged_parts, count_by_fingerprint, lost_server
+    ):
+        losses = compute_accused_losses(accused.known_count)
+        part_count = accused.loss_count._replace(losses=losses)
+        attempt = attempt_by_part[accused.fingerprint]
+        change = _change_count(
+            table, attempt, accused.fingerprint, part_count, incarnation, now_ms
+        )
+        if change is not None:
+            yield change
+
+
 def resolve_pending_losses(
     table: QuarantineTable,
     present_incarnations: Container[str],
@@ -431,10 +465,12 @@
 __all__ = [
     "PENDING_LOSS_RETENTION_MS",
     "TRIAL_MS",
+    "Charge",
     "CountChange",
     "QuarantineTable",
     "TrackedAttempt",
     "TrackedPart",
+    "accuse_parts",
     "add_pending_loss",
     "admit",
     "admit_all",
--- a/tests/gateway/test_losses.py
+++ b/tests/gateway/test_losses.py
@@ -14,6 +14,7 @@
     confirm_crash,
     resolve_pending_losses,
 )
+from yuccareach.gateway.server_limits import ServerLimits
 from yuccareach.health.servers import record_leaving
 from yuccareach.quarantine.counts import NO_LOSSES
 from yuccareach.quarantine.table import QuarantineTable, TrackedAttempt, get_count
@@ -25,7 +26,8 @@
     def setUp(self) -> None:
         self.gateway: Any = mock.Mock()
         self.gateway.now = time.monotonic
-        self.gateway.now_ms = lambda: 0
+        self.gateway.now_ms = self.gateway.boot_ms = lambda: 0
+        self.gateway.server_limits = ServerLimits()
         self.gateway.quarantine = QuarantineTable()
         self.gateway.fleet = Fleet()
         self.announcement = build_backend("a", "z", "l4", 0, 80).announcement
--- a/tests/gateway/test_probes.py
+++ b/tests/gateway/test_probes.py
@@ -11,6 +11,7 @@
 from tests.gateway.fleet import build_backend
 from yuccareach.gateway import probes
 from yuccareach.gateway.chains import Chain, ChainStage
+from yuccareach.gateway.server_limits import ServerLimits
 from yuccareach.quarantine.table import QuarantineTable
 
 
@@ -23,7 +24,8 @@
         self.gateway.now = loop_time
         self.gateway.fleet.version = 1
         self.gateway.quarantine = QuarantineTable()
-        self.gateway.now_ms = lambda: 0
+        self.gateway.now_ms = self.gateway.boot_ms = lambda: 0
+        self.gateway.server_limits = ServerLimits()
 
     async def find_lost(self, connect: Any) -> list[Any]:
         with mock.patch.object(self.backend.pool, "connect", connect):
@@ -84,7 +86,8 @@
         self.gateway.now = time.monotonic
         self.gateway.fleet.version = 1
         self.gateway.quarantine = QuarantineTable()
-        self.gateway.now_ms = lambda: 0
+        self.gateway.now_ms = self.gateway.boot_ms = lambda: 0
+        self.gateway.server_limits = ServerLimits()
 
     async def probe_backend(self, connect: Any) -> None:
         self.backend.last_probe_s = -1.0
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -270,6 +270,25 @@
         self.assertTrue(self.is_refused(BAD))
         self.assertFalse(self.is_refused(SHARED))
 
+    def test_new_part_is_not_accused_before_all_attempts_on_the_server_count(
+        self,
+    ) -> None:
+        self.retry_beside_sound_requests(SHARED, OTHER, BAD)
+        self.table.accusation_delay_ms = 300
+        culprit = self.start_attempt(SHARED, b"new", BAD)
+        self.crash(self.start_attempt(SHARED, OTHER), incarnation="i")
+        self.crash(culprit, incarnation="i")
+        self.assertFalse(self.is_refused(BAD))
+        accused = [item.fingerprint for item in table.accuse_parts(self.table, 300)]
+        self.assertEqual(accused, [BAD])
+
+    def test_proof_before_an_accusation_is_due_prevents_it(self) -> None:
+        self.table.accusation_delay_ms = 300
+        for _ in range(QUARANTINE_LOSS_THRESHOLD):
+            self.crash_round(1, OTHER)
+        self.prove(OTHER)
+        self.assertEqual(list(table.accuse_parts(self.table, 300)), [])
+
     def test_shared_part_that_turns_harmful_is_accused_among_new_parts(self) -> None:
         for number in range(QUARANTINE_LOSS_THRESHOLD + 1):
             self.crash_round(1, SHARED, b"new part %d" % number)
