Keep a single timer for accusations that are due

Found on reading the diff: each report of counts while an accusation was open started a timer, and each of those another one if further accusations were open, so that a series of crashes under many streams would let them pile up. A gateway has one timer now. Losses that are shown by a view set the delay too; before, the first one of a gateway was accused at once.

--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -138,9 +138,7 @@
 
 def confirm_crash(gateway: Gateway, backend: Backend) -> None:
     """Count the pending losses of a backend server that has crashed."""
-    gateway.quarantine.accusation_delay_ms = (
-        ISOLATED_ACCUSATION_DELAY_MS if is_cut_off(gateway) else ACCUSATION_DELAY_MS
-    )
+    _set_accusation_delay(gateway)
     _report(
         gateway,
         table.confirm_losses(
@@ -154,6 +152,7 @@
 
     A departure by itself does not count, since the heartbeats may only be late.
     """
+    _set_accusation_delay(gateway)
     fleet, pending = gateway.fleet, gateway.quarantine.pending_by_incarnation
     backends = (
         *fleet.backend_by_name.values(),
@@ -203,15 +202,24 @@
     parts.record_attempt(gateway.quarantine.part_history, part_fingerprints)
 
 
+def _set_accusation_delay(gateway: Gateway) -> None:
+    gateway.quarantine.accusation_delay_ms = (
+        ISOLATED_ACCUSATION_DELAY_MS if is_cut_off(gateway) else ACCUSATION_DELAY_MS
+    )
+
+
 def _schedule_accusation(gateway: Gateway) -> None:
     """Call _accuse_parts once the first accusation is due."""
     charge = next(iter(gateway.quarantine.charge_by_incarnation.values()), None)
-    if charge is not None:
-        delay_s = max(1, charge.due_ms - gateway.now_ms()) / 1000
-        asyncio.get_running_loop().call_later(delay_s, _accuse_parts, gateway)
+    if charge is None or gateway.accusation_timer is not None:
+        return
+    delay_s = max(1, charge.due_ms - gateway.now_ms()) / 1000
+    loop = asyncio.get_running_loop()
+    gateway.accusation_timer = loop.call_later(delay_s, _accuse_parts, gateway)
 
 
 def _accuse_parts(gateway: Gateway) -> None:
+    gateway.accusation_timer = None
     _report(gateway, list(table.accuse_parts(gateway.quarantine, gateway.now_ms())))
 
 
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -116,6 +116,8 @@
         self.graph_by_service: dict[str, CachedGraph] = {}
         # Backend servers lost under each request, as all gateways have counted them.
         self.quarantine = QuarantineTable()
+        # Until the next accusation of a prompt part is due.
+        self.accusation_timer: asyncio.TimerHandle | None = None
         self.loss_reporter = LossReporter()
         # Part of the time in which all gateways start their trials at which it does.
         self.trial_phase = random.random()
