--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -353,20 +353,19 @@
 
     A request that is quarantined itself explains the loss.
     """
-    unproven = [attempt for attempt in attempts if not attempt.has_proven_parts]
-    charged_attempts = [
-        attempt
-        for attempt in unproven
-        if not get_count(table, attempt.fingerprint, now_ms).is_quarantined
-        and record_part_loss(table.part_history, attempt.request, incarnation)
-    ]
-    for attempt in unproven:
+    charged_parts: list[tuple[TrackedAttempt, TrackedPart]] = []
+    for attempt in attempts:
+        if attempt.has_proven_parts:
+            continue
+        request_count = get_count(table, attempt.fingerprint, now_ms)
+        is_charged = not request_count.is_quarantined and record_part_loss(
+            table.part_history, attempt.request, incarnation
+        )
+        if is_charged:
+            charged_parts += ((attempt, part) for part in attempt.parts)
         yield from _count_part_losses(
-            table, attempt, incarnation, now_ms, is_charged=attempt in charged_attempts
+            table, attempt, incarnation, now_ms, is_charged=is_charged
         )
-    charged_parts = [
-        (attempt, part) for attempt in charged_attempts for part in attempt.parts
-    ]
     if charged_parts:
         due_ms = now_ms + table.accusation_delay_ms
         charge = table.charge_by_incarnation.setdefault(incarnation, Charge(due_ms, []))
