--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -555,7 +555,7 @@
         gateway_bytes = reports_per_s * cost["report_bytes"]
         yield (
             f"| {servers} | {gateway_bytes / 1000:.1f} KB/s | "
-            f"{reports_per_s * cost['wish_us'] / 1e4:.2f}% of a core | "
+            f"{reports_per_s * cost['demand_us'] / 1e4:.2f}% of a core | "
             f"{gateway_bytes * NODE_COUNT / 1000:.0f} KB/s | "
             f"{reports_per_s * cost['report_us'] * NODE_COUNT / 1e6:.2f} cores |"
         )
--- a/bench/limits.py
+++ b/bench/limits.py
@@ -18,7 +18,7 @@
     find_grant_delay_ms,
     record_reports,
 )
-from yuccareach.quota.holdings import Holding, Share, plan_wish, record_miss, take
+from yuccareach.quota.holdings import Holding, Share, plan_demand, record_miss, take
 
 PATH = Path("docs/capacity/limits.json")
 SERVERS = 2_310
@@ -61,7 +61,7 @@
 
 
 def measure_instance() -> dict[str, float]:
-    """Measure an instance's time for each request and each wish."""
+    """Measure an instance's time for each request and each demand."""
     holding = Holding(0.0)
     share = Share(2.0, INSTANCES, 1_000, 1_000)
     started_s = time.process_time()
@@ -74,9 +74,9 @@
         record_miss(holding, number, 1_000)
     started_s = time.process_time()
     for _ in range(POLLS):
-        plan_wish(holding, share)
-    wish_us = (time.process_time() - started_s) / POLLS * 1e6
-    return {"send_us": send_us, "wish_us": wish_us}
+        plan_demand(holding, share)
+    demand_us = (time.process_time() - started_s) / POLLS * 1e6
+    return {"send_us": send_us, "demand_us": demand_us}
 
 
 def main() -> None:
--- a/bench/losses.py
+++ b/bench/losses.py
@@ -34,11 +34,12 @@
 STREAMS = 96
 PARTS = 3
 REPEATS = 9
+LOST_SERVERS = tuple(range(MIN_ACCUSING_SERVERS))
 
 
 def main() -> None:
     """Measure counts of requests and of prompt parts, and a crash, and write them."""
-    part_count = LossCount(1, 1, tuple(range(MIN_ACCUSING_SERVERS)))
+    part_count = LossCount(1, 1, LOST_SERVERS, LOST_SERVERS)
     result = {
         **_take_least(measure_counts(LossCount(1, 1)) for _ in range(REPEATS)),
         "part": _take_least(measure_counts(part_count) for _ in range(REPEATS)),
@@ -90,7 +91,7 @@
     table = QuarantineTable()
     for number in range(COUNTS - STREAMS * (PARTS + 1)):
         merge_count(table, number.to_bytes(16, "big"), LossCount(0, 1), 10_000, 0)
-    known = LossCount(0, 2, tuple(range(MIN_ACCUSING_SERVERS)))
+    known = LossCount(0, 2, LOST_SERVERS, LOST_SERVERS)
     for stream in range(STREAMS):
         parts = [_identify(stream, part) for part in range(1, PARTS + 1)]
         record_attempt(table.part_history, parts)
--- a/bench/quota_simulation.py
+++ b/bench/quota_simulation.py
@@ -126,9 +126,9 @@
         limit = instance.limit
         if limit is None:
             return []
-        wish = holdings.plan_wish(instance.holding, self.build_share(instance))
+        demand = holdings.plan_demand(instance.holding, self.build_share(instance))
         age_ms = self.now_ms - limit.read_ms
-        return [LimitReport(INCARNATION, limit.per_s, age_ms, *wish)]
+        return [LimitReport(INCARNATION, limit.per_s, age_ms, *demand)]
 
     def _answer(self, instance: Instance, poll: Poll) -> None:
         """Let control answer once it can grant something, or at the latest."""
--- a/src/yuccareach/gateway/server_limits.py
+++ b/src/yuccareach/gateway/server_limits.py
@@ -174,7 +174,7 @@
 def build_reports(gateway: Gateway) -> list[cpb.LimitReport]:
     """Return what to report to control with the next poll.
 
-    Reported are limits that control does not know as this gateway does, and wishes.
+    Reported are limits that control does not know as this gateway does, and demand.
     What is returned with them may not be sent any more.
     """
     state = gateway.server_limits
@@ -196,20 +196,20 @@
     limit = backend.health.limit
     assert limit is not None
     share = _build_share(gateway, backend)
-    wish = holdings.Wish(0, 0)
+    demand = holdings.Demand(0, 0)
     if share is not None:
-        wish = holdings.plan_wish(_get_holding(gateway, backend), share)
+        demand = holdings.plan_demand(_get_holding(gateway, backend), share)
     incarnation = backend.announcement.incarnation
     known = gateway.server_limits.known_by_incarnation.get(incarnation, math.inf)
-    if known == limit.per_s and wish == (0, 0):
+    if known == limit.per_s and demand == (0, 0):
         return None
     return cpb.LimitReport(
         incarnation=incarnation,
         limited=limit.per_s is not None,
         limit_per_s=limit.per_s or 0.0,
         age_ms=max(0, gateway.boot_ms() - limit.read_ms),
-        wanted=wish.wanted,
-        returned=wish.returned,
+        wanted=demand.wanted,
+        returned=demand.returned,
     )
 
 
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -33,7 +33,7 @@
     from collections.abc import Collection, Coroutine
 
     from yuccareach.gateway.backends import Backend
-    from yuccareach.gateway.calls import CallPlace
+    from yuccareach.gateway.call_places import CallPlace
     from yuccareach.gateway.dialect import Dialect
     from yuccareach.gateway.stream_run import StreamRun
     from yuccareach.gateway.table import RoutingTable, Service
--- a/src/yuccareach/quota/holdings.py
+++ b/src/yuccareach/quota/holdings.py
@@ -163,19 +163,19 @@
             holding.grants.popleft()
 
 
-class Wish(NamedTuple):
+class Demand(NamedTuple):
     """The requests that an instance wants to be granted, or returns unused."""
 
     wanted: int
     returned: int
 
 
-def plan_wish(holding: Holding, share: Share) -> Wish:
+def plan_demand(holding: Holding, share: Share) -> Demand:
     """Return what to ask control for; what is returned may not be sent any more."""
     count_available(holding, share)
     needed = math.ceil(DEMAND_HORIZON_S * _measure_demand(holding, share.now_ms))
     if _has_own_share(holding, share):
-        return Wish(needed, 0)
+        return Demand(needed, 0)
     needed = max(needed, _compute_stock(holding, share))
     former = holding.grants
     lasting = [
@@ -183,7 +183,7 @@
     ]
     holding.grants = deque(lasting[:needed])
     held = len(holding.grants)
-    return Wish(needed - held, len(former) - held)
+    return Demand(needed - held, len(former) - held)
 
 
 def _compute_stock(holding: Holding, share: Share) -> int:
@@ -215,11 +215,11 @@
     "Grant",
     "Holding",
     "Share",
-    "Wish",
+    "Demand",
     "apply_grants",
     "count_available",
     "give_back",
-    "plan_wish",
+    "plan_demand",
     "record_miss",
     "scale",
     "take",
