Close the connection of a plain service that sends interim responses without end

Cause: aiohttp skips interim responses in a loop without a limit, whose steps do not even yield while data is there. It has no hook for them, but lets a session choose the class of its responses, and that class reads the messages: the connection that it is given allows 16 interim ones now.

--- a/src/yuccareach/agent/service_client.py
+++ b/src/yuccareach/agent/service_client.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING, Any
+from typing import TYPE_CHECKING, Any, cast
 from urllib.parse import urlsplit
 
 import aiohttp
@@ -16,6 +16,8 @@
 
 CONNECT_TIMEOUT_S = 2.0
 MAX_REPLY_BYTES = 8 << 20
+# Interim responses (1xx) before a reply.
+MAX_INTERIM_RESPONSES = 16
 _FORWARDED_HEADERS = (
     "content-type",
     "cache-control",
@@ -25,6 +27,46 @@
 )
 
 
+class _LimitedProtocol:
+    """aiohttp's protocol of a connection, of which few messages may be read."""
+
+    def __init__(self, protocol: Any) -> None:
+        self.protocol = protocol
+        self.messages = 0
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.protocol, name)
+
+    async def read(self) -> Any:
+        """Return the next message; raises ClientPayloadError after too many."""
+        self.messages += 1
+        if self.messages > MAX_INTERIM_RESPONSES + 1:
+            raise aiohttp.ClientPayloadError("too many interim responses")
+        return await self.protocol.read()
+
+
+class _LimitedConnection:
+    """A connection of aiohttp with a limited protocol."""
+
+    def __init__(self, connection: Any) -> None:
+        self.connection = connection
+        self.protocol = _LimitedProtocol(connection.protocol)
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.connection, name)
+
+
+class _LimitedResponse(aiohttp.ClientResponse):
+    """A response before which a limited number of interim ones are skipped.
+
+    aiohttp skips them without a limit, and has no other hook.
+    """
+
+    async def start(self, connection: Any) -> aiohttp.ClientResponse:
+        """Read messages until the first that is not interim."""
+        return await super().start(cast("Any", _LimitedConnection(connection)))
+
+
 class ServiceClient:
     """Calls the plain service over one HTTP session."""
 
@@ -37,7 +79,9 @@
     def start(self) -> None:
         """Open the session."""
         self.session = aiohttp.ClientSession(
-            connector=aiohttp.TCPConnector(limit=0), auto_decompress=False
+            connector=aiohttp.TCPConnector(limit=0),
+            auto_decompress=False,
+            response_class=_LimitedResponse,
         )
 
     def call(self, effect: CallService) -> None:
