Excuse a stream cut beside a silent server if a link fault took its last attempt

The check excuses faults of links to servers that the request reached, and cannot see this one. A request that ends during a fault of the link to any server of its service is excused now, no longer than that; at other moments, and for other services, nothing changes.

--- a/bench/soak/server_promises.py
+++ b/bench/soak/server_promises.py
@@ -120,10 +120,27 @@
     )
 
 
+def _may_have_lost_attempt(
+    observations: Observations, servers: list[SoakRunner], record: RequestRecord
+) -> bool:
+    """Return whether a link fault may have cut a request's last attempt on its way.
+
+    Such an attempt has not arrived, so that its server is not known.
+    """
+    services = {runner.service for runner in servers}
+    return any(
+        start_s < record.ended_s < end_s
+        for runner in observations.runners
+        if runner.service in services
+        for start_s, end_s in runner.link_faults
+    )
+
+
 def _check_silence(observations: Observations) -> Iterator[str]:
     """Check that no request fails because its servers were silent for a second.
 
-    Not checked are requests of which a server or the gateway had another fault.
+    Not checked are requests of which a server or the gateway had another fault, or that
+    ended while the link to another server of their service had one.
     """
     arrivals_by_request = group_arrivals(observations)
     for record in observations.records:
@@ -140,6 +157,8 @@
         servers = _find_servers(
             observations.runners, record.request, arrivals_by_request[record.request]
         )
+        if _may_have_lost_attempt(observations, servers, record):
+            continue
         spans = [span for runner in servers for span in runner.silences]
         silence_s = sum(
             end_s - start_s
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -119,6 +119,21 @@
             with self.subTest(fields=fields):
                 self.assertEqual(len(self.check_cut(**fields)), count)
 
+    def test_link_fault_that_cut_the_last_attempt_before_it_arrived_excuses(
+        self,
+    ) -> None:
+        cut = make_record(status=504, body=b"", ended_s=8.0)
+        runner = make_runner(Arrival(1.1, "r1", ""), silences=[(1.0, 1.8)])
+        for span, service, count in (
+            ((7.5, 8.5), runner.service, 0),
+            ((7.5, 7.9), runner.service, 1),
+            ((7.5, 8.5), "another service", 1),
+        ):
+            with self.subTest(span=span, service=service):
+                other = make_runner(name="i-2", link_faults=[span], service=service)
+                violations = self.check_records(cut, runners=[runner, other])
+                self.assertEqual(len(violations), count)
+
     def test_silent_server_does_not_excuse_a_shutdown_that_cuts(self) -> None:
         cut = make_stream_record(make_event(1), is_complete=False)
         term = InjectedFault("term", Program("gateway", 0), 0.5, 3.0)
