--- a/bench/limits.py
+++ b/bench/limits.py
@@ -18,7 +18,13 @@
     find_grant_delay_ms,
     record_reports,
 )
-from yuccareach.quota.holdings import Holding, Share, plan_demand, record_miss, take
+from yuccareach.quota.holdings import (
+    Holding,
+    Share,
+    plan_grant_request,
+    record_miss,
+    take,
+)
 
 PATH = Path("docs/capacity/limits.json")
 SERVERS = 2_310
@@ -74,7 +80,7 @@
         record_miss(holding, number, 1_000)
     started_s = time.process_time()
     for _ in range(POLLS):
-        plan_demand(holding, share)
+        plan_grant_request(holding, share)
     demand_us = (time.process_time() - started_s) / POLLS * 1e6
     return {"send_us": send_us, "demand_us": demand_us}
 
--- a/bench/quota_simulation.py
+++ b/bench/quota_simulation.py
@@ -126,7 +126,9 @@
         limit = instance.limit
         if limit is None:
             return []
-        demand = holdings.plan_demand(instance.holding, self.build_share(instance))
+        demand = holdings.plan_grant_request(
+            instance.holding, self.build_share(instance)
+        )
         age_ms = self.now_ms - limit.read_ms
         return [LimitReport(INCARNATION, limit.per_s, age_ms, *demand)]
 
--- a/src/yuccareach/gateway/server_limits.py
+++ b/src/yuccareach/gateway/server_limits.py
@@ -16,7 +16,6 @@
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.quota import holdings
 from yuccareach.quota.holdings import Grant, Holding, Share
-from yuccareach.quota.limits import GRANT_LIFETIME_MS
 
 if TYPE_CHECKING:
     from collections.abc import Collection, Hashable, Iterable
@@ -141,7 +140,7 @@
 def is_cut_off(gateway: Gateway) -> bool:
     """Return whether control has not answered a poll for some time."""
     contact_ms = gateway.server_limits.contact_ms
-    return gateway.boot_ms() >= contact_ms + GRANT_LIFETIME_MS
+    return gateway.boot_ms() >= holdings.compute_cut_off_ms(contact_ms)
 
 
 def count_instances(gateway: Gateway) -> int:
@@ -196,9 +195,9 @@
     limit = backend.health.limit
     assert limit is not None
     share = _build_share(gateway, backend)
-    demand = holdings.Demand(0, 0)
+    demand = holdings.GrantRequest(0, 0)
     if share is not None:
-        demand = holdings.plan_demand(_get_holding(gateway, backend), share)
+        demand = holdings.plan_grant_request(_get_holding(gateway, backend), share)
     incarnation = backend.announcement.incarnation
     known = gateway.server_limits.known_by_incarnation.get(incarnation, math.inf)
     if known == limit.per_s and demand == (0, 0):
--- a/src/yuccareach/quarantine/parts.py
+++ b/src/yuccareach/quarantine/parts.py
@@ -194,7 +194,7 @@
         return []
     accusable = {candidate.fingerprint for candidate in candidates}
     suspects = [
-        _build_suspect(history, fingerprint, count)
+        build_candidate(history, fingerprint, count, count)
         for fingerprint, count in count_by_fingerprint.items()
         if lost_server in count.lost_servers
         and count.losses >= ISOLATION_LOSS_THRESHOLD
@@ -235,7 +235,7 @@
             common = {*count.exposed_servers, *count.lost_servers}.intersection(
                 other.exposed_servers
             )
-            suspect = _build_suspect(history, fingerprint, other)
+            suspect = build_candidate(history, fingerprint, other, other)
             if len(common) >= max(
                 MIN_EXPLAINED_SERVERS, len(explained_by_part) + 1
             ) and _rank(suspect) < _rank(candidate):
@@ -248,11 +248,15 @@
     return explained_by_part | explained_by_request
 
 
-def _build_suspect(
-    history: PartHistory, fingerprint: bytes, count: LossCount
+def build_candidate(
+    history: PartHistory,
+    fingerprint: bytes,
+    known_count: LossCount,
+    loss_count: LossCount,
 ) -> Candidate:
+    """Return a part with its counts and what this entry has seen of it."""
     use = history.use_by_part.get(fingerprint, UNSEEN_PART)
-    return Candidate(fingerprint, count, count, use)
+    return Candidate(fingerprint, known_count, loss_count, use)
 
 
 def _rank(candidate: Candidate) -> tuple[float, int, float, int, int]:
@@ -284,10 +288,10 @@
     "MAX_REQUESTS_REMEMBERED",
     "MIN_ACCUSING_SERVERS",
     "MIN_EXPLAINED_SERVERS",
-    "UNSEEN_PART",
     "Candidate",
     "PartHistory",
     "PartUse",
+    "build_candidate",
     "compute_accused_losses",
     "compute_part_losses",
     "find_explained_servers",
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -31,9 +31,8 @@
     select_eviction,
 )
 from yuccareach.quarantine.parts import (
-    UNSEEN_PART,
-    Candidate,
     PartHistory,
+    build_candidate,
     compute_accused_losses,
     compute_part_losses,
     is_accusable,
@@ -413,11 +412,11 @@
 ) -> Iterator[CountChange]:
     attempt_by_part = {part.fingerprint: attempt for attempt, part in charge.parts}
     charged_parts = [
-        Candidate(
+        build_candidate(
+            table.part_history,
             part.fingerprint,
             part.known_count,
             get_count(table, part.fingerprint, now_ms),
-            table.part_history.use_by_part.get(part.fingerprint, UNSEEN_PART),
         )
         for _, part in charge.parts
     ]
--- a/src/yuccareach/quota/holdings.py
+++ b/src/yuccareach/quota/holdings.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
-# Demand is what was sent and what was missed within this time.
+# GrantRequest is what was sent and what was missed within this time.
 DEMAND_WINDOW_MS = 1_000
 # An instance asks for what it is likely to need within this time.
 DEMAND_HORIZON_S = 0.6
@@ -70,7 +70,7 @@
     @property
     def cut_off_ms(self) -> int:
         """When the last grant that control may have sent has expired."""
-        return self.contact_ms + GRANT_LIFETIME_MS
+        return compute_cut_off_ms(self.contact_ms)
 
     @property
     def is_cut_off(self) -> bool:
@@ -78,6 +78,11 @@
         return self.now_ms >= self.cut_off_ms
 
 
+def compute_cut_off_ms(contact_ms: int) -> int:
+    """Return when an instance is cut off that control has answered last."""
+    return contact_ms + GRANT_LIFETIME_MS
+
+
 def count_available(holding: Holding, share: Share) -> int:
     """Return how many requests may be sent now."""
     if _has_own_share(holding, share):
@@ -163,19 +168,19 @@
             holding.grants.popleft()
 
 
-class Demand(NamedTuple):
+class GrantRequest(NamedTuple):
     """The requests that an instance wants to be granted, or returns unused."""
 
     wanted: int
     returned: int
 
 
-def plan_demand(holding: Holding, share: Share) -> Demand:
+def plan_grant_request(holding: Holding, share: Share) -> GrantRequest:
     """Return what to ask control for; what is returned may not be sent any more."""
     count_available(holding, share)
     needed = math.ceil(DEMAND_HORIZON_S * _measure_demand(holding, share.now_ms))
     if _has_own_share(holding, share):
-        return Demand(needed, 0)
+        return GrantRequest(needed, 0)
     needed = max(needed, _compute_stock(holding, share))
     former = holding.grants
     lasting = [
@@ -183,7 +188,7 @@
     ]
     holding.grants = deque(lasting[:needed])
     held = len(holding.grants)
-    return Demand(needed - held, len(former) - held)
+    return GrantRequest(needed - held, len(former) - held)
 
 
 def _compute_stock(holding: Holding, share: Share) -> int:
@@ -213,13 +218,14 @@
 
 __all__ = [
     "Grant",
+    "GrantRequest",
     "Holding",
     "Share",
-    "Demand",
     "apply_grants",
+    "compute_cut_off_ms",
     "count_available",
     "give_back",
-    "plan_demand",
+    "plan_grant_request",
     "record_miss",
     "scale",
     "take",
--- a/tests/quota/test_holdings.py
+++ b/tests/quota/test_holdings.py
@@ -7,13 +7,13 @@
 from yuccareach.quota.holdings import (
     DEMAND_WINDOW_MS,
     STOCK_WINDOW_MS,
-    Demand,
+    GrantRequest,
     Holding,
     Share,
     apply_grants,
     count_available,
     give_back,
-    plan_demand,
+    plan_grant_request,
     record_miss,
     scale,
     take,
@@ -74,36 +74,42 @@
             self.assertEqual(count_available(holding, build_share(0)), left)
 
 
-class DemandTests(HoldingTestCase):
+class GrantRequestTests(HoldingTestCase):
     def test_demand_is_what_was_sent_and_what_missed_a_grant(self) -> None:
         apply_grants(self.holding, 4, 0)
         for _ in range(4):
             take(self.holding, build_share(0))
         for request in ("a", "b", "b"):
             record_miss(self.holding, request, 0)
-        self.assertEqual(plan_demand(self.holding, build_share(0)), Demand(4, 0))
+        self.assertEqual(
+            plan_grant_request(self.holding, build_share(0)), GrantRequest(4, 0)
+        )
 
     def test_past_demand_counts_no_longer(self) -> None:
         record_miss(self.holding, "a", 0)
         share = Share(0.5, 4, DEMAND_WINDOW_MS, DEMAND_WINDOW_MS)
-        self.assertEqual(plan_demand(self.holding, share), Demand(0, 0))
+        self.assertEqual(plan_grant_request(self.holding, share), GrantRequest(0, 0))
 
     def test_grants_that_are_not_needed_are_returned_and_not_used(self) -> None:
         apply_grants(self.holding, 3, 0)
-        self.assertEqual(plan_demand(self.holding, build_share(0)), Demand(0, 3))
+        self.assertEqual(
+            plan_grant_request(self.holding, build_share(0)), GrantRequest(0, 3)
+        )
         self.assertEqual(self.count(0), 0)
 
     def test_grants_that_expire_soon_are_returned_and_asked_for_again(self) -> None:
         apply_grants(self.holding, 1, 0)
         record_miss(self.holding, "a", 900)
-        self.assertEqual(plan_demand(self.holding, build_share(900)), Demand(1, 1))
+        self.assertEqual(
+            plan_grant_request(self.holding, build_share(900)), GrantRequest(1, 1)
+        )
 
     def test_share_of_an_instance_with_recent_demand_is_kept_in_stock(self) -> None:
         record_miss(self.holding, "a", 0)
         ample = Share(8.0, 2, 2_000, 2_000)
-        self.assertEqual(plan_demand(self.holding, ample), Demand(2, 0))
+        self.assertEqual(plan_grant_request(self.holding, ample), GrantRequest(2, 0))
         later = Share(8.0, 2, STOCK_WINDOW_MS, STOCK_WINDOW_MS)
-        self.assertEqual(plan_demand(self.holding, later), Demand(0, 0))
+        self.assertEqual(plan_grant_request(self.holding, later), GrantRequest(0, 0))
 
 
 class NewLimitTests(HoldingTestCase):
@@ -147,5 +153,7 @@
     def test_no_own_request_is_returned_to_control(self) -> None:
         self.count(GRANT_LIFETIME_MS, 0)
         self.count(GRANT_LIFETIME_MS + 2_500, 0)
-        demand = plan_demand(self.holding, build_share(GRANT_LIFETIME_MS + 2_500, 0))
+        demand = plan_grant_request(
+            self.holding, build_share(GRANT_LIFETIME_MS + 2_500, 0)
+        )
         self.assertEqual(demand.returned, 0)
