--- a/src/yuccareach/quota/holdings.py
+++ b/src/yuccareach/quota/holdings.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Hashable
 
-# GrantRequest is what was sent and what was missed within this time.
+# Demand is what was sent and what was missed within this time.
 DEMAND_WINDOW_MS = 1_000
 # An instance asks for what it is likely to need within this time.
 DEMAND_HORIZON_S = 0.6
