Excuse a call whose only attempt that no server rejected was cut by a link fault

The check excused only a fault that was still there when the request ended, since the last attempt used to be the one that was lost. If every server that a request reached has rejected it, the lost attempt decides, whenever it was made.

A request that some server ran is judged as before; the test of that is unchanged.

--- a/bench/soak/server_promises.py
+++ b/bench/soak/server_promises.py
@@ -121,15 +121,21 @@
 
 
 def _may_have_lost_attempt(
-    observations: Observations, servers: list[SoakRunner], record: RequestRecord
+    observations: Observations,
+    servers: list[SoakRunner],
+    arrivals: Arrivals,
+    record: RequestRecord,
 ) -> bool:
-    """Return whether a link fault may have cut a request's last attempt on its way.
+    """Return whether a link fault may have cut a request's decisive attempt on its way.
 
-    Such an attempt has not arrived, so that its server is not known.
+    Such an attempt has not arrived, so that its server is not known. It is the last
+    one, or any if every server that the request reached has rejected it.
     """
+    has_run = any(is_run(runner, arrival) for runner, arrival in arrivals)
+    from_s = record.ended_s if has_run else record.started_s
     services = {runner.service for runner in servers}
     return any(
-        start_s < record.ended_s < end_s
+        start_s < record.ended_s and from_s < end_s
         for runner in observations.runners
         if runner.service in services
         for start_s, end_s in runner.link_faults
@@ -139,8 +145,8 @@
 def _check_silence(observations: Observations) -> Iterator[str]:
     """Check that no request fails because its servers were silent for a second.
 
-    Not checked are requests of which a server or the gateway had another fault, or that
-    ended while the link to another server of their service had one.
+    Not checked are requests of which a server or the gateway had another fault, or an
+    attempt of which a fault of the link to another server may have cut.
     """
     arrivals_by_request = group_arrivals(observations)
     for record in observations.records:
@@ -154,10 +160,9 @@
             observations, gateway, record.started_s, record.ended_s
         ) or had_trouble(observations.runners, record, arrivals_by_request):
             continue
-        servers = _find_servers(
-            observations.runners, record.request, arrivals_by_request[record.request]
-        )
-        if _may_have_lost_attempt(observations, servers, record):
+        arrivals = arrivals_by_request[record.request]
+        servers = _find_servers(observations.runners, record.request, arrivals)
+        if _may_have_lost_attempt(observations, servers, arrivals, record):
             continue
         spans = [span for runner in servers for span in runner.silences]
         silence_s = sum(
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -134,6 +134,25 @@
                 violations = self.check_records(cut, runners=[runner, other])
                 self.assertEqual(len(violations), count)
 
+    def test_link_fault_that_cut_the_only_attempt_not_rejected_excuses(self) -> None:
+        cut = make_record(status=502, body=b"", ended_s=8.0)
+        arrival = Arrival(1.1, "r1", "")
+        rejections = [Rejection(1.2, arrival, None)]
+        for span, rejected, count in (
+            ((0.9, 1.05), rejections, 0),
+            ((0.9, 1.05), [], 1),
+            ((8.1, 8.5), rejections, 1),
+        ):
+            with self.subTest(span=span, rejected=rejected):
+                runner = make_runner(
+                    arrival, silences=[(1.0, 1.8)], rejections=rejected
+                )
+                other = make_runner(
+                    name="i-2", link_faults=[span], service=runner.service
+                )
+                violations = self.check_records(cut, runners=[runner, other])
+                self.assertEqual(len(violations), count)
+
     def test_silent_server_does_not_excuse_a_shutdown_that_cuts(self) -> None:
         cut = make_stream_record(make_event(1), is_complete=False)
         term = InjectedFault("term", Program("gateway", 0), 0.5, 3.0)
