Quarantine an accused part for 5 s until a trial, and do not let others spoil it

No more waiting makes such a choice certain; what was wrong is how long it stood: 30 s (ten minutes after three losses in a row) before any trial.

Now the first quarantine of a part is 5 s, however it came about, and a trial decides. Three faults of trials are mended, which tests of the table show on the code before: - the loss of a trial confirmed every quarantined part in its prompt, and those of other attempts on the same server; now only the most suspicious one, and the rest are tried out by the next request; - parts that were accused together were tried out at one moment at each gateway; - callers were told to wait for the trial of this gateway, which may be the last of 27.

New log line trial_started.

--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -58,12 +58,20 @@
 
     The first fingerprint is the request's, and the others are of parts of its prompt.
     """
-    fingerprint, refusal_ms = table.admit_all(
-        gateway.quarantine, fingerprints, gateway.now_ms()
-    )
+    now_ms = gateway.now_ms()
+    fingerprint, refusal_ms = table.admit_all(gateway.quarantine, fingerprints, now_ms)
     if refusal_ms:
         _log_refusal(gateway, request_id, fingerprints, fingerprint, refusal_ms)
-    return refusal_ms / 1000
+        return refusal_ms / 1000
+    for item in fingerprints:
+        if table.get_count(gateway.quarantine, item, now_ms).is_quarantined:
+            gateway.log(
+                "trial_started",
+                request=request_id,
+                accused=_name_accused(item, fingerprints),
+                fingerprint=format_fingerprint(item),
+            )
+    return 0.0
 
 
 def log_refusal(gateway: Gateway, admitted: AdmittedRequest) -> None:
@@ -83,16 +91,20 @@
     fingerprint: bytes,
     refusal_ms: int,
 ) -> None:
-    is_part = fingerprint != fingerprints[0]
     gateway.log(
         "request_quarantined",
         request=request_id,
-        accused=reporting.PART if is_part else reporting.REQUEST,
+        accused=_name_accused(fingerprint, fingerprints),
         fingerprint=format_fingerprint(fingerprint),
         retry_after_s=refusal_ms / 1000,
     )
 
 
+def _name_accused(fingerprint: bytes, fingerprints: tuple[bytes, ...]) -> str:
+    """Return what a fingerprint of a request and its parts, in order, belongs to."""
+    return reporting.REQUEST if fingerprint == fingerprints[0] else reporting.PART
+
+
 def is_suspect(gateway: Gateway, fingerprint: bytes) -> bool:
     """Return whether requests with a prompt part should run apart from others."""
     return table.is_suspect_part(gateway.quarantine, fingerprint, gateway.now_ms())
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -51,7 +51,7 @@
 LEASE_FRACTION = 0.88
 # Mean time between the trials of two gateways: the loss of a server under the first one
 # is known everywhere within it.
-PART_TRIAL_SPACING_MS = 2_000
+TRIAL_SPACING_MS = 2_000
 _log = logger("gateway")
 
 
@@ -119,8 +119,7 @@
         # Until the next accusation of a prompt part is due.
         self.accusation_timer: asyncio.TimerHandle | None = None
         self.loss_reporter = LossReporter()
-        # Part of the time in which all gateways start their trials at which it does.
-        self.trial_phase = random.random()
+        self.quarantine.trial_phase = random.random()
         # Streams with each prompt part whose attempt has not proven it yet.
         self.unproven_streams_by_part: Counter[bytes] = Counter()
         # The newest change of those counts that control has sent.
@@ -207,9 +206,7 @@
         if count != self.entry_count:
             self.log("entry_count", entries=count, previous=self.entry_count)
         self.entry_count = count
-        self.quarantine.part_trial_delay_ms = int(
-            self.trial_phase * count * PART_TRIAL_SPACING_MS
-        )
+        self.quarantine.trial_spread_ms = count * TRIAL_SPACING_MS
 
     def get_queue(self, service: str) -> AdmissionQueue[Chain]:
         """Return the queue of a service's requests that wait for free capacity."""
--- a/src/yuccareach/quarantine/counts.py
+++ b/src/yuccareach/quarantine/counts.py
@@ -22,10 +22,11 @@
 # first quarantine of a fingerprint lasts.
 QUARANTINE_MS = 600_000
 MAX_QUARANTINE_DOUBLINGS = 7
-# How long a part is quarantined that was accused after two losses in a row only, or
-# whose trial has yet to show more.
-PROVISIONAL_QUARANTINE_MS = 30_000
-# Losses that are recorded of a part that three losses in a row, or a trial, accuse.
+# How long a part is quarantined until a trial: the parts beside the harmful one lose
+# the same servers, so that an accusation may be wrong. It outlasts the detection of a
+# server that crashed silently.
+PROVISIONAL_QUARANTINE_MS = 5_000
+# Losses that are recorded of a part whose trial has failed.
 CONFIRMED_PART_LOSSES = QUARANTINE_LOSS_THRESHOLD + 1
 MAX_FINGERPRINTS = 20_000
 # Servers of each kind that a count names.
--- a/src/yuccareach/quarantine/parts.py
+++ b/src/yuccareach/quarantine/parts.py
@@ -11,7 +11,6 @@
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.quarantine.counts import (
-    CONFIRMED_PART_LOSSES,
     ISOLATION_LOSS_THRESHOLD,
     QUARANTINE_LOSS_THRESHOLD,
 )
@@ -109,13 +108,17 @@
     return min(known.losses + 1, ISOLATION_LOSS_THRESHOLD)
 
 
-def compute_accused_losses(known: LossCount) -> int:
-    """Return the losses of a part that is accused by a loss that follows a count.
+def select_excused(suspects: Sequence[Candidate]) -> set[bytes]:
+    """Return the quarantined parts that a more suspicious one excuses for a loss.
 
-    Fewer than three losses in a row lead to a short quarantine and a trial.
+    The suspects are the parts that were lost with one server, and with others before.
     """
-    is_confirmed = known.losses + 1 >= QUARANTINE_LOSS_THRESHOLD
-    return CONFIRMED_PART_LOSSES if is_confirmed else QUARANTINE_LOSS_THRESHOLD
+    least_rank = min(map(_rank, suspects), default=None)
+    return {
+        item.fingerprint
+        for item in suspects
+        if item.known_count.is_quarantined and _rank(item) != least_rank
+    }
 
 
 def is_proven(use: PartUse, count: LossCount) -> bool:
@@ -292,7 +295,6 @@
     "PartHistory",
     "PartUse",
     "build_candidate",
-    "compute_accused_losses",
     "compute_part_losses",
     "find_explained_servers",
     "is_accusable",
@@ -302,4 +304,5 @@
     "record_part_loss",
     "record_proof",
     "select_accused",
+    "select_excused",
 ]
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -11,6 +11,7 @@
 From ISOLATION_LOSS_THRESHOLD losses on, a request should run apart from others. At
 QUARANTINE_LOSS_THRESHOLD losses, its fingerprint is quarantined. After a quarantine,
 one trial run is admitted at a time, and each loss in a trial doubles the quarantine.
+The first quarantine of a part is short, since it may be of the wrong one.
 """
 
 from __future__ import annotations
@@ -22,6 +23,7 @@
 from yuccareach.quarantine.counts import (
     MAX_FINGERPRINTS,
     NO_LOSSES,
+    QUARANTINE_LOSS_THRESHOLD,
     LossCount,
     compute_quarantine_ms,
     compute_retention_ms,
@@ -33,13 +35,13 @@
 from yuccareach.quarantine.parts import (
     PartHistory,
     build_candidate,
-    compute_accused_losses,
     compute_part_losses,
     is_accusable,
     is_suspect,
     record_part_loss,
     record_proof,
     select_accused,
+    select_excused,
 )
 from yuccareach.quarantine.progress import LostPositions, Progress, counts_as_loss
 
@@ -47,8 +49,11 @@
     from collections.abc import Container, Iterable, Iterator
 
 # After the start of a trial run, other requests with its fingerprint wait this long for
-# its result.
+# its result: an answer, or the first events where it tries out a part.
 TRIAL_MS = 30_000
+PART_TRIAL_MS = 5_000
+# So long after the end of a quarantine, one of all instances has the result of a trial.
+TRIAL_RESULT_DELAY_MS = 2_000
 # An unconfirmed loss is dropped after this time. By then, control has removed a backend
 # server that is gone, also if another control instance received its heartbeats.
 PENDING_LOSS_RETENTION_MS = 15_000
@@ -124,9 +129,11 @@
         # Oldest first.
         self.pending_by_incarnation: dict[str, deque[PendingLoss]] = {}
         self.trial_end_ms_by_fingerprint: dict[bytes, int] = {}
-        # So long after the end of a part's quarantine this instance starts a trial.
-        # Instances have different delays, so that mostly one tries it at a time.
-        self.part_trial_delay_ms = 0
+        # Instances start their trials at different times within this span after the end
+        # of a quarantine, by their phases from 0 to 1, so that mostly one tries it at a
+        # time.
+        self.trial_spread_ms = 0
+        self.trial_phase = 0.0
         # Parts are accused this long after a loss, when other instances have reported
         # theirs and sound parts are proven.
         self.accusation_delay_ms = 0
@@ -202,20 +209,37 @@
     refusal = max(refusals, key=lambda item: item[1], default=(b"", 0))
     if not refusal[1]:
         for item in trials:
-            table.trial_end_ms_by_fingerprint[item] = now_ms + TRIAL_MS
+            is_part = bool(get_count(table, item, now_ms).lost_servers)
+            trial_ms = PART_TRIAL_MS if is_part else TRIAL_MS
+            table.trial_end_ms_by_fingerprint[item] = now_ms + trial_ms
     return refusal
 
 
 def _compute_trial_refusal_ms(
     table: QuarantineTable, fingerprint: bytes, now_ms: int
 ) -> int:
+    """Return how long a request is refused until it may be a trial, or one has ended.
+
+    It need not wait until this instance tries out what another one may have cleared.
+    """
     trial_end_ms = table.trial_end_ms_by_fingerprint.get(fingerprint, 0)
-    refusal_ms = max(
-        _find_quarantine_end_ms(table, fingerprint) - now_ms, trial_end_ms - now_ms
-    )
-    if not get_count(table, fingerprint, now_ms).lost_servers:
-        return max(0, refusal_ms)
-    return max(0, refusal_ms + table.part_trial_delay_ms)
+    if trial_end_ms > now_ms:
+        return trial_end_ms - now_ms
+    end_ms = _find_quarantine_end_ms(table, fingerprint)
+    start_ms = end_ms + _compute_trial_delay_ms(table, fingerprint)
+    if start_ms <= now_ms:
+        return 0
+    return min(start_ms, max(end_ms, now_ms) + TRIAL_RESULT_DELAY_MS) - now_ms
+
+
+def _compute_trial_delay_ms(table: QuarantineTable, fingerprint: bytes) -> int:
+    """Return how long after a quarantine this instance starts a trial.
+
+    Parts that were accused together are not tried out together, since one crash would
+    count against both.
+    """
+    offset = int.from_bytes(fingerprint[:4], "big") / 2**32
+    return int((table.trial_phase + offset) % 1 * table.trial_spread_ms)
 
 
 def record_loss(
@@ -352,30 +376,70 @@
 
     A request that is quarantined itself explains the loss.
     """
-    charged_parts: list[tuple[TrackedAttempt, TrackedPart]] = []
-    for attempt in attempts:
-        if attempt.has_proven_parts:
-            continue
-        request_count = get_count(table, attempt.fingerprint, now_ms)
-        is_charged = not request_count.is_quarantined and record_part_loss(
-            table.part_history, attempt.request, incarnation
-        )
-        if is_charged:
-            charged_parts += ((attempt, part) for part in attempt.parts)
+    unproven = [
+        (attempt, _is_charged(table, attempt, incarnation, now_ms))
+        for attempt in attempts
+        if not attempt.has_proven_parts
+    ]
+    excused = _excuse_trials(
+        table, [attempt for attempt, is_charged in unproven if is_charged], now_ms
+    )
+    for attempt, is_charged in unproven:
         yield from _count_part_losses(
-            table, attempt, incarnation, now_ms, is_charged=is_charged
+            table, attempt, incarnation, now_ms, excused, is_charged=is_charged
         )
+    charged_parts = [
+        (attempt, part)
+        for attempt, is_charged in unproven
+        for part in attempt.parts
+        if is_charged and part.fingerprint not in excused
+    ]
     if charged_parts:
         due_ms = now_ms + table.accusation_delay_ms
         charge = table.charge_by_incarnation.setdefault(incarnation, Charge(due_ms, []))
         charge.parts.extend(charged_parts)
 
 
+def _is_charged(
+    table: QuarantineTable, attempt: TrackedAttempt, incarnation: str, now_ms: int
+) -> bool:
+    """Return whether a loss counts against the parts of an attempt's prompt."""
+    request_count = get_count(table, attempt.fingerprint, now_ms)
+    return not request_count.is_quarantined and record_part_loss(
+        table.part_history, attempt.request, incarnation
+    )
+
+
+def _excuse_trials(
+    table: QuarantineTable, attempts: Iterable[TrackedAttempt], now_ms: int
+) -> set[bytes]:
+    """Return the parts in a trial that a more suspicious part on the server excuses.
+
+    Their trials have no result, so that others may start.
+    """
+    suspects = [
+        build_candidate(
+            table.part_history,
+            part.fingerprint,
+            part.known_count,
+            get_count(table, part.fingerprint, now_ms),
+        )
+        for attempt in attempts
+        for part in attempt.parts
+        if part.known_count.losses
+    ]
+    excused = select_excused(suspects)
+    for fingerprint in excused:
+        table.trial_end_ms_by_fingerprint.pop(fingerprint, None)
+    return excused
+
+
 def _count_part_losses(
     table: QuarantineTable,
     attempt: TrackedAttempt,
     incarnation: str,
     now_ms: int,
+    excused: Container[bytes],
     *,
     is_charged: bool,
 ) -> Iterator[CountChange]:
@@ -385,6 +449,8 @@
     """
     servers = (hash_incarnation(incarnation),)
     for part, known in attempt.parts:
+        if part in excused:
+            continue
         count = known._replace(lost_servers=(), exposed_servers=servers)
         if is_charged:
             losses = compute_part_losses(known)
@@ -431,8 +497,7 @@
     for accused in select_accused(
         table.part_history, charged_parts, count_by_fingerprint, lost_server
     ):
-        losses = compute_accused_losses(accused.known_count)
-        part_count = accused.loss_count._replace(losses=losses)
+        part_count = accused.loss_count._replace(losses=QUARANTINE_LOSS_THRESHOLD)
         attempt = attempt_by_part[accused.fingerprint]
         change = _change_count(
             table, attempt, accused.fingerprint, part_count, incarnation, now_ms
@@ -461,8 +526,10 @@
 
 
 __all__ = [
+    "PART_TRIAL_MS",
     "PENDING_LOSS_RETENTION_MS",
     "TRIAL_MS",
+    "TRIAL_RESULT_DELAY_MS",
     "Charge",
     "CountChange",
     "QuarantineTable",
