Run calls that were lost with two servers apart from each other

The entry runs such requests alone from two losses on; gateways did not.

Now a call with two losses gets a server where nothing else runs if there is one, others go elsewhere if they can, and two such calls never share a server: the second waits in the queue of calls, as it does for a limit. An answer resets the count, and the crashing one is quarantined by its next crash alone.

Both tests fail on the code before: the sound call arrives 0.4 s before the crash at the same server, and an unrelated call goes to it although another server is there.

--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -85,8 +85,9 @@
         self.running_requests = 0
         # Streams of this entry that have their first stage here and no event yet.
         self.starting_streams = 0
-        # Streams of this entry that try out a suspect prompt part and start here.
-        self.suspect_streams = 0
+        # Streams of this entry that try out a suspect prompt part and start here, or
+        # calls that were lost with several servers.
+        self.suspect_requests = 0
         # Tokens reserved here for requests of this entry, and of other entries.
         self.reserved_tokens = 0
         self.reserved_tokens_elsewhere = 0
@@ -333,26 +334,41 @@
 
 
 def rank_backends(
-    candidates: list[Backend], zone: str, now_s: float, excluded_incarnations: set[str]
+    candidates: list[Backend],
+    zone: str,
+    now_s: float,
+    excluded_incarnations: set[str],
+    *,
+    runs_apart: bool = False,
 ) -> list[Backend]:
     """Return the backend servers that a call may be sent to, the preferred one first.
 
     Servers that accept no requests now, or that are excluded, are left out. Those that
-    are to be avoided come last. Otherwise the least loaded server is preferred, with
-    its load weighted by its failure rate, between equals one in the entry's zone, and
-    between these the one that has been sent nothing for the longest time.
+    are to be avoided come last. Calls that should run apart, and others, do not share a
+    server if possible, and two that should run apart never do. Otherwise the least
+    loaded server is preferred, with its load weighted by its failure rate, between
+    equals one in the entry's zone, and between these the one that has been sent nothing
+    for the longest time.
     """
 
-    def _rank(backend: Backend) -> tuple[bool, float, bool, float]:
+    def _rank(backend: Backend) -> tuple[bool, bool, float, bool, float]:
+        others = backend.running_requests if runs_apart else backend.suspect_requests
         load = (backend.running_requests + 1) / max(0.05, 1 - backend.failure_rate)
         is_remote = backend.announcement.zone != zone
-        return (backend.is_avoided(now_s), load, is_remote, backend.last_sent_s)
+        return (
+            backend.is_avoided(now_s),
+            others > 0,
+            load,
+            is_remote,
+            backend.last_sent_s,
+        )
 
     usable = (
         item
         for item in candidates
         if item.announcement.incarnation not in excluded_incarnations
         and item.accepts_requests(now_s)
+        and not (runs_apart and item.suspect_requests)
     )
     return sorted(usable, key=_rank)
 
--- a/src/yuccareach/gateway/call_places.py
+++ b/src/yuccareach/gateway/call_places.py
@@ -1,4 +1,4 @@
-"""Places of plain calls at backend servers, and waiting for one that limits allow."""
+"""Places of plain calls at backend servers, and waiting for one."""
 
 from __future__ import annotations
 
@@ -12,6 +12,7 @@
 )
 from yuccareach.gateway.attempts import list_open_incarnations
 from yuccareach.gateway.backends import Backend, choose_backend, rank_backends
+from yuccareach.gateway.losses import is_suspect
 from yuccareach.gateway.server_limits import (
     Reservation,
     cancel_reservation,
@@ -43,7 +44,8 @@
     """Return the server for the next attempt with a grant there, or None.
 
     A call that has left an open attempt may go back there if all others refuse it. If
-    only limits of servers stand in the way, it waits as long as that is of use.
+    only limits of servers stand in the way, or calls from which it should run apart, it
+    waits as long as that is of use.
     """
     queue = gateway.get_call_queue(admitted.service.name)
     interval_s = estimate_interval_s(gateway, admitted.service, queue)
@@ -58,6 +60,8 @@
     wait_s = (queue.count_tokens_ahead(ticket) + 1) * interval_s
     if gateway.now() + wait_s >= ticket.wait_deadline_s:
         return None
+    if interval_s:
+        gateway.registry.count("limited_requests", "waited")
     return await _wait_for_place(gateway, admitted, run, ticket)
 
 
@@ -71,6 +75,7 @@
             gateway.settings.zone,
             gateway.now(),
             excluded,
+            runs_apart=is_suspect(gateway, admitted.fingerprint),
         )
         for backend in ranked:
             reservation = reserve_requests(gateway, (backend,))
@@ -122,7 +127,7 @@
 async def _wait_for_place(
     gateway: Gateway, admitted: AdmittedRequest, run: CallRun, ticket: Ticket
 ) -> CallPlace | None:
-    """Wait for a server with a grant left; return None if there is none in time."""
+    """Wait for a server that takes the call; return None if there is none in time."""
     queue = gateway.get_call_queue(admitted.service.name)
     granted: asyncio.Future[CallPlace | None] = (
         asyncio.get_running_loop().create_future()
@@ -136,7 +141,6 @@
         return place
 
     queue.add(WaitingRequest(ticket, _reserve_place, granted))
-    gateway.registry.count("limited_requests", "waited")
     try:
         queue.grant_capacity(gateway.now())
         while not granted.done():
--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -31,6 +31,7 @@
 from yuccareach.gateway.losses import (
     add_pending_losses,
     compute_refusal_s,
+    is_suspect,
     prove_parts,
     record_answer,
     record_attempt,
@@ -234,6 +235,7 @@
         gateway.settings.zone,
         gateway.now(),
         run.excluded_incarnations | {open_backend.announcement.incarnation},
+        runs_apart=is_suspect(gateway, admitted.fingerprint),
     )
     backend = next((item for item in ranked if may_send(gateway, item)), None)
     if backend is None or backend.is_avoided(gateway.now()):
@@ -260,7 +262,9 @@
         admitted.metadata.last_event_id,
         None,
     )
+    suspects = int(is_suspect(gateway, admitted.fingerprint))
     backend.running_requests += 1
+    backend.suspect_requests += suspects
     try:
         backend_request = await send_request(
             gateway, admitted, backend, metadata, place.reservation
@@ -283,6 +287,7 @@
         return attempt
     finally:
         backend.running_requests -= 1
+        backend.suspect_requests -= suspects
 
 
 async def _await_ending(
--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -292,7 +292,11 @@
     ):
         return None
     shared_ms = 0.0
-    if backend.running_requests if requirements.runs_apart else backend.suspect_streams:
+    if (
+        backend.running_requests
+        if requirements.runs_apart
+        else backend.suspect_requests
+    ):
         shared_ms = SHARED_SUSPECT_COST_MS
     return (
         shared_ms
--- a/src/yuccareach/gateway/suspects.py
+++ b/src/yuccareach/gateway/suspects.py
@@ -52,7 +52,7 @@
     run.trial = Trial(run.admitted.part_fingerprints, backend)
     run.gateway.unproven_streams_by_part.update(run.trial.parts)
     if backend is not None:
-        backend.suspect_streams += 1
+        backend.suspect_requests += 1
 
 
 def end_trial(run: StreamRun) -> None:
@@ -65,7 +65,7 @@
         if unproven_streams[part] <= 0:
             del unproven_streams[part]
     if trial.backend is not None:
-        trial.backend.suspect_streams -= 1
+        trial.backend.suspect_requests -= 1
 
 
 __all__ = [
--- a/tests/gateway/test_suspects.py
+++ b/tests/gateway/test_suspects.py
@@ -73,7 +73,7 @@
         end_trial(first)
         self.assertFalse(must_wait_apart(second))
         self.assertEqual(self.gateway.unproven_streams_by_part, Counter())
-        self.assertEqual(self.backends[0].suspect_streams, 0)
+        self.assertEqual(self.backends[0].suspect_requests, 0)
 
     def test_streams_that_ran_before_the_part_was_suspect_count(self) -> None:
         begin_trial(self.build_run(), self.chain)
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -4,12 +4,25 @@
 
 import asyncio
 import itertools
+import math
 from typing import TYPE_CHECKING
 
 import aiohttp
 
-from tests.platform.deployment import Answer, DeploymentTestCase, read_event_ids
+from tests.platform.deployment import (
+    HOST,
+    Answer,
+    DeploymentTestCase,
+    read_event_ids,
+)
 from yuccareach.platform.run_control import PlatformControl
+from yuccareach.quarantine.counts import (
+    ISOLATION_LOSS_THRESHOLD,
+    QUARANTINE_MS,
+    LossCount,
+)
+from yuccareach.quarantine.fingerprints import compute_fingerprint
+from yuccareach.quarantine.table import merge_count
 
 if TYPE_CHECKING:
     from yuccareach.gateway.run import GatewayProcess
@@ -168,6 +181,54 @@
         self.assertGreaterEqual(len(successes), len(self.runners))
 
 
+class SuspectCallTests(CrashingRequestTestCase):
+    """Two calls that have lost two servers together, one of which crashes them."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.runner = await self.add_runner("p0")
+        # The crashing call waits there for so long.
+        self.runner.faults.silence_on_arrival_s = 0.4
+        await self.wait_until_known("p0")
+        count = LossCount(0, ISOLATION_LOSS_THRESHOLD)
+        for body in (CRASHING_BODY, b"sound"):
+            fingerprint = compute_fingerprint(
+                "", b"a", HOST.encode(), b"POST", b"/look/1", body
+            )
+            gateway = self.gateway.gateway
+            merge_count(
+                gateway.quarantine, fingerprint, count, QUARANTINE_MS, gateway.now_ms()
+            )
+
+    async def start_crashing_call(self) -> None:
+        call = asyncio.create_task(self.resend("/look/1", self.gateway))
+        self.addCleanup(call.cancel)
+        await self.wait_until(lambda: self.group.arrivals)
+
+    async def test_sound_call_does_not_run_beside_a_crashing_one_again(self) -> None:
+        await self.start_crashing_call()
+        answer = await self.resend("/look/1", self.gateway, b"sound")
+        assert answer is not None
+        self.assertTrue(self.group.crash_times_s)
+        arrived_s = [item.arrived_s for item in self.group.arrivals[1:]]
+        self.assertGreater(min([*arrived_s, math.inf]), self.group.crash_times_s[0])
+        if answer.status == 503:
+            self.assertLess(
+                float(answer.headers["Retry-After"]), MIN_QUARANTINE_RETRY_AFTER_S
+            )
+
+    async def test_other_calls_go_to_busier_servers_meanwhile(self) -> None:
+        await self.add_runner("p1")
+        await self.wait_until_known("p1")
+        busy = self.gateway.gateway.fleet.backend_by_name["p1"]
+        busy.running_requests = 5
+        await self.start_crashing_call()
+        answer = await self.resend("/look/1", self.gateway, b"other")
+        assert answer is not None
+        self.assertEqual(answer.status, 200)
+        self.assertEqual([item.runner for item in self.group.arrivals], ["p0", "p1"])
+
+
 class StreamTests(CrashingRequestTestCase):
     async def asyncSetUp(self) -> None:
         await super().asyncSetUp()
