Try out a part later at a gateway that is cut off from control

A gateway that is cut off keeps the 30 s that there were before: it learns from trials of its own only. Gateways that do not know yet how many there are spread their trials over as many as the retry budget assumes, not over none.

--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -7,6 +7,7 @@
 
 from yuccareach.gateway.server_limits import is_cut_off
 from yuccareach.quarantine import parts, reporting, table
+from yuccareach.quarantine.counts import PROVISIONAL_QUARANTINE_MS
 from yuccareach.quarantine.fingerprints import format_fingerprint
 from yuccareach.quarantine.table import TrackedAttempt, TrackedPart
 
@@ -25,6 +26,9 @@
 ACCUSATION_DELAY_MS = 300
 # The delay without control. By then, all attempts at the server have ended.
 ISOLATED_ACCUSATION_DELAY_MS = 20
+# How long the first quarantine of a part lasts without control: each gateway has to try
+# it out alone then.
+ISOLATED_QUARANTINE_MS = 30_000
 
 
 def start_attempt(
@@ -47,6 +51,7 @@
 
 def compute_refusal_s(gateway: Gateway, admitted: AdmittedRequest) -> float:
     """Return how long a request is to be refused, in seconds; 0 if it may run on."""
+    _update_delays(gateway)
     _, refusal_ms = table.select_refusal(
         gateway.quarantine, admitted.fingerprints, gateway.now_ms()
     )
@@ -58,6 +63,7 @@
 
     The first fingerprint is the request's, and the others are of parts of its prompt.
     """
+    _update_delays(gateway)
     now_ms = gateway.now_ms()
     fingerprint, refusal_ms = table.admit_all(gateway.quarantine, fingerprints, now_ms)
     if refusal_ms:
@@ -150,7 +156,7 @@
 
 def confirm_crash(gateway: Gateway, backend: Backend) -> None:
     """Count the pending losses of a backend server that has crashed."""
-    _set_accusation_delay(gateway)
+    _update_delays(gateway)
     _report(
         gateway,
         table.confirm_losses(
@@ -164,7 +170,7 @@
 
     A departure by itself does not count, since the heartbeats may only be late.
     """
-    _set_accusation_delay(gateway)
+    _update_delays(gateway)
     fleet, pending = gateway.fleet, gateway.quarantine.pending_by_incarnation
     backends = (
         *fleet.backend_by_name.values(),
@@ -214,9 +220,15 @@
     parts.record_attempt(gateway.quarantine.part_history, part_fingerprints)
 
 
-def _set_accusation_delay(gateway: Gateway) -> None:
-    gateway.quarantine.accusation_delay_ms = (
-        ISOLATED_ACCUSATION_DELAY_MS if is_cut_off(gateway) else ACCUSATION_DELAY_MS
+def _update_delays(gateway: Gateway) -> None:
+    """Let the times of the quarantine follow from whether control answers."""
+    is_isolated = is_cut_off(gateway)
+    quarantine = gateway.quarantine
+    quarantine.accusation_delay_ms = (
+        ISOLATED_ACCUSATION_DELAY_MS if is_isolated else ACCUSATION_DELAY_MS
+    )
+    quarantine.provisional_ms = (
+        ISOLATED_QUARANTINE_MS if is_isolated else PROVISIONAL_QUARANTINE_MS
     )
 
 
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -206,7 +206,8 @@
         if count != self.entry_count:
             self.log("entry_count", entries=count, previous=self.entry_count)
         self.entry_count = count
-        self.quarantine.trial_spread_ms = count * TRIAL_SPACING_MS
+        instances = count or RetryBudget.ASSUMED_ENTRIES
+        self.quarantine.trial_spread_ms = instances * TRIAL_SPACING_MS
 
     def get_queue(self, service: str) -> AdmissionQueue[Chain]:
         """Return the queue of a service's requests that wait for free capacity."""
--- a/src/yuccareach/quarantine/counts.py
+++ b/src/yuccareach/quarantine/counts.py
@@ -85,7 +85,9 @@
     return (count.generation, count.losses) > (known.generation, known.losses)
 
 
-def compute_quarantine_ms(count: LossCount) -> int:
+def compute_quarantine_ms(
+    count: LossCount, provisional_ms: int = PROVISIONAL_QUARANTINE_MS
+) -> int:
     """Return how long a fingerprint is quarantined after its last loss."""
     excess = count.losses - QUARANTINE_LOSS_THRESHOLD
     if excess < 0:
@@ -94,7 +96,7 @@
         # Only counts of parts name servers.
         excess -= CONFIRMED_PART_LOSSES - QUARANTINE_LOSS_THRESHOLD
     if excess < 0:
-        return PROVISIONAL_QUARANTINE_MS
+        return provisional_ms
     return QUARANTINE_MS << min(excess, MAX_QUARANTINE_DOUBLINGS)
 
 
--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -23,6 +23,7 @@
 from yuccareach.quarantine.counts import (
     MAX_FINGERPRINTS,
     NO_LOSSES,
+    PROVISIONAL_QUARANTINE_MS,
     QUARANTINE_LOSS_THRESHOLD,
     LossCount,
     compute_quarantine_ms,
@@ -134,6 +135,8 @@
         # time.
         self.trial_spread_ms = 0
         self.trial_phase = 0.0
+        # How long the first quarantine of a part lasts.
+        self.provisional_ms = PROVISIONAL_QUARANTINE_MS
         # Parts are accused this long after a loss, when other instances have reported
         # theirs and sound parts are proven.
         self.accusation_delay_ms = 0
@@ -166,7 +169,7 @@
 
 def _find_quarantine_end_ms(table: QuarantineTable, fingerprint: bytes) -> int:
     record = table.record_by_fingerprint[fingerprint]
-    quarantine_ms = compute_quarantine_ms(record.loss_count)
+    quarantine_ms = compute_quarantine_ms(record.loss_count, table.provisional_ms)
     return record.expires_ms - compute_retention_ms(record.loss_count) + quarantine_ms
 
 
--- a/tests/gateway/test_losses.py
+++ b/tests/gateway/test_losses.py
@@ -11,13 +11,25 @@
 from yuccareach.gateway.backends import Fleet
 from yuccareach.gateway.losses import (
     add_pending_losses,
+    admit,
     confirm_crash,
     resolve_pending_losses,
 )
 from yuccareach.gateway.server_limits import ServerLimits
 from yuccareach.health.servers import record_leaving
-from yuccareach.quarantine.counts import NO_LOSSES
-from yuccareach.quarantine.table import QuarantineTable, TrackedAttempt, get_count
+from yuccareach.quarantine.counts import (
+    NO_LOSSES,
+    PROVISIONAL_QUARANTINE_MS,
+    QUARANTINE_LOSS_THRESHOLD,
+    QUARANTINE_MS,
+    LossCount,
+)
+from yuccareach.quarantine.table import (
+    QuarantineTable,
+    TrackedAttempt,
+    get_count,
+    merge_count,
+)
 
 ATTEMPT = TrackedAttempt(b"f", NO_LOSSES, "r1", "w")
 
@@ -129,3 +141,36 @@
         self.gateway.fleet.update([], ["a"])
         resolve_pending_losses(self.gateway)
         self.assertEqual(self.count_losses(), 0)
+
+
+class RefusalTests(unittest.TestCase):
+    """Requests with a part that was accused at time 0."""
+
+    def setUp(self) -> None:
+        self.gateway: Any = mock.Mock()
+        self.gateway.server_limits = ServerLimits()
+        self.gateway.quarantine = QuarantineTable()
+        self.gateway.quarantine.trial_spread_ms = 1
+        count = LossCount(0, QUARANTINE_LOSS_THRESHOLD, (1, 2, 3, 4))
+        merge_count(self.gateway.quarantine, b"part", count, QUARANTINE_MS, 0)
+
+    def admit(self, now_ms: int, *, is_cut_off: bool) -> float:
+        self.gateway.now_ms = self.gateway.boot_ms = lambda: now_ms
+        self.gateway.server_limits.contact_ms = 0 if is_cut_off else now_ms
+        return admit(self.gateway, "r1", (b"request", b"part"))
+
+    def test_gateway_that_is_cut_off_does_not_try_out_a_part_as_early(self) -> None:
+        # Guards against the loss of all servers: each gateway without control learns
+        # from trials of its own only.
+        now_ms = PROVISIONAL_QUARANTINE_MS + 1
+        self.assertGreater(self.admit(now_ms, is_cut_off=True), 10)
+        self.assertEqual(self.admit(now_ms, is_cut_off=False), 0)
+
+    def test_trial_is_logged(self) -> None:
+        self.admit(PROVISIONAL_QUARANTINE_MS + 1, is_cut_off=False)
+        self.gateway.log.assert_called_once()
+        call = self.gateway.log.call_args
+        self.assertEqual(call.args, ("trial_started",))
+        self.assertEqual(
+            (call.kwargs["request"], call.kwargs["accused"]), ("r1", "part")
+        )
