Let the soak start its faults once every control instance has a vote

Its logs: the leader of 15:54:57.771 had a group of two voters (front-0, front-2) and a third instance that was joining; at 54:59.06 the schedule wiped the disk of front-2, 1.4 s after its start. Half of the votes were lost for good, and no leader followed.

The platform counts a machine as lost until catchUpS after its start, so that the soak had two of three control instances lost where one is to be borne. bench.mixed_versions had the same fault. The soak now waits until the log of a leader names every instance as a voter.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -161,6 +161,22 @@
             program, 0
         )
 
+    async def has_all_voters(self) -> bool:
+        """Return whether every control instance has had a vote in the group.
+
+        Before that, an instance that is wiped may take half of the votes with it.
+        """
+        lines = (
+            line
+            for program in self.list_programs("control")
+            for line in self._get_log_path(program).read_text().splitlines()
+            if " event=members_changed " in line and "(non-voter)" not in line
+        )
+        members = (line.partition(" members=")[2].split(",") for line in lines)
+        return self.control_count == 1 or any(
+            len(names) == self.control_count for names in members
+        )
+
     def _write_settings(self, instance: int) -> Path:
         ports = {"front": FRONT_PORT, "ready": READY_PORT, "control": CONTROL_PORT}
         listen = {
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -200,6 +200,9 @@
         "every kind of request served after the start",
         READY_TIMEOUT_S,
     )
+    await deployment.wait_until(
+        deployment.has_all_voters, "every control instance has a vote", READY_TIMEOUT_S
+    )
     deployment.cluster_exists = True
 
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -20,7 +20,7 @@
     MAX_SOUND_DELAY_S,
     MIN_COMPARED_REQUESTS,
 )
-from bench.soak.deployment import Program
+from bench.soak.deployment import Deployment, Program
 from bench.soak.documents import (
     CRASHING_PART,
     CRASHING_PREFIX,
@@ -285,6 +285,27 @@
             self.assertGreater(other.start_s, one.start_s + one.duration_s)
 
 
+class DeploymentTests(unittest.IsolatedAsyncioTestCase):
+    async def test_control_has_all_votes_once_no_instance_is_still_joining(
+        self,
+    ) -> None:
+        folder = Path(self.enterContext(tempfile.TemporaryDirectory()))
+        deployment = Deployment(folder, 3, 0)
+        logs = [folder / f"control-{number}.log" for number in range(3)]
+        for log in logs:
+            log.write_text("time=0 event=started instance=front-0\n")
+        for members, expected in (
+            ("a,b(non-voter)", False),
+            ("a,b", False),
+            ("a,b,c(non-voter)", False),
+            ("a,b,c", True),
+        ):
+            with logs[1].open("a") as log_file:
+                log_file.write(f"time=1 event=members_changed members={members}\n")
+            with self.subTest(members=members):
+                self.assertIs(await deployment.has_all_voters(), expected)
+
+
 class SeedTests(unittest.IsolatedAsyncioTestCase):
     async def run_seed(self, plan: Plan) -> None:
         """Run a seed without checks of bounds in seconds."""
