Move refusals and trials of the quarantine into a module of their own

What counts losses stays there; what refuses requests and admits trials by those counts is quarantine/admission.py. No change in behaviour: the functions and their constants are moved as they were, and the tests of quarantine/, gateway losses and suspects pass with the new imports.

--- a/src/yuccareach/entry/quarantine.py
+++ b/src/yuccareach/entry/quarantine.py
@@ -13,7 +13,7 @@
 from yuccareach.entry import fleet
 from yuccareach.entry.events import Refusal, ReportLosses
 from yuccareach.proto import data_pb2 as pb
-from yuccareach.quarantine import reporting, table
+from yuccareach.quarantine import admission, reporting, table
 from yuccareach.quarantine.counts import LossCount
 from yuccareach.quarantine.fingerprints import compute_fingerprint
 from yuccareach.quarantine.table import TrackedAttempt
@@ -73,12 +73,14 @@
 
 def admit(state: EntryState, fingerprint: bytes, now: int) -> Refusal | None:
     """Return the refusal of a new request, or None if it may run."""
-    return _build_refusal(table.admit(state.quarantine, fingerprint, now))
+    return _build_refusal(admission.admit(state.quarantine, fingerprint, now))
 
 
 def check(state: EntryState, fingerprint: bytes, now: int) -> Refusal | None:
     """Return the refusal of a request's next attempt, or None if it may run."""
-    return _build_refusal(table.compute_refusal_ms(state.quarantine, fingerprint, now))
+    return _build_refusal(
+        admission.compute_refusal_ms(state.quarantine, fingerprint, now)
+    )
 
 
 def _build_refusal(refusal_ms: int) -> Refusal | None:
--- a/src/yuccareach/gateway/losses.py
+++ b/src/yuccareach/gateway/losses.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.server_limits import is_cut_off
-from yuccareach.quarantine import parts, reporting, table
+from yuccareach.quarantine import admission, parts, reporting, table
 from yuccareach.quarantine.counts import PROVISIONAL_QUARANTINE_MS
 from yuccareach.quarantine.fingerprints import format_fingerprint
 from yuccareach.quarantine.table import TrackedAttempt, TrackedPart
@@ -52,7 +52,7 @@
 def compute_refusal_s(gateway: Gateway, admitted: AdmittedRequest) -> float:
     """Return how long a request is to be refused, in seconds; 0 if it may run on."""
     _update_delays(gateway)
-    _, refusal_ms = table.select_refusal(
+    _, refusal_ms = admission.select_refusal(
         gateway.quarantine, admitted.fingerprints, gateway.now_ms()
     )
     return refusal_ms / 1000
@@ -65,7 +65,9 @@
     """
     _update_delays(gateway)
     now_ms = gateway.now_ms()
-    fingerprint, refusal_ms = table.admit_all(gateway.quarantine, fingerprints, now_ms)
+    fingerprint, refusal_ms = admission.admit_all(
+        gateway.quarantine, fingerprints, now_ms
+    )
     if refusal_ms:
         _log_refusal(gateway, request_id, fingerprints, fingerprint, refusal_ms)
         return refusal_ms / 1000
@@ -82,7 +84,7 @@
 
 def log_refusal(gateway: Gateway, admitted: AdmittedRequest) -> None:
     """Log why a request that was admitted before is refused now."""
-    fingerprint, refusal_ms = table.select_refusal(
+    fingerprint, refusal_ms = admission.select_refusal(
         gateway.quarantine, admitted.fingerprints, gateway.now_ms()
     )
     _log_refusal(
--- a/tests/quarantine/test_parts.py
+++ b/tests/quarantine/test_parts.py
@@ -5,7 +5,8 @@
 import itertools
 import unittest
 
-from yuccareach.quarantine import parts as part_rules, table
+from yuccareach.quarantine import admission, parts as part_rules, table
+from yuccareach.quarantine.admission import PART_TRIAL_MS
 from yuccareach.quarantine.counts import (
     CONFIRMED_PART_LOSSES,
     ISOLATION_LOSS_THRESHOLD,
@@ -22,7 +23,6 @@
 )
 from yuccareach.quarantine.parts import MAX_PARTS_REMEMBERED, MIN_ACCUSING_SERVERS
 from yuccareach.quarantine.table import (
-    PART_TRIAL_MS,
     CountChange,
     QuarantineTable,
     TrackedAttempt,
@@ -84,7 +84,7 @@
         return table.get_count(self.table, part, 0).losses
 
     def is_refused(self, part: bytes) -> bool:
-        return table.compute_refusal_ms(self.table, part, 0) > 0
+        return admission.compute_refusal_ms(self.table, part, 0) > 0
 
 
 class EvidenceTests(PartTestCase):
@@ -344,40 +344,40 @@
         self.crash_round(1, BAD)
 
     def test_quarantine_refuses_every_request_with_the_part(self) -> None:
-        refused = table.admit_all(self.table, (b"r", SHARED, BAD), 0)
+        refused = admission.admit_all(self.table, (b"r", SHARED, BAD), 0)
         self.assertEqual(refused, (BAD, PROVISIONAL_QUARANTINE_MS))
-        self.assertEqual(table.admit_all(self.table, (b"r", SHARED), 0)[1], 0)
+        self.assertEqual(admission.admit_all(self.table, (b"r", SHARED), 0)[1], 0)
 
     def test_one_trial_at_a_time_is_admitted_after_the_quarantine(self) -> None:
         end_ms = PROVISIONAL_QUARANTINE_MS
-        self.assertEqual(table.admit_all(self.table, (b"r", BAD), end_ms)[1], 0)
+        self.assertEqual(admission.admit_all(self.table, (b"r", BAD), end_ms)[1], 0)
         self.assertEqual(
-            table.admit_all(self.table, (b"q", BAD), end_ms), (BAD, PART_TRIAL_MS)
+            admission.admit_all(self.table, (b"q", BAD), end_ms), (BAD, PART_TRIAL_MS)
         )
 
     def test_part_accused_on_little_is_not_refused_for_ten_minutes(self) -> None:
         self.assertEqual(
-            table.compute_refusal_ms(self.table, BAD, 0), PROVISIONAL_QUARANTINE_MS
+            admission.compute_refusal_ms(self.table, BAD, 0), PROVISIONAL_QUARANTINE_MS
         )
 
     def test_losses_in_trials_lengthen_the_quarantine(self) -> None:
         for expected_ms in (QUARANTINE_MS, 2 * QUARANTINE_MS):
             self.crash_round(1, BAD)
-            refusal_ms = table.compute_refusal_ms(self.table, BAD, 0)
+            refusal_ms = admission.compute_refusal_ms(self.table, BAD, 0)
             self.assertEqual(refusal_ms, expected_ms)
 
     def test_part_is_not_refused_for_long_before_a_trial_has_failed(self) -> None:
         for _ in range(QUARANTINE_LOSS_THRESHOLD):
             self.crash_round(1, OTHER)
         for part in (BAD, OTHER):
-            refusal_ms = table.compute_refusal_ms(self.table, part, 0)
+            refusal_ms = admission.compute_refusal_ms(self.table, part, 0)
             self.assertGreater(refusal_ms, 0)
             self.assertLessEqual(refusal_ms, MAX_UNCONFIRMED_REFUSAL_MS)
 
     def test_caller_is_not_told_to_wait_for_the_trial_of_a_late_instance(self) -> None:
         self.table.trial_phase, self.table.trial_spread_ms = 0.9, 100_000
         for now_ms in (0, PROVISIONAL_QUARANTINE_MS):
-            refusal_ms = table.admit_all(self.table, (b"r", BAD), now_ms)[1]
+            refusal_ms = admission.admit_all(self.table, (b"r", BAD), now_ms)[1]
             self.assertGreater(refusal_ms, 0)
             self.assertLessEqual(refusal_ms, MAX_UNCONFIRMED_REFUSAL_MS)
 
@@ -389,7 +389,7 @@
         return next(
             ms
             for ms in range(end_ms, end_ms + 1_001)
-            if not table.admit_all(self.table, (b"r", part), ms)[1]
+            if not admission.admit_all(self.table, (b"r", part), ms)[1]
         )
 
     def test_instances_start_their_trials_one_after_the_other(self) -> None:
@@ -412,7 +412,7 @@
         self.crash_round(MIN_ACCUSING_SERVERS, OTHER)
         self.crash_round(1, OTHER)
         self.crash_round(1, OTHER)
-        table.admit_all(self.table, (b"r", BAD, OTHER), PROVISIONAL_QUARANTINE_MS)
+        admission.admit_all(self.table, (b"r", BAD, OTHER), PROVISIONAL_QUARANTINE_MS)
         self.assertEqual(self.table.trial_end_ms_by_fingerprint, {})
 
 
@@ -428,7 +428,9 @@
         self.end_ms = PROVISIONAL_QUARANTINE_MS
 
     def start_trial(self, *parts: bytes) -> TrackedAttempt:
-        self.assertEqual(table.admit_all(self.table, (b"r", *parts), self.end_ms)[1], 0)
+        self.assertEqual(
+            admission.admit_all(self.table, (b"r", *parts), self.end_ms)[1], 0
+        )
         return self.start_attempt(*parts)
 
     def assert_sound_part_is_tried_again(self) -> None:
@@ -474,7 +476,9 @@
         retention_ms = compute_retention_ms(count)
         table.merge_count(quarantine, BAD, count, retention_ms, 0)
         table.merge_count(quarantine, BAD, LossCount(0, 2, (2,)), QUARANTINE_MS, 9)
-        self.assertEqual(table.compute_refusal_ms(quarantine, BAD, 0), QUARANTINE_MS)
+        self.assertEqual(
+            admission.compute_refusal_ms(quarantine, BAD, 0), QUARANTINE_MS
+        )
         self.assertEqual(table.get_count(quarantine, BAD, 0).lost_servers, (1, 2))
 
 
--- a/tests/quarantine/test_progress.py
+++ b/tests/quarantine/test_progress.py
@@ -5,7 +5,7 @@
 import itertools
 import unittest
 
-from yuccareach.quarantine import table
+from yuccareach.quarantine import admission, table
 from yuccareach.quarantine.counts import QUARANTINE_LOSS_THRESHOLD
 from yuccareach.quarantine.progress import (
     MAX_POSITIONS,
@@ -35,7 +35,7 @@
         return table.record_loss(self.table, attempt, "i", 0) is not None
 
     def is_refused(self) -> bool:
-        return table.compute_refusal_ms(self.table, FINGERPRINT, 0) > 0
+        return admission.compute_refusal_ms(self.table, FINGERPRINT, 0) > 0
 
     def test_loss_before_any_new_event_counts(self) -> None:
         self.assertTrue(self.lose(0, 0))
--- a/tests/quarantine/test_reporting.py
+++ b/tests/quarantine/test_reporting.py
@@ -7,6 +7,7 @@
 
 from yuccareach.control.errors import ControlUnavailable
 from yuccareach.proto import control_pb2 as cpb
+from yuccareach.quarantine.admission import compute_refusal_ms
 from yuccareach.quarantine.counts import (
     QUARANTINE_LOSS_THRESHOLD,
     QUARANTINE_MS,
@@ -14,7 +15,7 @@
     compute_retention_ms,
 )
 from yuccareach.quarantine.reporting import LossReporter, build_log, merge_records
-from yuccareach.quarantine.table import CountChange, QuarantineTable, compute_refusal_ms
+from yuccareach.quarantine.table import CountChange, QuarantineTable
 from yuccareach.runtime.logs import Log
 
 
--- a/tests/quarantine/test_table.py
+++ b/tests/quarantine/test_table.py
@@ -4,7 +4,8 @@
 
 import unittest
 
-from yuccareach.quarantine import table
+from yuccareach.quarantine import admission, table
+from yuccareach.quarantine.admission import TRIAL_MS
 from yuccareach.quarantine.counts import (
     MAX_FINGERPRINTS,
     NO_LOSSES,
@@ -15,7 +16,6 @@
 )
 from yuccareach.quarantine.table import (
     PENDING_LOSS_RETENTION_MS,
-    TRIAL_MS,
     QuarantineTable,
     TrackedAttempt,
 )
@@ -40,7 +40,7 @@
             table.record_loss(self.table, self.start_attempt(now_ms), "i", now_ms)
 
     def compute_refusal_ms(self, now_ms: int) -> int:
-        return table.compute_refusal_ms(self.table, FINGERPRINT, now_ms)
+        return admission.compute_refusal_ms(self.table, FINGERPRINT, now_ms)
 
 
 class CountTests(TableTestCase):
@@ -96,20 +96,20 @@
     def test_one_trial_at_a_time_is_admitted_after_a_quarantine(self) -> None:
         self.lose_servers(QUARANTINE_LOSS_THRESHOLD)
         end_ms = QUARANTINE_MS
-        self.assertGreater(table.admit(self.table, FINGERPRINT, end_ms - 1), 0)
-        self.assertEqual(table.admit(self.table, FINGERPRINT, end_ms), 0)
-        self.assertEqual(table.admit(self.table, FINGERPRINT, end_ms), TRIAL_MS)
-        self.assertEqual(table.admit(self.table, FINGERPRINT, end_ms + TRIAL_MS), 0)
+        self.assertGreater(admission.admit(self.table, FINGERPRINT, end_ms - 1), 0)
+        self.assertEqual(admission.admit(self.table, FINGERPRINT, end_ms), 0)
+        self.assertEqual(admission.admit(self.table, FINGERPRINT, end_ms), TRIAL_MS)
+        self.assertEqual(admission.admit(self.table, FINGERPRINT, end_ms + TRIAL_MS), 0)
 
     def test_loss_in_a_trial_doubles_the_quarantine(self) -> None:
         self.lose_servers(QUARANTINE_LOSS_THRESHOLD)
-        table.admit(self.table, FINGERPRINT, QUARANTINE_MS)
+        admission.admit(self.table, FINGERPRINT, QUARANTINE_MS)
         self.lose_servers(1, QUARANTINE_MS)
         self.assertEqual(self.compute_refusal_ms(QUARANTINE_MS), 2 * QUARANTINE_MS)
 
     def test_answer_in_a_trial_ends_the_quarantine(self) -> None:
         self.lose_servers(QUARANTINE_LOSS_THRESHOLD)
-        table.admit(self.table, FINGERPRINT, QUARANTINE_MS)
+        admission.admit(self.table, FINGERPRINT, QUARANTINE_MS)
         table.record_answer(self.table, self.start_attempt(), QUARANTINE_MS)
         self.assertEqual(self.compute_refusal_ms(QUARANTINE_MS), 0)
 
