--- a/bench/mixed_versions.py
+++ b/bench/mixed_versions.py
@@ -34,8 +34,8 @@
 )
 from bench.soak.callers import Callers
 from bench.soak.deployment import Deployment, Program
-from bench.soak.faults import CONTROL_CATCH_UP_S
 from bench.soak.run import Operator, Plan, start_deployment
+from bench.soak.schedule import CONTROL_CATCH_UP_S
 from yuccareach.load.runner import Workload, run_load
 from yuccareach.platform.standin import get_document
 from yuccareach.proto import control_pb2 as cpb
--- a/tests/test_imports.py
+++ b/tests/test_imports.py
@@ -1,9 +1,10 @@
-"""Test that the imports between modules form no cycle."""
+"""Test that the imports between modules form no cycle, and that scripts can start."""
 
 from __future__ import annotations
 
 import ast
 import graphlib
+import importlib
 import unittest
 from pathlib import Path
 from typing import TYPE_CHECKING
@@ -12,6 +13,7 @@
     from collections.abc import Iterator
 
 SOURCE = Path("src")
+SCRIPTS = Path("bench")
 
 
 def get_module_name(path: Path) -> str:
@@ -48,3 +50,8 @@
         self.assertGreater(sum(map(len, graph.values())), len(paths))
         # Raises CycleError, which names the modules of the cycle.
         list(graphlib.TopologicalSorter(graph).static_order())
+
+    def test_script_does_not_import_a_name_that_has_moved(self) -> None:
+        for path in SCRIPTS.rglob("*.py"):
+            with self.subTest(path=path):
+                importlib.import_module(".".join(path.with_suffix("").parts))
