Refuse streams that a shutdown under way would cut

A gateway that is shutting down now works out from the chain's estimate how long a new stream is likely to take, and half of that again, and refuses it as not run if that is more than is left; another gateway serves it whole. Shorter ones are still taken.

The test fails before: the stream is begun (200) and cut.

--- a/src/yuccareach/gateway/admitted_requests.py
+++ b/src/yuccareach/gateway/admitted_requests.py
@@ -67,7 +67,7 @@
 LIMITED = "limited"
 # A caller closed its connection, whereupon CallerServer cancels the request's task.
 CALLER_LEFT = Outcome(0, "caller_left")
-# Reason of the end of a request that outlasts the grace period of a shutdown.
+# Reason of the end of a request that outlasts the grace period of a shutdown, or would.
 SHUT_DOWN = "shut_down"
 # Retry delay after it. Other gateways serve meanwhile.
 SHUT_DOWN_RETRY_DELAY_S = 0.1
@@ -155,6 +155,7 @@
     "LIMITED",
     "QUARANTINED",
     "SHUT_DOWN",
+    "SHUT_DOWN_RETRY_DELAY_S",
     "AdmittedRequest",
     "Outcome",
     "end_cancelled",
--- a/src/yuccareach/gateway/run.py
+++ b/src/yuccareach/gateway/run.py
@@ -141,13 +141,14 @@
         Requests that outlast the grace period are not waited for.
         """
         gateway = self.gateway
-        gateway.is_draining = self.caller_server.is_draining = True
+        self.caller_server.is_draining = True
         gateway.log("draining", active=gateway.active_requests)
-        deadline_s = gateway.now() + gateway.settings.grace_period_s - GRACE_MARGIN_S
+        grace_s = gateway.settings.grace_period_s - GRACE_MARGIN_S
+        gateway.shutdown_s = gateway.now() + grace_s
         await asyncio.sleep(ROTATION_EXIT_DELAY_S)
         self.caller_server.close_listeners()
         registered_s = gateway.now() + REGISTRATION_DELAY_S
-        while gateway.now() < deadline_s:
+        while gateway.now() < gateway.shutdown_s:
             self.caller_server.close_idle()
             if gateway.now() > registered_s and not self.caller_server.is_busy:
                 return
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import random
 import time
 from collections import Counter, deque
@@ -105,7 +106,8 @@
         self.recent_entry_counts: deque[tuple[float, int]] = deque()
         # In terms of get_boot_time_s().
         self.lease_until_s = 0.0
-        self.is_draining = False
+        # When a shutdown ends what is still running; infinity without one.
+        self.shutdown_s = math.inf
         self.active_requests = 0
         self.streams: set[StreamRun] = set()
         self.server_limits = ServerLimits()
@@ -178,7 +180,8 @@
     @property
     def is_ready(self) -> bool:
         """Whether the load balancer may route callers to this gateway."""
-        return self.table is not None and self.has_lease and not self.is_draining
+        is_draining = self.shutdown_s < math.inf
+        return self.table is not None and self.has_lease and not is_draining
 
     def get_retry_budget(self, service: str) -> RetryBudget:
         """Return the retry budget of a service."""
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -15,6 +15,8 @@
 from yuccareach.gateway.admitted_requests import (
     LIMITED,
     QUARANTINED,
+    SHUT_DOWN,
+    SHUT_DOWN_RETRY_DELAY_S,
     AdmittedRequest,
     Outcome,
     end_cancelled,
@@ -58,6 +60,8 @@
 # Interval between requests to the retry budget for a stream that has left an attempt
 # that might have gone on.
 BUDGET_CHECK_INTERVAL_S = 0.1
+# A stream may take this many times as long as its chain's estimate.
+MAX_DURATION_FACTOR = 1.5
 
 
 class AttemptResult(StrEnum):
@@ -122,6 +126,9 @@
             is_refused = compute_refusal_s(run.gateway, run.admitted) > 0
             reason = QUARANTINED if is_refused else "no_room"
             return _end_unserved(run, may_have_run, 502, reason)
+        if not run.attempts and _may_outlast_shutdown(run, chain):
+            run.queue.withdraw_grant(run.tokens)
+            return send_refusal(run.reply, SHUT_DOWN_RETRY_DELAY_S, SHUT_DOWN)
         run.attempts += 1
         run.retry_reserved = False
         result = await _run_attempt(run, chain)
@@ -147,6 +154,16 @@
             return _end_unserved(run, True, 502, "broken")
 
 
+def _may_outlast_shutdown(run: StreamRun, chain: Chain) -> bool:
+    """Return whether a stream that starts now might be cut by a shutdown under way.
+
+    Another gateway can serve it whole.
+    """
+    tokens = run.admitted.metadata.expected_answer_tokens
+    duration_s = MAX_DURATION_FACTOR * tokens * chain.token_ms / 1000
+    return run.gateway.now() + duration_s > run.gateway.shutdown_s
+
+
 async def _count_losses(run: StreamRun, result: AttemptResult) -> None:
     """Record a complete answer or possible losses of the attempt that has ended.
 
--- a/src/yuccareach/tracing/explanation.py
+++ b/src/yuccareach/tracing/explanation.py
@@ -22,6 +22,7 @@
     "timed_out": "no answer came before its deadline or the route's timeout",
     "outcome_unknown": "it was sent but not answered completely, so it may have run",
     "not_run": "no backend server ran it",
+    "shut_down": "its gateway was shutting down, and it would have outlasted that",
     "caller_left": "its caller closed the connection",
     "no_route": "no route of the table in force matches its host and path",
     "unknown_key": "its key belongs to no workspace of the table in force",
--- a/tests/platform/test_whole_path.py
+++ b/tests/platform/test_whole_path.py
@@ -411,6 +411,21 @@
         self.assertTrue(answer.is_complete)
         self.assertEqual(len(read_event_ids(answer)), 70)
 
+    async def test_stream_too_long_for_the_rest_of_a_shutdown_is_not_accepted(
+        self,
+    ) -> None:
+        await self.add_pipeline("z1")
+        await self.wait_until_known("z1-1", "z1-2", "z1-3")
+        drain = asyncio.create_task(self.gateway.drain())
+        await self.wait_until(lambda: not self.gateway.gateway.is_ready)
+        short = await self.send_request("/draft/1", "short", events=10)
+        self.assertEqual(len(read_event_ids(short)), 10)
+        long = await self.send_request("/draft/1", "long", events=4_000)
+        self.assertEqual(long.status, 503)
+        self.assertLess(float(long.headers["Retry-After"]), 1.0)
+        self.assertNotIn("long", self.group.executed_request_ids)
+        await drain
+
     async def test_call_that_outlasts_the_grace_period_is_not_cut_off(self) -> None:
         runner = await self.add_runner("p1")
         await self.wait_until_known("p1")
