--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -60,8 +60,10 @@
 # Interval between requests to the retry budget for a stream that has left an attempt
 # that might have gone on.
 BUDGET_CHECK_INTERVAL_S = 0.1
-# A stream may take this many times as long as its chain's estimate.
-MAX_DURATION_FACTOR = 1.5
+# An answer is rarely this many times as long as its caller expects, and its tokens
+# rarely take this many times as long as estimated of the chain.
+MAX_LENGTH_FACTOR = 2.0
+MAX_TOKEN_TIME_FACTOR = 1.5
 
 
 class AttemptResult(StrEnum):
@@ -159,8 +161,10 @@
 
     Another gateway can serve it whole.
     """
-    tokens = run.admitted.metadata.expected_answer_tokens
-    duration_s = MAX_DURATION_FACTOR * tokens * chain.token_ms / 1000
+    metadata = run.admitted.metadata
+    likely_tokens = MAX_LENGTH_FACTOR * metadata.expected_answer_tokens
+    tokens = min(likely_tokens, metadata.max_answer_tokens)
+    duration_s = MAX_TOKEN_TIME_FACTOR * tokens * chain.token_ms / 1000
     return run.gateway.now() + duration_s > run.gateway.shutdown_s
 
 
