--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -128,7 +128,7 @@
             is_refused = compute_refusal_s(run.gateway, run.admitted) > 0
             reason = QUARANTINED if is_refused else "no_room"
             return _end_unserved(run, may_have_run, 502, reason)
-        if not run.attempts and _may_outlast_shutdown(run, chain):
+        if not may_have_run and _may_outlast_shutdown(run, chain):
             run.queue.withdraw_grant(run.tokens)
             return send_refusal(run.reply, SHUT_DOWN_RETRY_DELAY_S, SHUT_DOWN)
         run.attempts += 1
