--- a/src/yuccareach/quarantine/table.py
+++ b/src/yuccareach/quarantine/table.py
@@ -46,6 +46,8 @@
 if TYPE_CHECKING:
     from collections.abc import Container, Iterable, Iterator
 
+    from yuccareach.quarantine.parts import Candidate
+
 # An unconfirmed loss is dropped after this time. By then, control has removed a backend
 # server that is gone, also if another control instance received its heartbeats.
 PENDING_LOSS_RETENTION_MS = 15_000
@@ -327,12 +329,7 @@
     Their trials have no result, so that others may start.
     """
     suspects = [
-        build_candidate(
-            table.part_history,
-            part.fingerprint,
-            part.known_count,
-            get_count(table, part.fingerprint, now_ms),
-        )
+        _build_candidate(table, part, now_ms)
         for attempt in attempts
         for part in attempt.parts
         if part.known_count.losses
@@ -343,6 +340,15 @@
     return excused
 
 
+def _build_candidate(
+    table: QuarantineTable, part: TrackedPart, now_ms: int
+) -> Candidate:
+    count = get_count(table, part.fingerprint, now_ms)
+    return build_candidate(
+        table.part_history, part.fingerprint, part.known_count, count
+    )
+
+
 def _count_part_losses(
     table: QuarantineTable,
     attempt: TrackedAttempt,
@@ -386,15 +392,7 @@
     table: QuarantineTable, charge: Charge, incarnation: str, now_ms: int
 ) -> Iterator[CountChange]:
     attempt_by_part = {part.fingerprint: attempt for attempt, part in charge.parts}
-    charged_parts = [
-        build_candidate(
-            table.part_history,
-            part.fingerprint,
-            part.known_count,
-            get_count(table, part.fingerprint, now_ms),
-        )
-        for _, part in charge.parts
-    ]
+    charged_parts = [_build_candidate(table, part, now_ms) for _, part in charge.parts]
     if not any(is_accusable(item) for item in charged_parts):
         return
     count_by_fingerprint = {
