Excuse streams that do not begin while their whole service takes no requests

The check excused only a service that refuses as a whole with Retry-After; a limit of zero at every server is the same. A service of which one server takes something is judged as before, and a limit above zero excuses nothing (tests).

--- a/bench/soak/observations.py
+++ b/bench/soak/observations.py
@@ -106,7 +106,10 @@
 
 
 def do_all_refuse(runners: list[SoakRunner], service: str, at_s: float) -> bool:
-    """Return whether every server to which requests are sent asks for none."""
+    """Return whether every server to which requests are sent asks for none.
+
+    It does so by a refusal with Retry-After, or by stating a limit of zero.
+    """
     present = [
         runner
         for runner in runners
@@ -116,11 +119,24 @@
         and (runner.closed_s is None or at_s < runner.closed_s)
     ]
     return bool(present) and all(
-        any(iterate_overlaps(runner.refusals, at_s, at_s + REFUSAL_SPAN_S))
+        any(
+            iterate_overlaps(
+                _list_spans_without_demand(runner), at_s, at_s + REFUSAL_SPAN_S
+            )
+        )
         for runner in present
     )
 
 
+def _list_spans_without_demand(runner: SoakRunner) -> list[tuple[float, float]]:
+    unwanted = [
+        (span.started_s, span.ended_s)
+        for span in runner.limit_spans
+        if not span.limit_per_s
+    ]
+    return [*runner.refusals, *unwanted]
+
+
 def is_run(runner: SoakRunner, arrival: Arrival) -> bool:
     """Return whether a server did not state that it rejects a request."""
     return all(item.arrival != arrival for item in runner.rejections)
--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -12,6 +12,7 @@
     19: "the soak restarted an instance that lost its disk with bootstrap set",
     23: "the soak restarted an instance that lost its disk with bootstrap set",
     37: "gateways were scraped one after another, for longer than the bound allows",
+    501: "streams were expected to begin while their whole service took no requests",
     412: "a control instance was wiped while the group had two voters",
 }
 
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -33,7 +33,7 @@
     MAX_REVOCATION_DELAY_S,
 )
 from bench.soak.run import Plan, run_seed
-from bench.soak.runners import Arrival, SoakRunner
+from bench.soak.runners import Arrival, LimitSpan, SoakRunner
 from bench.soak.schedule import MORE_FAULTS_PER_S, make_schedule
 from bench.soak.seeds import REGRESSIONS
 from tests.soak import (
@@ -264,6 +264,22 @@
             self.check_part(before=half * 2, refusals=whole, others=(other,)), []
         )
 
+    def test_only_a_service_that_takes_nothing_as_a_whole_excuses_them(self) -> None:
+        half = MIN_COMPARED_REQUESTS // 2
+        other = make_runner(name="i-9", started_s=0.0)
+        for limit_per_s, other_limit_per_s, count in (
+            (0.0, 0.0, 0),
+            (0.0, 0.5, 1),
+            (0.5, 0.5, 1),
+        ):
+            with self.subTest(limits=(limit_per_s, other_limit_per_s)):
+                other.limit_spans = [LimitSpan(0.0, 100.0, other_limit_per_s)]
+                spans = [LimitSpan(0.0, 100.0, limit_per_s)]
+                violations = self.check_part(
+                    before=half * 2, limit_spans=spans, others=(other,)
+                )
+                self.assertEqual(len(violations), count)
+
 
 class ScheduleTests(unittest.TestCase):
     def test_each_seed_has_each_of_the_newer_faults(self) -> None:
