End the limit of a later stage once its reports state none

Cause: later stages answer no requests. Their limits are read from the reports that gateways ask for when a stream stalls; nothing asked again, and a report without a limit was no statement. The class is that of the rule's life: what is learnt by chance is never unlearnt.

A first stage's report ends nothing.

test_limit_of_a_later_stage_ends_once_it_is_not_stated_any_more fails before.

--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -106,10 +106,19 @@
         self.last_probe_s = -1.0
         # Whether a request for a report waits for the end of a silence.
         self.is_recontacted = False
+        # When this entry last asked whether the server's limit still holds, and the
+        # part of the mean interval after which it asks again.
+        self.last_limit_recheck_s = -math.inf
+        self.recheck_factor = 1.0
         # Multiple of the server's expected times, and when it was last queried.
         self.slowdown = 1.0
         self.last_slowdown_query_s = -10.0
 
+    @property
+    def is_later_stage(self) -> bool:
+        """Whether the server only gets what earlier stages pass on to it."""
+        return self.announcement.first_layer > 0
+
     @property
     def name(self) -> str:
         """The server's name, which a later incarnation may share."""
--- a/src/yuccareach/gateway/run.py
+++ b/src/yuccareach/gateway/run.py
@@ -8,6 +8,7 @@
 
 from yuccareach.gateway.handler import handle
 from yuccareach.gateway.http_server import CallerRequest, CallerServer, Reply
+from yuccareach.gateway.limit_rechecks import recheck_limits
 from yuccareach.gateway.probes import retry_unreachable_backends
 from yuccareach.gateway.server_limits import count_limited
 from yuccareach.gateway.stalls import watch_streams
@@ -80,6 +81,7 @@
                 self._report_losses,
                 self._watch_streams,
                 self._retry_backends,
+                self._recheck_limits,
             )
         ]
         self.gateway.log("started", address=self.addresses.callers)
@@ -91,6 +93,9 @@
     async def _watch_streams(self) -> None:
         await watch_streams(self.gateway)
 
+    async def _recheck_limits(self) -> None:
+        await recheck_limits(self.gateway)
+
     async def _retry_backends(self) -> None:
         await retry_unreachable_backends(self.gateway)
 
--- a/src/yuccareach/gateway/server_calls.py
+++ b/src/yuccareach/gateway/server_calls.py
@@ -24,7 +24,7 @@
         gateway.dialect.report_path,
         b"",
         timeout_s,
-        read_response=build_response_reader(gateway, backend),
+        read_response=build_response_reader(gateway, backend, is_report=True),
     )
     return _check_response(gateway, backend, report)
 
--- a/src/yuccareach/gateway/server_limits.py
+++ b/src/yuccareach/gateway/server_limits.py
@@ -29,6 +29,8 @@
 # A request is sent within this time after it has taken its grants. One that is not, as
 # its process was paused or a chain was reserved ahead, needs new ones.
 MAX_SEND_DELAY_MS = 500
+# Demand counts as recent for this long.
+DEMAND_RETENTION_MS = 2_000
 # Retry delays of requests that the limits leave no room for.
 MIN_RETRY_DELAY_S = 0.2
 MAX_RETRY_DELAY_S = 6.0
@@ -124,6 +126,12 @@
     holdings.record_miss(_get_holding(gateway, backend), request, gateway.boot_ms())
 
 
+def has_recent_demand(gateway: Gateway, backend: Backend) -> bool:
+    """Return whether requests were sent to a limited server, or missed a grant."""
+    last_ms = _get_holding(gateway, backend).last_demand_ms
+    return last_ms is not None and gateway.boot_ms() - last_ms < DEMAND_RETENTION_MS
+
+
 def _build_share(gateway: Gateway, backend: Backend) -> Share | None:
     """Return the share of a server's limit, or None if it states none."""
     limit_per_s = get_limit_per_s(backend.health)
@@ -343,6 +351,7 @@
     "cancel_reservation",
     "count_limited",
     "estimate_interval_s",
+    "has_recent_demand",
     "is_cut_off",
     "log_limit",
     "may_send",
--- a/src/yuccareach/gateway/server_notices.py
+++ b/src/yuccareach/gateway/server_notices.py
@@ -22,17 +22,24 @@
     from yuccareach.gateway.dialect import Headers, ResponseMetadata
     from yuccareach.gateway.state import Gateway
 
+# Of a report that a server has made.
+REPORT_STATUS = 200
 # Of a malformed value of a header.
 MAX_LOGGED_CHARACTERS = 80
 
 
 def build_response_reader(
-    gateway: Gateway, backend: Backend, request_id: bytes | None = None
+    gateway: Gateway,
+    backend: Backend,
+    request_id: bytes | None = None,
+    *,
+    is_report: bool = False,
 ) -> Callable[[int, Headers], ResponseMetadata]:
     """Return a decoder of the answers to a request that is sent now.
 
     It records what they say of their server. A late answer to an earlier request has
-    another request id, and its limit is not recorded, since it may be out of date.
+    another request id, and its limit is not recorded, since it may be out of date. The
+    limit of a later stage is known from its reports, so that one without it ends it.
     """
     sent_ms = gateway.boot_ms()
 
@@ -40,6 +47,8 @@
         metadata = gateway.dialect.read_response(status, headers)
         record_contact(backend.health)
         record_notices(gateway, backend, metadata)
+        if is_report and status == REPORT_STATUS and backend.is_later_stage:
+            metadata = metadata._replace(is_statement=True)
         if request_id is None or metadata.request_id in (None, request_id):
             _record_limit(gateway, backend, metadata, sent_ms)
         return metadata
--- a/tests/gateway/test_server_notices.py
+++ b/tests/gateway/test_server_notices.py
@@ -111,6 +111,19 @@
         self.gateway.boot_ms = lambda: now_ms
         build_response_reader(self.gateway, self.backend)(200, headers)
 
+    def test_report_without_a_limit_ends_that_of_a_later_stage_only(self) -> None:
+        for first_layer, status, expected in (
+            (0, 200, 2.0),
+            (40, 200, None),
+            (40, 503, 2.0),
+        ):
+            with self.subTest(first_layer=first_layer, status=status):
+                backend = build_backend("a", "z", "l4", first_layer, 80)
+                reader = build_response_reader(self.gateway, backend, is_report=True)
+                reader(200, [(b"server-limit", b"2")])
+                reader(status, [])
+                self.assertEqual(get_limit_per_s(backend.health), expected)
+
     async def test_notice_counts_before_the_body_has_arrived(self) -> None:
         was_read = asyncio.Event()
 
--- a/tests/platform/test_limited_servers.py
+++ b/tests/platform/test_limited_servers.py
@@ -270,6 +270,23 @@
         for answer in answers:
             self.assertIn(answer.status, (200, 503))
 
+    async def test_limit_of_a_later_stage_ends_once_it_is_not_stated_any_more(
+        self,
+    ) -> None:
+        later = (self.near_runners[1], self.far_runners[1])
+        for runner in later:
+            runner.faults.stated_limits = ("0.5",)
+            for process in self.gateways:
+                backend = process.gateway.fleet.backend_by_name[runner.name]
+                await request_report(process.gateway, backend, 1.0)
+        answers = await self.apply_load(10.0, 2.0)
+        self.assertIn(503, {answer.status for answer in answers})
+        for runner in later:
+            runner.faults.stated_limits = ()
+        # No answer of a later stage reaches a gateway unless it asks for one.
+        await self.apply_load(10.0, CONTACT_S)
+        self.check_all_served(await self.apply_load(10.0, 1.0))
+
     async def test_stream_that_no_chain_takes_in_time_is_refused_at_once(self) -> None:
         for runner in (self.near_runners[0], self.far_runners[0]):
             runner.faults.stated_limits = ("0",)
