--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -9,6 +9,7 @@
 
 import matplotlib
 
+from yuccareach.gateway.limit_rechecks import REPORT_SPACING_S
 from yuccareach.quarantine.parts import MIN_ACCUSING_SERVERS
 
 matplotlib.use("Agg")
@@ -567,7 +568,9 @@
         f"held back. A limit takes {cost['bytes_per_limit']:.0f} bytes at the leader: "
         f"{limited * cost['bytes_per_limit'] / 1e6:.1f} MB with {LIMITED_SHARE:.0%} of "
         f"{RUNNER_COUNT} servers limited; a request takes {cost['send_us']:.1f} µs more "
-        "at each limited server that it reaches. Without limits there is nothing to "
+        "at each limited server that it reaches. A limited later stage that holds "
+        f"requests back is asked for {1 / REPORT_SPACING_S:.0f} reports a second by all "
+        "gateways together, however many there are. Without limits there is nothing to "
         "send. What breaks first is the leader's processor time, where most servers "
         "are limited and each gateway uses many of them: then each service, or each "
         "zone, needs a granting instance of its own, which the design allows, since "
