--- a/src/yuccareach/control/options.py
+++ b/src/yuccareach/control/options.py
@@ -15,11 +15,13 @@
 
     Ports of 0 let the operating system choose one. advertise is the address at which
     others reach the gRPC service; empty stands for the one bound.
+
+    Without a data folder, all state is in memory and the instance never votes.
     """
 
     instance: str
     availability_zone: str
-    data: Path
+    data: Path | None
     host: str = "127.0.0.1"
     port: int = 0
     http_port: int = 0
@@ -36,9 +38,6 @@
     # Number of voters to maintain; 0 adds every instance that joins under a new name as
     # a voter. One that joins under a voter's name replaces that voter.
     voters: int = 0
-    # Whether the data folder may be lost in a restart, so that this instance must not
-    # vote.
-    volatile: bool = False
     # Address for operators to which other instances redirect; empty for the one bound.
     operator_address: str = ""
 
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -17,6 +17,7 @@
     save_members_periodically,
 )
 from yuccareach.control.members import MemberTable
+from yuccareach.control.memory_store import MemoryStore
 from yuccareach.control.operators import build_operator_app
 from yuccareach.control.peers import PeerStreams
 from yuccareach.control.persistence import persist
@@ -73,7 +74,7 @@
         self.build_app = build_app
         self.join_targets = options.join
         self.backup = read_backup(options.restore)
-        self.store = DiskStore(options.data, options.instance)
+        self.store = _open_store(options)
         self.state = self._load_state()
         self.run_id = new_incarnation()
         self.members = MemberTable(
@@ -165,7 +166,7 @@
             identity=self.state.identity,
             address=self.address,
             operator_address=self.options.operator_address or self.http.address,
-            volatile=self.options.volatile,
+            volatile=self.options.data is None,
         )
 
     # Events and effects.
@@ -447,6 +448,13 @@
         _log.info("stopped")
 
 
+def _open_store(options: ControlOptions) -> DiskStore | MemoryStore:
+    """Return the storage of the data folder, or one in memory without a folder."""
+    if options.data is None:
+        return MemoryStore(options.instance)
+    return DiskStore(options.data, options.instance)
+
+
 def _reject_waiters(waiter_by_ticket: dict[int, asyncio.Future[Any]]) -> None:
     """Reject all waiting callers with the reason disk_failed."""
     for waiter in waiter_by_ticket.values():
--- a/src/yuccareach/platform/run_control.py
+++ b/src/yuccareach/platform/run_control.py
@@ -36,9 +36,6 @@
 HEARTBEAT_MARGIN_MS = 500
 # Log entries between two snapshots.
 SNAPSHOT_INTERVAL_ENTRIES = 64
-# Data folder of an instance without a persistent one.
-VOLATILE_DATA_FOLDER = "/tmp/yuccareach-control"
-
 
 _log = logger("platform")
 
@@ -99,8 +96,7 @@
     return ControlOptions(
         instance=settings.instance,
         availability_zone=settings.zone,
-        data=Path(settings.data_folder or VOLATILE_DATA_FOLDER),
-        volatile=not settings.data_folder,
+        data=Path(settings.data_folder) if settings.data_folder else None,
         host=settings.host,
         port=settings.peer_port,
         http_port=int(port),
--- a/src/yuccareach/platform/settings.py
+++ b/src/yuccareach/platform/settings.py
@@ -61,7 +61,7 @@
     # set, the first one starts the cluster.
     seeds: list[str]
     bootstrap: bool = False
-    # Without a folder, control keeps its state in a volatile one and never votes.
+    # Without a folder, control keeps its state in memory and never votes.
     dataDir: str | None = None
     heartbeatMs: int = 1_200
     limits: _Limits = msgspec.field(default_factory=_Limits)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -41,7 +41,7 @@
 
     def test_instance_without_a_data_folder_never_votes_or_bootstraps(self) -> None:
         options = build_control_options(self.load(dataDir=None))
-        self.assertTrue(options.volatile)
+        self.assertIsNone(options.data)
         self.assertFalse(options.bootstrap)
 
     def test_error_of_an_invalid_file_is_one_line(self) -> None:
