--- a/src/yuccareach/control/joining.py
+++ b/src/yuccareach/control/joining.py
@@ -52,6 +52,9 @@
 def _should_join(process: ControlProcess) -> bool:
     """Return whether this instance is not a member or lost contact with a leader."""
     state = process.state
+    if state.role is Role.FAILED:
+        # It may be known under an identity that it could not load.
+        return False
     if not state.address_of(state.identity):
         return True
     since_contact_ms = monotonic_ms() - state.last_leader_contact_ms
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -31,6 +31,7 @@
     RequestRefused,
     Role,
     SendMessage,
+    StoredState,
     WriteFailed,
 )
 from yuccareach.control.server import ControlService, Watcher
@@ -75,7 +76,7 @@
         self.join_targets = options.join
         self.backup = read_backup(options.restore)
         self.store = _open_store(options)
-        self.state = self._load_state()
+        self.state = self._load_state_or_fail()
         self.run_id = new_incarnation()
         self.members = MemberTable(
             monotonic_ms(), options.member_lease_ms, options.member_warm_up_ms
@@ -129,6 +130,22 @@
             self.options.voters,
         )
 
+    def _load_state_or_fail(self) -> RaftState:
+        """Load the state, or one that takes no part until the disk is usable.
+
+        A process that ended instead would be restarted again and again, and could not
+        receive heartbeats meanwhile.
+        """
+        try:
+            return self._load_state()
+        except DiskFailed as error:
+            _log.warning("disk_unusable", extra={"reason": str(error)})
+            stored = StoredState(cpb.HardState(), cpb.SnapshotFile(), [])
+            state = RaftState("", stored, StateMachine(), Random(), 0)
+            state.role = Role.FAILED
+            state.failure = str(error)
+            return state
+
     async def start(self) -> None:
         """Open the listeners, initialize the log if requested and start the tasks."""
         options = self.options
@@ -139,11 +156,7 @@
         add_ControlServicer_to_server(ControlService(self), self.server)
         await self.server.start()
         await self.http.start()
-        if options.restore is not None:
-            self.perform(raft.restore(self.state, self.own_peer(), self.backup))
-        elif options.bootstrap:
-            now = monotonic_ms()
-            self.perform(raft.bootstrap(self.state, self.own_peer(), now))
+        self._initialize_log()
         self.tasks = [
             asyncio.create_task(keep_running(run_loop, partial(write_log, _log)))
             for run_loop in (
@@ -159,6 +172,16 @@
             extra={"address": self.address, "http": self.http.address},
         )
 
+    def _initialize_log(self) -> None:
+        """Start a new log if requested, unless there is one or the disk has failed."""
+        if self.state.role is Role.FAILED:
+            return
+        if self.options.restore is not None:
+            self.perform(raft.restore(self.state, self.own_peer(), self.backup))
+        elif self.options.bootstrap:
+            now = monotonic_ms()
+            self.perform(raft.bootstrap(self.state, self.own_peer(), now))
+
     def own_peer(self) -> cpb.Peer:
         """Return the description of this instance that is sent to the others."""
         return cpb.Peer(
@@ -401,6 +424,7 @@
             return
         self.state = self.peers.state = state
         _log.info("disk_usable", extra={"last_index": state.last_index})
+        self._initialize_log()
 
     def list_watch_requests(self) -> list[cpb.WatchRequest]:
         """Return the last request of each watcher of any control instance.
--- a/tests/platform/test_control_disks.py
+++ b/tests/platform/test_control_disks.py
@@ -1,4 +1,4 @@
-"""Tests of control instances without a data folder."""
+"""Tests of control instances without a data folder, or with one that refuses writes."""
 
 from __future__ import annotations
 
@@ -11,6 +11,7 @@
 from tests.platform.deployment import DeploymentTestCase, find_free_port
 from tests.platform.examples import build_document
 from yuccareach.control.raft_types import Role
+from yuccareach.control.store import DiskStore
 from yuccareach.platform.run_control import PlatformControl
 from yuccareach.platform.standin import get_document, put_document
 
@@ -88,3 +89,22 @@
         for version in range(20, 30):
             await put_document(self.control_address, build_document(version=version))
         self.assertFalse(_list_voters()[identity])
+
+
+class RefusingDiskTests(SecondControlTestCase):
+    async def test_control_ended_at_its_start_while_its_disk_was_full(self) -> None:
+        full = OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        with mock.patch("os.fsync", side_effect=full):
+            await self.add_second_control(str(self.folder / "full"))
+            process = self.second.process
+            self.assertIs(process.state.role, Role.FAILED)
+            # It still takes heartbeats, and forwards them once it has joined.
+            self.control_address = self.second_address
+            await self.add_runner("p-1")
+            await self.wait_until(
+                lambda: "p-1" in self.second.process.members.record_by_name
+            )
+        await self.wait_until(lambda: process.state.role is Role.FOLLOWER)
+        await self.wait_until(self.knows_leader)
+        await self.wait_until_known("p-1")
+        self.assertIsInstance(process.store, DiskStore)
