--- a/src/yuccareach/platform/check.py
+++ b/src/yuccareach/platform/check.py
@@ -1,8 +1,9 @@
-"""The check command: lists all errors of a routing document or settings file."""
+"""The check command: lists all errors of a document, settings file or deploy file."""
 
 from __future__ import annotations
 
 import sys
+import tomllib
 from pathlib import Path
 from typing import Any
 
@@ -10,6 +11,7 @@
 import msgspec
 import yaml
 
+from yuccareach.platform.deploy_file import find_deploy_errors
 from yuccareach.platform.documents import (
     DOCUMENT_ITEM_TYPES,
     Document,
@@ -42,6 +44,15 @@
     )
 
 
+def check_deploy_file(content: bytes) -> list[str]:
+    """Return all errors of the file that says which processes run where."""
+    try:
+        decoded = tomllib.loads(content.decode())
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+        return [f"invalid TOML: {error}"]
+    return find_deploy_errors(decoded)
+
+
 def _find_type_errors(
     decoded: Any, file_type: Any, item_types: dict[str, Any]
 ) -> list[str]:
@@ -79,10 +90,9 @@
 @click.command()
 @click.argument("file", type=click.Path(exists=True, dir_okay=False, path_type=Path))
 def check(file: Path) -> None:
-    """Check a process's settings file (.yaml) or a routing document (.json)."""
-    content = file.read_bytes()
-    is_document = file.suffix == ".json"
-    errors = check_document(content) if is_document else check_settings(content)
+    """Check a settings file (.yaml), a routing document (.json) or the deploy file."""
+    check_by_suffix = {".json": check_document, ".toml": check_deploy_file}
+    errors = check_by_suffix.get(file.suffix, check_settings)(file.read_bytes())
     for error in errors:
         click.echo(f"{file}: {error}", err=True)
     if errors:
@@ -91,4 +101,4 @@
     click.echo(f"{file}: valid")
 
 
-__all__ = ["check", "check_document", "check_settings"]
+__all__ = ["check", "check_deploy_file", "check_document", "check_settings"]
--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -63,7 +63,7 @@
         self.assertIn("internalPorts", result.output)
 
     def test_file_with_a_syntax_error_has_one_error(self) -> None:
-        for name, text in (("d.json", "{"), ("s.yaml", "a: [")):
+        for name, text in (("d.json", "{"), ("s.yaml", "a: ["), ("d.toml", "a =")):
             result = self.check(name, text)
             self.assertEqual(result.exit_code, 2)
             self.assertIn("1 faults", result.output)
