--- a/src/yuccareach/control/peers.py
+++ b/src/yuccareach/control/peers.py
@@ -87,8 +87,11 @@
             self._outbox(address).put(self._frame(messages=[message]))
 
     def broadcast(self, **content: Any) -> None:
-        """Queue a frame with the given fields for every other control instance."""
-        for identity in self.state.other_identities:
+        """Queue a frame for every other control instance that may lead.
+
+        Only a leader uses members that others relay.
+        """
+        for identity in self.state.durable_identities:
             frame = self._frame(**content)
             self._outbox(self.state.address_of(identity)).put(frame)
 
--- a/src/yuccareach/control/raft_types.py
+++ b/src/yuccareach/control/raft_types.py
@@ -155,9 +155,9 @@
     messages_in_flight counts messages with records or a snapshot chunk that await a
     reply; it is an estimate, since replies to heartbeats lower it too. last_contact_ms
     is the time of the follower's last reply, last_sent_ms that of the last records or
-    snapshot chunk sent to it. confirmed_round is the newest read round that it replied
-    to. snapshot_offset is the offset of the chunk sent or due next, or None while no
-    snapshot is being sent.
+    snapshot chunk sent to it. sent_round is the newest read round that was sent to it,
+    confirmed_round the newest that it replied to. snapshot_offset is the offset of the
+    chunk sent or due next, or None while no snapshot is being sent.
     """
 
     def __init__(self, next_index: int, now_ms: int) -> None:
@@ -166,6 +166,7 @@
         self.messages_in_flight = 0
         self.last_contact_ms = now_ms
         self.last_sent_ms = now_ms
+        self.sent_round = 0
         self.confirmed_round = 0
         self.snapshot_offset: int | None = None
 
@@ -279,6 +280,15 @@
             if peer.identity != self.identity
         ]
 
+    @property
+    def durable_identities(self) -> list[str]:
+        """Identities of the other control instances that may lead now or later."""
+        return [
+            peer.identity
+            for peer in self.membership.peers
+            if peer.identity != self.identity and not peer.volatile
+        ]
+
     @property
     def is_voter(self) -> bool:
         """Whether this instance may vote and become leader."""
--- a/src/yuccareach/control/replication.py
+++ b/src/yuccareach/control/replication.py
@@ -47,13 +47,17 @@
         progress = state.progress_by_peer.setdefault(
             peer, Progress(state.last_index + 1, now)
         )
-        effects += _replicate_to(state, peer, progress, heartbeat_due, now)
+        sent = _replicate_to(state, peer, progress, heartbeat_due, now)
+        if sent:
+            progress.sent_round = state.read_round
+        effects += sent
     return effects
 
 
 def _replicate_to(
     state: RaftState, peer: str, progress: Progress, heartbeat_due: bool, now: int
 ) -> Effects:
+    """Send what a follower lacks, or a message without records if one is due."""
     if progress.messages_in_flight and now - progress.last_sent_ms > RESEND_TIMEOUT_MS:
         # Messages may have been lost: send again from the last known matching record.
         progress.messages_in_flight = 0
@@ -71,14 +75,21 @@
         progress.next_index += len(records)
         progress.messages_in_flight += 1
         progress.last_sent_ms = now
-    if effects or not (heartbeat_due or _has_unconfirmed_round(state, progress)):
+    if effects or not (heartbeat_due or _has_unsent_round(state, peer, progress)):
         return effects
     return [_send_append(state, peer, progress.next_index, [])]
 
 
-def _has_unconfirmed_round(state: RaftState, progress: Progress) -> bool:
-    """Return whether a read waits and this follower has not confirmed its round."""
-    return bool(state.pending_reads) and progress.confirmed_round < state.read_round
+def _has_unsent_round(state: RaftState, peer: str, progress: Progress) -> bool:
+    """Return whether a read waits whose round has not been sent to this voter.
+
+    A lost message is made up for by the next heartbeat, which carries the round, too.
+    """
+    return (
+        bool(state.pending_reads)
+        and progress.sent_round < state.read_round
+        and peer in state.voter_identities
+    )
 
 
 def _send_append(
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -37,7 +37,11 @@
 from yuccareach.control.server import ControlService, Watcher
 from yuccareach.control.state_machine import StateMachine, load_state_machine
 from yuccareach.control.store import DiskStore
-from yuccareach.control.views import EntryReports, ReadBatcher
+from yuccareach.control.views import (
+    READ_ROUND_INTERVAL_S,
+    EntryReports,
+    ReadBatcher,
+)
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import add_ControlServicer_to_server
 from yuccareach.quota.allocation import AllocationTable
@@ -85,7 +89,9 @@
         # Of the term in which this instance leads.
         self._limit_allocations = AllocationTable()
         self._limits_term = 0
-        self.read_batcher = ReadBatcher(lambda: self.dispatch_and_wait(ReadRequested))
+        self.read_batcher = ReadBatcher(
+            lambda: self.dispatch_and_wait(ReadRequested), READ_ROUND_INTERVAL_S
+        )
         saved_heartbeats = self.store.load_members().heard
         self.members.restore((item.member for item in saved_heartbeats), monotonic_ms())
         self.saved_members_version = self.members.version
--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -37,6 +37,9 @@
 # Entries that must report an incarnation as unreachable before control loads its
 # layers on other backend servers.
 MIN_UNREACHABLE_REPORTS = 2
+# Interval between confirmations of leadership. Each view waits for one, so that this
+# adds to the time until entries learn of a change.
+READ_ROUND_INTERVAL_S = 0.025
 # A view carries at most this many loss counts; the entry's next poll gets more.
 MAX_LOSSES_PER_VIEW = 1_000
 
@@ -173,11 +176,16 @@
     """Confirms reads by a quorum, with one round for all reads that wait.
 
     A round confirms only reads that were requested before it started. A read that is
-    requested during a round therefore waits for the next one.
+    requested during a round therefore waits for the next one. Rounds start at least
+    min_interval_s apart, since each costs messages to all voters and back.
     """
 
-    def __init__(self, run_round: Callable[[], Awaitable[None]]) -> None:
+    def __init__(
+        self, run_round: Callable[[], Awaitable[None]], min_interval_s: float = 0.0
+    ) -> None:
         self.run_round = run_round
+        self.min_interval_s = min_interval_s
+        self.next_start_s = 0.0
         self.current_round: asyncio.Future[None] | None = None
         self.next_round: asyncio.Future[None] | None = None
 
@@ -195,6 +203,10 @@
     async def _run_round_after(self, previous: asyncio.Future[None] | None) -> None:
         if previous is not None:
             await asyncio.wait((previous,))
+        loop = asyncio.get_running_loop()
+        if (delay_s := self.next_start_s - loop.time()) > 0:
+            await asyncio.sleep(delay_s)
+        self.next_start_s = loop.time() + self.min_interval_s
         self.current_round, self.next_round = self.next_round, None
         await self.run_round()
 
@@ -362,4 +374,10 @@
     view.loss_changes = counts.changes if is_last else losses[-1].change
 
 
-__all__ = ["EntryReports", "ReadBatcher", "ServerUsage", "answer_view"]
+__all__ = [
+    "READ_ROUND_INTERVAL_S",
+    "EntryReports",
+    "ReadBatcher",
+    "ServerUsage",
+    "answer_view",
+]
