--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -106,6 +106,22 @@
         self.record_by_name: dict[str, MemberRecord] = {}
         self.departures: deque[Departure] = deque(maxlen=MAX_RECENT_DEPARTURES)
         self.tombstone_by_name: dict[str, Tombstone] = {}
+        # Of the version for which they were computed.
+        self._names_by_zone: dict[str, frozenset[str]] = {}
+        self._names_version = 0
+
+    def find_names_in_zone(self, zone: str) -> frozenset[str]:
+        """Return the names of the members in an availability zone."""
+        if self._names_version != self.version:
+            self._names_by_zone = {}
+            self._names_version = self.version
+        if zone not in self._names_by_zone:
+            self._names_by_zone[zone] = frozenset(
+                name
+                for name, record in self.record_by_name.items()
+                if record.member.availability_zone == zone
+            )
+        return self._names_by_zone[zone]
 
     def is_warmed_up(self, now_ms: int) -> bool:
         """Return whether every living agent has had time to send a heartbeat."""
--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -13,6 +13,13 @@
 
 from yuccareach.control.errors import RequestRefusedError
 from yuccareach.control.raft_types import Role
+from yuccareach.control.usage import (
+    NO_USAGE,
+    SentUsage,
+    ServerUsage,
+    UsageUpdate,
+    build_update,
+)
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.quota import allocation
 from yuccareach.quota.allocation import LimitReport
@@ -21,7 +28,7 @@
 from yuccareach.runtime.reducer import monotonic_ms, wall_clock_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Set as AbstractSet
 
     from yuccareach.control.loss_counts import LossCounts
     from yuccareach.control.run import ControlProcess
@@ -44,20 +51,6 @@
 MAX_LOSSES_PER_VIEW = 1_000
 
 
-class ServerUsage(NamedTuple):
-    """The capacity of a backend server that requests occupy.
-
-    tokens counts tokens of memory; first counts the streams that start at this
-    backend server, each of which occupies one of its slots.
-    """
-
-    tokens: int
-    first: int
-
-
-NO_USAGE = ServerUsage(0, 0)
-
-
 class EntryReport(NamedTuple):
     """The usage that an entry sent with its last request for a view."""
 
@@ -73,6 +66,7 @@
         # When reports began to arrive, after a time without any.
         self.collecting_since_ms = 0
         self.total_usage_by_server: dict[str, ServerUsage] = {}
+        self.sent_usage_by_entry: dict[str, SentUsage] = {}
         # For each incarnation, when each entry last reported it as unreachable.
         self.unreachable_ms_by_incarnation: dict[str, dict[str, int]] = {}
 
@@ -99,6 +93,8 @@
             removed = self.report_by_entry.pop(entry, None)
             if removed is not None:
                 self._add_to_totals(removed.usage_by_server, -1)
+            if entry != request.instance:
+                self.sent_usage_by_entry.pop(entry, None)
         self.report_by_entry[request.instance] = EntryReport(now_ms, uses)
         self._add_to_totals(uses, 1)
         for incarnation in request.unreachable:
@@ -140,6 +136,18 @@
             if len(reports) >= needed
         }
 
+    def build_usage_update(
+        self,
+        entry: str,
+        near_servers: AbstractSet[str],
+        known_version: int,
+        now_ms: int,
+    ) -> UsageUpdate:
+        """Return what an entry is to be sent of the usage of the others."""
+        sent = self.sent_usage_by_entry.setdefault(entry, SentUsage())
+        usage = self.usage_of_others(entry)
+        return build_update(sent, usage, near_servers, known_version, now_ms)
+
     def usage_of_others(self, entry: str) -> dict[str, ServerUsage]:
         """Return the total usage of all entries but one, by backend server.
 
@@ -304,9 +312,15 @@
     is_same_source = request.source == process.run_id
     members_version = request.members_version if is_same_source else 0
     delta = process.members.delta_since(members_version, monotonic_ms())
-    uses = process.entry_reports.usage_of_others(request.instance)
+    uses = _build_usage_update(process, request)
+    membership_index = process.state.membership_index
+    is_membership_known = (
+        _is_same_leader(process, request)
+        and request.membership_index == membership_index
+    )
     view = cpb.View(
-        control_addresses=_control_addresses(process),
+        control_addresses=[] if is_membership_known else _control_addresses(process),
+        membership_index=membership_index,
         source=process.run_id,
         members_version=delta.version,
         members_snapshot=delta.snapshot,
@@ -315,8 +329,10 @@
         entries=process.entry_reports.count_entries(monotonic_ms()),
         uses=[
             cpb.ServerUse(backend_server=server, tokens=use.tokens, first=use.first)
-            for server, use in uses.items()
+            for server, use in uses.usage_by_server.items()
         ],
+        uses_version=uses.version,
+        uses_are_changes=uses.are_changes,
     )
     if request.document_version < process.machine.document.version:
         view.document.CopyFrom(process.machine.document)
@@ -325,12 +341,26 @@
     return view
 
 
+def _build_usage_update(
+    process: ControlProcess, request: cpb.ViewRequest
+) -> UsageUpdate:
+    near_servers = process.members.find_names_in_zone(request.availability_zone)
+    known_version = request.uses_version if request.source == process.run_id else 0
+    return process.entry_reports.build_usage_update(
+        request.instance, near_servers, known_version, monotonic_ms()
+    )
+
+
 def _find_known_limit_change(process: ControlProcess, request: cpb.ViewRequest) -> int:
     """Return the newest change of limits in this term that an entry has received."""
-    is_same_leader = (
+    return request.limit_changes if _is_same_leader(process, request) else 0
+
+
+def _is_same_leader(process: ControlProcess, request: cpb.ViewRequest) -> bool:
+    """Return whether an entry's last view came from this instance in this term."""
+    return (
         request.source == process.run_id and request.limits_term == process.state.term
     )
-    return request.limit_changes if is_same_leader else 0
 
 
 def _add_limits(
@@ -374,10 +404,4 @@
     view.loss_changes = counts.changes if is_last else losses[-1].change
 
 
-__all__ = [
-    "READ_ROUND_INTERVAL_S",
-    "EntryReports",
-    "ReadBatcher",
-    "ServerUsage",
-    "answer_view",
-]
+__all__ = ["READ_ROUND_INTERVAL_S", "EntryReports", "ReadBatcher", "answer_view"]
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -28,7 +28,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Iterable
+    from collections.abc import Iterable, Mapping
 
 # A backend server is avoided for this long after a failure. The time doubles with each
 # further failure in a row, up to the maximum.
@@ -207,6 +207,9 @@
         self.version = 0
         # Departed incarnations, which may return, in the order of their departures.
         self.departed_by_incarnation: dict[str, Backend] = {}
+        # Tokens and first-stage streams of other entries, also of servers that this
+        # entry does not know yet.
+        self.remote_usage_by_name: dict[str, tuple[int, int]] = {}
 
     def update(
         self, announcements: Iterable[Announcement], departed: Iterable[str]
@@ -259,10 +262,20 @@
         if self.backend_by_address.get(backend.announcement.address) is backend:
             del self.backend_by_address[backend.announcement.address]
 
-    def update_remote_usage(self, usage_by_server: dict[str, tuple[int, int]]) -> None:
-        """Set the tokens and first-stage streams of other entries, by server name."""
+    def update_remote_usage(
+        self,
+        usage_by_server: Mapping[str, tuple[int, int]],
+        *,
+        are_changes: bool = False,
+    ) -> None:
+        """Set the tokens and first-stage streams of other entries, by server name.
+
+        Servers that are left out have none, or have what they had if these are changes.
+        """
+        earlier = self.remote_usage_by_name if are_changes else {}
+        self.remote_usage_by_name = {**earlier, **usage_by_server}
         for name, backend in self.backend_by_name.items():
-            tokens, streams = usage_by_server.get(name, (0, 0))
+            tokens, streams = self.remote_usage_by_name.get(name, (0, 0))
             backend.reserved_tokens_elsewhere, backend.first_stage_streams_elsewhere = (
                 tokens,
                 streams,
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -63,6 +63,9 @@
         # Identifies the run of the control process that numbers members_version.
         self.source = ""
         self.members_version = 0
+        # What this source has sent of the use of servers and of its membership.
+        self.uses_version = 0
+        self.membership_index = 0
         # When all members are requested again, or None.
         self.resync_at_s: float | None = None
         self.channel_by_address: dict[str, grpc.aio.Channel] = {}
@@ -70,6 +73,7 @@
     def replace_seeds(self, addresses: Iterable[str]) -> None:
         """Replace the control addresses that were configured."""
         self.seeds = list(addresses)
+        self.membership_index = 0
         self._update_candidates([])
 
     def _update_candidates(self, known_addresses: Iterable[str]) -> None:
@@ -93,7 +97,10 @@
                 await self._handle_redirect(target, view)
                 continue
             self.consecutive_redirects = 0
-            self._update_candidates(view.control_addresses)
+            # An unchanged list is left out.
+            if view.control_addresses:
+                self._update_candidates(view.control_addresses)
+            self.membership_index = view.membership_index
             if self.leader != target:
                 self.leader = target
                 self.gateway.log("control_followed", leader=target)
@@ -147,6 +154,8 @@
             document_version=gateway.table.version if gateway.table else 0,
             source=self.source,
             members_version=self.members_version,
+            uses_version=self.uses_version,
+            membership_index=self.membership_index,
             loss_changes=gateway.loss_changes,
             limits=server_limits.build_reports(gateway),
             limit_changes=gateway.server_limits.changes,
@@ -229,8 +238,10 @@
         for name in view.departed:
             gateway.log("member_departed", backend_server=name)
         gateway.fleet.update_remote_usage(
-            {use.backend_server: (use.tokens, use.first) for use in view.uses}
+            {use.backend_server: (use.tokens, use.first) for use in view.uses},
+            are_changes=view.uses_are_changes,
         )
+        self.uses_version = view.uses_version
         gateway.update_entry_count(view.entries)
         server_limits.apply_view(gateway, view, int(poll_started_s * 1000))
         gateway.grant_capacity()
--- a/tests/control/test_views.py
+++ b/tests/control/test_views.py
@@ -6,12 +6,12 @@
 import unittest
 
 from yuccareach.control.errors import RequestRefusedError
+from yuccareach.control.usage import ServerUsage
 from yuccareach.control.views import (
     ENTRY_REPORT_RETENTION_MS,
     UNREACHABLE_RETENTION_MS,
     EntryReports,
     ReadBatcher,
-    ServerUsage,
 )
 from yuccareach.proto import control_pb2 as cpb
 
