--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -13,6 +13,7 @@
 
 from yuccareach.control.errors import RequestRefusedError
 from yuccareach.control.raft_types import Role
+from yuccareach.control.suspects import SuspectReports
 from yuccareach.control.usage import (
     NO_USAGE,
     SentUsage,
@@ -67,13 +68,15 @@
         self.collecting_since_ms = 0
         self.total_usage_by_server: dict[str, ServerUsage] = {}
         self.sent_usage_by_entry: dict[str, SentUsage] = {}
+        self.suspects = SuspectReports()
         # For each incarnation, when each entry last reported it as unreachable.
         self.unreachable_ms_by_incarnation: dict[str, dict[str, int]] = {}
 
-    def record(self, request: cpb.ViewRequest, now_ms: int) -> None:
+    def record(self, request: cpb.ViewRequest, now_ms: int) -> bool:
         """Record the report in a request and remove expired reports.
 
-        The entry's own earlier report is replaced.
+        The entry's own earlier report is replaced. Returns whether the other entries
+        have more backend servers to probe.
         """
         uses = {
             use.backend_server: ServerUsage(use.tokens, use.first)
@@ -95,11 +98,13 @@
                 self._add_to_totals(removed.usage_by_server, -1)
             if entry != request.instance:
                 self.sent_usage_by_entry.pop(entry, None)
+                self.suspects.remove(entry)
         self.report_by_entry[request.instance] = EntryReport(now_ms, uses)
         self._add_to_totals(uses, 1)
         for incarnation in request.unreachable:
             reports = self.unreachable_ms_by_incarnation.setdefault(incarnation, {})
             reports[request.instance] = now_ms
+        return self.suspects.record(request.instance, request.suspects)
 
     def count_entries(self, now_ms: int) -> int:
         """Return the number of entries, or 0 until all of them have sent a report.
@@ -229,7 +234,8 @@
             process, process.state.address_of(process.state.leader)
         )
     now_ms = monotonic_ms()
-    process.entry_reports.record(request, now_ms)
+    if process.entry_reports.record(request, now_ms):
+        process.notify_member_watchers()
     reports = _read_limit_reports(request)
     table = process.get_limit_allocations()
     allocation.record_reports(table, request.instance, reports, now_ms)
@@ -267,6 +273,7 @@
         or request.source != process.run_id
         or request.members_version < process.members.version
         or request.loss_changes < process.machine.loss_counts.changes
+        or request.suspects_version < process.entry_reports.suspects.version
         or _find_known_limit_change(process, request)
         < process.get_limit_allocations().changes
     )
@@ -334,6 +341,11 @@
         uses_version=uses.version,
         uses_are_changes=uses.are_changes,
     )
+    suspects = process.entry_reports.suspects
+    view.suspects_version = suspects.version
+    known_version = request.suspects_version if is_same_source else 0
+    if known_version < suspects.version:
+        view.suspects.extend(sorted(suspects.listed - set(request.suspects)))
     if request.document_version < process.machine.document.version:
         view.document.CopyFrom(process.machine.document)
     _add_losses(view, process.machine.loss_counts, request.loss_changes)
--- a/src/yuccareach/gateway/backend_requests.py
+++ b/src/yuccareach/gateway/backend_requests.py
@@ -76,6 +76,8 @@
         except (OSError, TimeoutError) as error:
             cancel_reservation(reservation)
             refused = isinstance(error, ConnectionRefusedError)
+            if backend.is_connectable:
+                gateway.suspect_found.set()
             backend.record_connect_failure(gateway.now(), refused=refused)
             gateway.log(
                 "connect_failed",
--- a/src/yuccareach/gateway/backends.py
+++ b/src/yuccareach/gateway/backends.py
@@ -28,7 +28,7 @@
 
 if TYPE_CHECKING:
     import asyncio
-    from collections.abc import Iterable, Mapping
+    from collections.abc import Iterable, Mapping, Set as AbstractSet
 
 # A backend server is avoided for this long after a failure. The time doubles with each
 # further failure in a row, up to the maximum.
@@ -298,6 +298,15 @@
             if not backend.is_connectable
         ]
 
+    def find_connectable(self, incarnations: AbstractSet[str]) -> list[Backend]:
+        """Return the members among some incarnations that have accepted connections."""
+        return [
+            backend
+            for backend in self.backend_by_name.values()
+            if backend.announcement.incarnation in incarnations
+            and backend.is_connectable
+        ]
+
     def find_unanswering(self) -> list[Backend]:
         """Return the members that leave requests unanswered."""
         return [
--- a/src/yuccareach/gateway/probes.py
+++ b/src/yuccareach/gateway/probes.py
@@ -41,6 +41,10 @@
 # but not before this time.
 SUSPICIOUS_PAUSE_FACTOR = 2.2
 MIN_SUSPICIOUS_PAUSE_S = 0.06
+# Without an event yet, the stages of an attempt are probed once, after this fraction of
+# its route's objective: early enough to start over another chain within the objective,
+# and several times later than a first event usually comes.
+START_PROBE_FRACTION = 0.5
 
 
 def is_suspiciously_idle(run: StreamRun, now_s: float) -> bool:
@@ -53,6 +57,16 @@
     )
 
 
+def is_start_overdue(run: StreamRun, now_s: float) -> bool:
+    """Return whether the first event of an attempt is late, and no stage was probed."""
+    limit_s = START_PROBE_FRACTION * run.admitted.route.objective_ms / 1000
+    return (
+        not run.attempt_events
+        and run.probed_request is not run.backend_request
+        and now_s - run.last_progress_s > limit_s
+    )
+
+
 async def find_lost_backends(gateway: Gateway, chain: Chain) -> list[Backend]:
     """Probe the servers of a chain and return those that accept no connection.
 
@@ -116,6 +130,7 @@
             reason=str(result),
             members=gateway.fleet.version,
         )
+        gateway.suspect_found.set()
     refused = result is ProbeResult.REFUSED
     backend.record_connect_failure(gateway.now(), refused=refused)
 
@@ -189,6 +204,7 @@
 
 __all__ = [
     "find_lost_backends",
+    "is_start_overdue",
     "is_suspiciously_idle",
     "probe_backend",
     "probe_backends",
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -130,6 +130,8 @@
         self.tasks: set[asyncio.Task[Any]] = set()
         self.started_s = self.now()
         self.first_view_received = asyncio.Event()
+        # Set when a server is found that accepts no connection, to report it at once.
+        self.suspect_found = asyncio.Event()
         self.awaiting_members_until_s = 0.0
 
     async def wait_for_first_view(self) -> None:
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -68,6 +68,8 @@
         # Tokens reserved at each stage of the chain.
         self.reserved_tokens_by_stage: list[int] = []
         self.backend_request: BackendRequest | None = None
+        # The attempt whose stages were probed, as its first event was late.
+        self.probed_request: BackendRequest | None = None
         # Time from which the stall detection counts how long the stream is idle. Each
         # event sets this time, and the stall detection moves it to give the stream more
         # time.
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import zlib
 from collections import deque
 from typing import TYPE_CHECKING
@@ -14,6 +15,7 @@
 from yuccareach.gateway import server_limits
 from yuccareach.gateway.backends import Announcement
 from yuccareach.gateway.losses import merge_view, resolve_pending_losses
+from yuccareach.gateway.probes import probe_backends
 from yuccareach.gateway.state import MEMBERS_TIMEOUT_S, get_boot_time_s
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
@@ -66,6 +68,7 @@
         # What this source has sent of the use of servers and of its membership.
         self.uses_version = 0
         self.membership_index = 0
+        self.suspects_version = 0
         # When all members are requested again, or None.
         self.resync_at_s: float | None = None
         self.channel_by_address: dict[str, grpc.aio.Channel] = {}
@@ -87,12 +90,12 @@
             target = self.leader or self.candidates[0]
             poll_started_s = get_boot_time_s()
             try:
-                view = await self._get_stub(target).Poll(
-                    self._build_request(), timeout=POLL_TIMEOUT_S
-                )
+                view = await self._poll(target)
             except grpc.RpcError as error:
                 await self._handle_poll_error(target, error)
                 continue
+            if view is None:
+                continue
             if view.not_leader:
                 await self._handle_redirect(target, view)
                 continue
@@ -105,7 +108,27 @@
                 self.leader = target
                 self.gateway.log("control_followed", leader=target)
             self._apply_view(view, poll_started_s)
-            await asyncio.sleep(POLL_DELAY_S)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(POLL_DELAY_S):
+                    await self.gateway.suspect_found.wait()
+
+    async def _poll(self, target: str) -> cpb.View | None:
+        """Return a view, or None if this process has something to report before.
+
+        The leader holds a poll for longer than a report of a lost server should take.
+        """
+        suspect_found = self.gateway.suspect_found
+        suspect_found.clear()
+        poll = asyncio.ensure_future(
+            self._get_stub(target).Poll(self._build_request(), timeout=POLL_TIMEOUT_S)
+        )
+        found = asyncio.ensure_future(suspect_found.wait())
+        try:
+            await asyncio.wait((poll, found), return_when=asyncio.FIRST_COMPLETED)
+            return poll.result() if poll.done() else None
+        finally:
+            found.cancel()
+            poll.cancel()
 
     def _get_stub(self, address: str) -> ControlStub:
         channel = self.channel_by_address.get(address)
@@ -161,6 +184,11 @@
             limit_changes=gateway.server_limits.changes,
             limits_term=gateway.server_limits.term,
             unreachable=gateway.fleet.list_unreachable_incarnations(now_s),
+            suspects=[
+                backend.announcement.incarnation
+                for backend in gateway.fleet.find_unconnectable()
+            ],
+            suspects_version=self.suspects_version,
             uses=[
                 cpb.ServerUse(
                     backend_server=name,
@@ -224,6 +252,11 @@
         gateway.fleet.update(announced, view.departed)
         if view.members_snapshot:
             gateway.fleet.remove_all_except({item.name for item in announced})
+        self.suspects_version = view.suspects_version
+        if suspects := gateway.fleet.find_connectable(set(view.suspects)):
+            names = ",".join(backend.name for backend in suspects)
+            gateway.log("suspects_reported", backend_servers=names)
+            gateway.start_background_task(probe_backends(gateway, suspects))
         merge_view(gateway, view)
         resolve_pending_losses(gateway)
         for item in announced:
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -16,7 +16,7 @@
     """Control instances that do not lead and redirect to the leader that they name."""
 
     def setUp(self) -> None:
-        gateway: Any = mock.Mock()
+        gateway: Any = mock.Mock(suspect_found=asyncio.Event())
         self.poller = ViewPoller(gateway, ["a", "b"], mock.Mock())
         self.polled_addresses: list[str] = []
         self.delays_s: list[float] = []
