--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -25,6 +25,7 @@
 from yuccareach.gateway.probes import (
     MIN_SUSPICIOUS_PAUSE_S,
     find_lost_backends,
+    is_start_overdue,
     is_suspiciously_idle,
 )
 from yuccareach.gateway.reroutes import log_reroute, send_reroute_order
@@ -103,12 +104,14 @@
 def _probe_idle_chains(gateway: Gateway, runs: list[StreamRun]) -> None:
     """Probe the stages of streams that are idle for unusually long."""
     now_s = gateway.now()
+    starting_runs = [run for run in runs if is_start_overdue(run, now_s)]
+    idle_runs = [run for run in runs if is_suspiciously_idle(run, now_s)]
+    for run in starting_runs:
+        run.probed_request = run.backend_request
     chain_by_stages = {
         run.chain.stages: run.chain
-        for run in runs
-        if run.chain is not None
-        and not run.wait_logged
-        and is_suspiciously_idle(run, now_s)
+        for run in (*starting_runs, *idle_runs)
+        if run.chain is not None and not run.wait_logged
     }
     for chain in chain_by_stages.values():
         gateway.start_background_task(find_lost_backends(gateway, chain))
--- a/tests/gateway/test_stalls.py
+++ b/tests/gateway/test_stalls.py
@@ -44,6 +44,46 @@
         self.run.interrupted.set.assert_not_called()
 
 
+class StartProbeTests(unittest.TestCase):
+    """An attempt whose first event does not come."""
+
+    def setUp(self) -> None:
+        self.gateway: Any = mock.Mock()
+        self.run: Any = mock.Mock(
+            attempt_events=0,
+            typical_pause_s=None,
+            last_progress_s=10.0,
+            probed_request=None,
+            wait_logged=False,
+        )
+        self.run.admitted.route = mock.Mock(objective_ms=500)
+
+    def count_probes(self, now_s: float) -> int:
+        self.gateway.now.return_value = now_s
+        with mock.patch.object(stalls, "find_lost_backends") as find_lost:
+            stalls._probe_idle_chains(self.gateway, [self.run])
+        return find_lost.call_count
+
+    def test_stages_were_probed_only_after_the_objective_for_the_first_event(
+        self,
+    ) -> None:
+        self.assertEqual(self.count_probes(10.2), 0)
+        # Half of the objective is left for another attempt.
+        self.assertEqual(self.count_probes(10.26), 1)
+
+    def test_stages_of_an_attempt_are_probed_once(self) -> None:
+        self.count_probes(10.26)
+        self.assertEqual(self.count_probes(10.3), 0)
+        self.run.backend_request = mock.Mock()
+        self.run.last_progress_s = 10.4
+        self.assertEqual(self.count_probes(10.5), 0)
+        self.assertEqual(self.count_probes(10.66), 1)
+
+    def test_stages_of_a_stream_with_events_are_left_alone(self) -> None:
+        self.run.attempt_events = 1
+        self.assertEqual(self.count_probes(11.0), 0)
+
+
 class UnavailableStageTests(unittest.TestCase):
     """A stream whose only stage departs, before its first event and after others."""
 
