--- a/src/yuccareach/placement/run.py
+++ b/src/yuccareach/placement/run.py
@@ -14,6 +14,7 @@
     Server,
     count_servers_by_layer,
 )
+from yuccareach.placement.loads import select_loads
 from yuccareach.placement.planner import plan_assignments
 from yuccareach.runtime.logs import logger
 from yuccareach.runtime.reducer import monotonic_ms
@@ -108,7 +109,7 @@
     def _limit_loads(
         self, assignments: list[Assignment], servers: list[Server], model: ModelProfile
     ) -> list[Assignment]:
-        """Return as many assignments as the store of weights serves at full speed.
+        """Return the most urgent assignments that the store serves at full speed.
 
         Pending orders count as loads. More loads at the same time would slow down all
         of them, while the layers that a server gives up are unavailable at once. A
@@ -117,9 +118,8 @@
         """
         if not any(server.layers.size for server in servers):
             return assignments
-        return assignments[
-            : max(0, model.max_concurrent_loads - len(self.pending_order_by_name))
-        ]
+        pending_loads = len(self.pending_order_by_name)
+        return select_loads(assignments, servers, model, pending_loads)
 
     def _has_lasting_gap(self, servers: list[Server], model: ModelProfile) -> bool:
         """Return whether a zone has lacked layers for longer than a restart takes.
