--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import itertools
+import math
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.gateway.slowdowns import SLOWDOWN_THRESHOLD
@@ -42,9 +43,11 @@
 # A link between zones carries the transfers of all requests one after another, so each
 # transfer is counted as this many times its own duration.
 SHARED_LINK_FACTOR = 200.0
-# Streams of this entry that may wait for their first event at one first stage. Prompts
-# are processed one after another, so more streams would only delay all of them.
-MAX_STARTING_STREAMS = 5
+# Streams of all entries together that may wait for their first event at one first
+# stage, and those of one entry. Prompts are processed one after another, some
+# milliseconds each, so more streams would only delay all of them past their objective.
+MAX_STARTING_STREAMS = 35
+MAX_OWN_STARTING_STREAMS = 5
 # Fraction of a first stage's slots that may be allocated, for the same reason.
 MAX_SLOT_UTILIZATION = 0.92
 # Additional cost of a first stage with all slots taken over one with all slots free.
@@ -102,12 +105,24 @@
     cross_zone_allowed: bool = True
     # Whether the request should start where it runs apart from others.
     runs_apart: bool = False
+    # Streams of this entry that may start at one first stage at a time.
+    max_starting_streams: int = MAX_OWN_STARTING_STREAMS
 
 
 def _count_loaded_layers(backend: Backend) -> int:
     return backend.announcement.end_layer - backend.announcement.first_layer
 
 
+def compute_starting_limit(entry_count: int) -> int:
+    """Return how many streams of one entry may start at one first stage at a time.
+
+    A burst that each of 70 entries let in up to a limit of its own put 350 prompts into
+    the queue of one first stage, and all of their first events were late.
+    """
+    share = math.ceil(MAX_STARTING_STREAMS / max(1, entry_count))
+    return min(MAX_OWN_STARTING_STREAMS, share)
+
+
 def build_graph(backends: Iterable[Backend], model: ModelProfile) -> LayerGraph:
     """Return the graph of the servers that have loaded any layers."""
     loaded_backends = [
@@ -287,7 +302,7 @@
         backend.first_stage_streams + backend.first_stage_streams_elsewhere + 1
     ) / max(1, model.slots)
     if (
-        backend.starting_streams >= MAX_STARTING_STREAMS
+        backend.starting_streams >= requirements.max_starting_streams
         or slot_utilization > MAX_SLOT_UTILIZATION
     ):
         return None
@@ -380,6 +395,7 @@
     "ChainStage",
     "LayerGraph",
     "build_graph",
+    "compute_starting_limit",
     "compute_token_capacity",
     "compute_utilization",
     "estimate_layer_ms",
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -10,7 +10,11 @@
     strip_connection_headers,
 )
 from yuccareach.gateway.attempts import LeftServers, count_attempts, record_left
-from yuccareach.gateway.chains import Chain, ChainRequirements
+from yuccareach.gateway.chains import (
+    Chain,
+    ChainRequirements,
+    compute_starting_limit,
+)
 from yuccareach.gateway.dialect import Stage
 from yuccareach.gateway.losses import prove_parts, start_attempt
 from yuccareach.gateway.server_limits import (
@@ -262,6 +266,7 @@
             self.gateway.now(),
             frozenset(self.excluded_incarnations),
             runs_apart=is_suspect_run(self),
+            max_starting_streams=compute_starting_limit(self.gateway.entry_count),
         )
 
     def reserve(self, chain: Chain) -> None:
