Log whom gateways and joining control instances ask for the leader

control_search and join_requested name the instance asked, its answer and the other candidates, once for each answer that changes and every 5 s while it does not; seeds_replaced names both lists. An outage of minutes adds a line for each candidate every 5 s.

--- a/src/yuccareach/control/joining.py
+++ b/src/yuccareach/control/joining.py
@@ -10,7 +10,9 @@
 
 from yuccareach.control.raft_types import Role
 from yuccareach.proto.control_pb2_grpc import ControlStub
+from yuccareach.runtime.logs import RepeatFilter, logger
 from yuccareach.runtime.reducer import monotonic_ms
+from yuccareach.runtime.rpc import get_error_code
 
 if TYPE_CHECKING:
     from yuccareach.control.run import ControlProcess
@@ -19,34 +21,54 @@
 JOIN_TIMEOUT_MS = 1_000
 # Longer than elections take, so that only an instance that was removed joins again.
 REJOIN_TIMEOUT_MS = 2_500
+# An instance's unchanged answer to requests to join is logged at this interval.
+JOIN_LOG_INTERVAL_S = 5.0
+_log = logger("control")
 
 
 async def stay_joined(process: ControlProcess) -> None:
     """Request to join whenever this instance is not a member or lacks a leader."""
     attempts = itertools.count()
     leader = ""
+    log_filter = RepeatFilter(JOIN_LOG_INTERVAL_S)
     while True:
         if not _should_join(process):
+            log_filter.clear()
             await asyncio.sleep(JOIN_RETRY_INTERVAL_MS / 1000)
             continue
         targets = process.join_targets
         target = leader or targets[next(attempts) % len(targets)]
         leader = ""
         if target != process.address:
-            leader = await _request_join(process, target)
+            leader, outcome = await _request_join(process, target)
+            if log_filter.admit(target, outcome, monotonic_ms() / 1000):
+                _log.info(
+                    "join_requested",
+                    extra={
+                        "target": target,
+                        "outcome": outcome,
+                        "targets": ",".join(targets),
+                    },
+                )
         await asyncio.sleep(JOIN_RETRY_INTERVAL_MS / 2 / 1000)
 
 
-async def _request_join(process: ControlProcess, target: str) -> str:
-    """Send a join request; return the leader's address if the reply gives another."""
+async def _request_join(process: ControlProcess, target: str) -> tuple[str, str]:
+    """Send a join request.
+
+    Returns the leader's address if the reply gives another, and the outcome as text.
+    """
     try:
         async with grpc.aio.insecure_channel(target) as channel:
             reply = await ControlStub(channel).Join(
                 process.own_peer(), timeout=JOIN_TIMEOUT_MS / 1000
             )
-    except grpc.RpcError:
-        return ""
-    return reply.leader_address if reply.leader_address != target else ""
+    except grpc.RpcError as error:
+        return "", get_error_code(error)
+    if not reply.not_leader:
+        return "", "accepted"
+    leader = reply.leader_address if reply.leader_address != target else ""
+    return leader, f"redirect to {leader or 'none'}"
 
 
 def _should_join(process: ControlProcess) -> bool:
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -200,6 +200,15 @@
             volatile=self.options.data is None,
         )
 
+    def replace_join_targets(self, addresses: tuple[str, ...]) -> None:
+        """Replace the addresses that were configured for joining."""
+        previous, self.join_targets = self.join_targets, addresses
+        if addresses != previous:
+            _log.info(
+                "seeds_replaced",
+                extra={"previous": ",".join(previous), "seeds": ",".join(addresses)},
+            )
+
     # Events and effects.
 
     def dispatch(self, event: Any) -> None:
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -20,6 +20,8 @@
 from yuccareach.gateway.state import MEMBERS_TIMEOUT_S, get_boot_time_s
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
+from yuccareach.runtime.logs import RepeatFilter
+from yuccareach.runtime.rpc import get_error_code
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
@@ -38,6 +40,8 @@
 # A new leader may not have received a heartbeat of every member yet, so all members are
 # requested again this long after a change of leader.
 RESYNC_DELAY_S = 6.0
+# While no leader is found, an instance's unchanged answer is logged at this interval.
+SEARCH_LOG_INTERVAL_S = 5.0
 
 
 class ViewPoller:
@@ -75,10 +79,17 @@
         # When all members are requested again, or None.
         self.resync_at_s: float | None = None
         self.channel_by_address: dict[str, grpc.aio.Channel] = {}
+        self.search_log_filter = RepeatFilter(SEARCH_LOG_INTERVAL_S)
 
     def replace_seeds(self, addresses: Iterable[str]) -> None:
         """Replace the control addresses that were configured."""
-        self.seeds = list(addresses)
+        previous, self.seeds = self.seeds, list(addresses)
+        if self.seeds != previous:
+            self.gateway.log(
+                "seeds_replaced",
+                previous=",".join(previous),
+                seeds=",".join(self.seeds),
+            )
         self.membership_index = 0
         self._update_candidates([])
 
@@ -110,6 +121,7 @@
             if self.leader != target:
                 self.leader = target
                 self.gateway.log("control_followed", leader=target)
+            self.search_log_filter.clear()
             self._apply_view(view, poll_started_s)
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(POLL_DELAY_S):
@@ -158,7 +170,7 @@
                 cpb.SubmitRequest(command=command), timeout=POLL_TIMEOUT_S
             )
         except grpc.RpcError as error:
-            raise ControlUnavailable(_get_error_code(error), True) from error
+            raise ControlUnavailable(get_error_code(error), True) from error
         except asyncio.CancelledError as error:
             # gRPC raises it also where the poller has closed the channel.
             task = asyncio.current_task()
@@ -215,8 +227,9 @@
         """
         if self.leader == target:
             self.gateway.log(
-                "control_lost", leader=target, reason=_get_error_code(error)
+                "control_lost", leader=target, reason=get_error_code(error)
             )
+        self._log_search(target, get_error_code(error))
         self.leader = ""
         self.consecutive_redirects = 0
         channel = self.channel_by_address.pop(target, None)
@@ -232,6 +245,11 @@
         During an election, two instances may name each other as the leader. Only the
         first redirect in a row is therefore followed without a delay.
         """
+        self._log_search(
+            target,
+            f"redirect to {view.leader_address or 'none'}, "
+            f"addresses {','.join(view.control_addresses) or 'none'}",
+        )
         self._update_candidates(view.control_addresses)
         self.leader = ""
         if view.leader_address and view.leader_address != target:
@@ -243,6 +261,16 @@
             self.candidates.rotate(-1)
         await asyncio.sleep(RETRY_DELAY_S)
 
+    def _log_search(self, target: str, outcome: str) -> None:
+        """Log what an instance answered while the leader is searched for."""
+        if self.search_log_filter.admit(target, outcome, get_boot_time_s()):
+            self.gateway.log(
+                "control_search",
+                target=target,
+                outcome=outcome,
+                candidates=",".join(self.candidates),
+            )
+
     def _apply_view(self, view: cpb.View, poll_started_s: float) -> None:
         """Apply a view from the leader.
 
@@ -336,9 +364,4 @@
     )
 
 
-def _get_error_code(error: grpc.RpcError) -> str:
-    code = error.code() if hasattr(error, "code") else None
-    return code.name if code is not None else type(error).__name__
-
-
 __all__ = ["ViewPoller", "decode_member"]
--- a/src/yuccareach/platform/run_control.py
+++ b/src/yuccareach/platform/run_control.py
@@ -67,7 +67,7 @@
 
     def apply_settings(self, path: Path) -> None:
         """Apply the peers to join, which may change while the process runs."""
-        self.process.join_targets = load_settings(path).control_peers
+        self.process.replace_join_targets(load_settings(path).control_peers)
 
     async def start(self) -> None:
         """Start serving and placing layers."""
--- a/src/yuccareach/runtime/logs.py
+++ b/src/yuccareach/runtime/logs.py
@@ -29,6 +29,33 @@
     level: int = logging.INFO
 
 
+class RepeatFilter:
+    """Tells which of recurring outcomes to log: those that changed, and some repeats.
+
+    An unchanged outcome under the same key is admitted again after repeat_interval_s.
+    """
+
+    def __init__(self, repeat_interval_s: float) -> None:
+        self.repeat_interval_s = repeat_interval_s
+        self.last_by_key: dict[str, tuple[str, float]] = {}
+
+    def admit(self, key: str, outcome: str, now_s: float) -> bool:
+        """Return whether to log an outcome, and remember it if so."""
+        last = self.last_by_key.get(key)
+        if (
+            last is not None
+            and last[0] == outcome
+            and now_s - last[1] < self.repeat_interval_s
+        ):
+            return False
+        self.last_by_key[key] = (outcome, now_s)
+        return True
+
+    def clear(self) -> None:
+        """Forget all outcomes, so that each is admitted again."""
+        self.last_by_key.clear()
+
+
 class LogWriter:
     """Writes lines to a file descriptor without blocking, and buffers the rest."""
 
@@ -181,6 +208,7 @@
     "KeyValueFormatter",
     "Log",
     "LogWriter",
+    "RepeatFilter",
     "configure",
     "logger",
     "write_log",
--- a/src/yuccareach/runtime/rpc.py
+++ b/src/yuccareach/runtime/rpc.py
@@ -1,4 +1,4 @@
-"""Creation of gRPC servers."""
+"""Creation of gRPC servers, and the codes of failed calls."""
 
 from __future__ import annotations
 
@@ -21,4 +21,10 @@
     return server, f"{host}:{bound_port}"
 
 
-__all__ = ["listen"]
+def get_error_code(error: grpc.RpcError) -> str:
+    """Return the name of a failed call's status, or of the error without one."""
+    code = error.code() if hasattr(error, "code") else None
+    return code.name if code is not None else type(error).__name__
+
+
+__all__ = ["get_error_code", "listen"]
--- a/tests/runtime/test_logs.py
+++ b/tests/runtime/test_logs.py
@@ -92,3 +92,26 @@
         self.addCleanup(os.close, pipe)
         self.log.info("something")
         self.assertEqual(self.handler.writer.buffered_bytes, 0)
+
+
+class RepeatFilterTests(unittest.TestCase):
+    """Which of recurring outcomes are logged."""
+
+    def setUp(self) -> None:
+        self.filter = logs.RepeatFilter(5.0)
+
+    def test_unchanged_outcome_is_admitted_again_after_the_interval(self) -> None:
+        self.assertTrue(self.filter.admit("a", "refused", 0.0))
+        self.assertFalse(self.filter.admit("a", "refused", 4.9))
+        self.assertTrue(self.filter.admit("a", "refused", 5.0))
+        self.assertFalse(self.filter.admit("a", "refused", 9.9))
+
+    def test_changed_outcome_and_another_key_are_admitted_at_once(self) -> None:
+        self.assertTrue(self.filter.admit("a", "refused", 0.0))
+        self.assertTrue(self.filter.admit("a", "timed out", 0.1))
+        self.assertTrue(self.filter.admit("b", "refused", 0.1))
+
+    def test_forgotten_outcome_is_admitted(self) -> None:
+        self.filter.admit("a", "refused", 0.0)
+        self.filter.clear()
+        self.assertTrue(self.filter.admit("a", "refused", 0.1))
