Keep the control instances that a gateway knows when one names none

A gateway that was redirected by a control instance without state, or whose settings named other seeds, forgot every other control instance that it knew. While the new seeds were cut off or had just started, it found no leader, although it had polled one a moment before; callers got 503 once its lease had run out.

The list of a redirect replaced the known addresses, also when it was empty, and replace_seeds dropped them. Now only the leader's own list replaces them; what others name is added, up to 32 addresses, and seeds are kept beside. After a redirect the next candidate was skipped when the list had changed; it is asked now.

tests.gateway.test_view.KnownAddressTests: the first two name the former behaviour.

--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -42,6 +42,7 @@
 RESYNC_DELAY_S = 6.0
 # While no leader is found, an instance's unchanged answer is logged at this interval.
 SEARCH_LOG_INTERVAL_S = 5.0
+MAX_KNOWN_ADDRESSES = 32
 
 
 class ViewPoller:
@@ -61,7 +62,9 @@
         self.decode_table = decode_table
         # Control addresses that were configured.
         self.seeds = list(addresses)
-        # Control addresses, in the order in which they are tried.
+        # Control addresses that control has named.
+        self.known_addresses: list[str] = []
+        # Both kinds, in the order in which they are tried.
         self.candidates: deque[str] = deque(self.seeds)
         # Address of the leader, or of the instance named as leader; "" if unknown.
         self.leader = ""
@@ -91,13 +94,27 @@
                 seeds=",".join(self.seeds),
             )
         self.membership_index = 0
-        self._update_candidates([])
+        self._update_candidates()
 
-    def _update_candidates(self, known_addresses: Iterable[str]) -> None:
-        addresses = list(dict.fromkeys((*known_addresses, *self.seeds)))
+    def _update_candidates(self) -> None:
+        addresses = list(dict.fromkeys((*self.known_addresses, *self.seeds)))
         if set(addresses) != set(self.candidates):
             self.candidates = deque(addresses)
 
+    def _replace_known(self, addresses: Iterable[str]) -> None:
+        """Take over the control instances that the leader names."""
+        self.known_addresses = list(addresses)
+        self._update_candidates()
+
+    def _add_known(self, addresses: Iterable[str]) -> None:
+        """Add what an instance that does not lead names, which may be outdated.
+
+        One that has lost its state names none.
+        """
+        known = dict.fromkeys((*addresses, *self.known_addresses))
+        self.known_addresses = list(known)[:MAX_KNOWN_ADDRESSES]
+        self._update_candidates()
+
     async def run(self) -> None:
         """Poll until the task is cancelled."""
         while True:
@@ -116,7 +133,7 @@
             self.consecutive_redirects = 0
             # An unchanged list is left out.
             if view.control_addresses:
-                self._update_candidates(view.control_addresses)
+                self._replace_known(view.control_addresses)
             self.membership_index = view.membership_index
             if self.leader != target:
                 self.leader = target
@@ -250,14 +267,14 @@
             f"redirect to {view.leader_address or 'none'}, "
             f"addresses {','.join(view.control_addresses) or 'none'}",
         )
-        self._update_candidates(view.control_addresses)
+        self._add_known(view.control_addresses)
         self.leader = ""
         if view.leader_address and view.leader_address != target:
             self.leader = view.leader_address
             self.consecutive_redirects += 1
             if self.consecutive_redirects == 1:
                 return
-        else:
+        elif self.candidates[0] == target:
             self.candidates.rotate(-1)
         await asyncio.sleep(RETRY_DELAY_S)
 
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -105,3 +105,46 @@
         # During an election, each of two instances may name the other as the leader.
         await self.run_polls({"a": "b", "b": "a"}, 10)
         self.assertEqual(len(self.delays_s), 9)
+
+
+class KnownAddressTests(unittest.IsolatedAsyncioTestCase):
+    """Which control instances a gateway goes on to ask."""
+
+    def setUp(self) -> None:
+        gateway: Any = mock.Mock()
+        self.poller = ViewPoller(gateway, ["a", "b"], mock.Mock())
+        self.enterContext(mock.patch.object(view, "RETRY_DELAY_S", 0))
+
+    async def redirect(self, target: str, *addresses: str) -> None:
+        await self.poller._handle_redirect(
+            target, cpb.View(not_leader=True, control_addresses=addresses)
+        )
+
+    async def test_empty_redirect_made_the_gateway_forget_all_but_the_seeds(
+        self,
+    ) -> None:
+        self.poller._replace_known(["a", "b", "c", "d"])
+        await self.redirect("a")
+        self.assertEqual(set(self.poller.candidates), {"a", "b", "c", "d"})
+
+    async def test_new_seeds_made_the_gateway_forget_the_instances_it_knew(
+        self,
+    ) -> None:
+        self.poller._replace_known(["a", "c"])
+        self.poller.replace_seeds(["x"])
+        self.assertEqual(set(self.poller.candidates), {"a", "c", "x"})
+
+    async def test_leader_replaces_what_others_named(self) -> None:
+        await self.redirect("a", "old")
+        self.poller._replace_known(["c"])
+        self.assertEqual(set(self.poller.candidates), {"a", "b", "c"})
+
+    async def test_instance_named_first_is_asked_next(self) -> None:
+        await self.redirect("a", "c", "a")
+        self.assertEqual(self.poller.candidates[0], "c")
+
+    async def test_addresses_that_redirects_name_are_bounded(self) -> None:
+        for number in range(100):
+            await self.redirect("a", f"x{number}")
+        self.assertEqual(len(self.poller.known_addresses), view.MAX_KNOWN_ADDRESSES)
+        self.assertIn("x99", self.poller.candidates)
