Relay what a control instance recorded before it joined

A control instance that had just started acknowledged a departure, and forgot it: its next relay went to nobody, since it knew no others, and was not repeated. Gateways went on to use the departed server until its heartbeats were missed (drainMs, DRAIN). Heartbeats recorded meanwhile waited for the next full relay, up to 5 s.

Nothing is relayed before the instance is a member. Departures without a start time are not kept, since they would remove a later incarnation.

--- a/src/yuccareach/control/member_tasks.py
+++ b/src/yuccareach/control/member_tasks.py
@@ -27,7 +27,8 @@
     """Relay the members attached to this instance to the other control instances.
 
     A relay holds the changes since the one before. Every RELAYS_PER_FULL_RELAY-th holds
-    all members, so that the others can remove those that it does not list.
+    all members, so that the others can remove those that it does not list. An instance
+    that has not joined yet knows no others, and relays everything once it has.
     """
     relayed_version = 0
     for relay_number in itertools.count():
@@ -35,6 +36,14 @@
             async with asyncio.timeout(RELAY_INTERVAL_MS / 1000):
                 await process.relay_due.wait()
         process.relay_due.clear()
+        if not process.state.address_of(process.state.identity):
+            # A later incarnation may announce itself until the departure is relayed.
+            process.unrelayed_dismissals = [
+                dismissal
+                for dismissal in process.unrelayed_dismissals
+                if dismissal.started_ms
+            ]
+            continue
         # Before the end of its warm-up, this instance does not know all members that
         # are attached to it, and a full relay would remove those that are missing.
         warmed_up = process.members.is_warmed_up(monotonic_ms())
