Let control instances that lost their state learn of the others

Cause: who has lost its memory asks the seeds, and nobody else knows it. The seeds named the control instances without a disk. Each came back with a new identity and an empty log, asked the seeds to let it join, which were these instances themselves, and redirected gateways to nobody. The voters had every address on their disks and only answered. The leader even sent each of them frames, which were dropped as meant for the former identity.

Every frame names its sender's address. An instance that is not joined asks those heard in the last 3 s at every second attempt, then its seeds and the members that its log names; a redirect names them as well, so that gateways find the leader before the join. An instance with a leader sends an empty frame to those of its seeds that are not members, once a second, for seeds that are new or were added while others were down. The leader needs nothing more for members, since it sends to their addresses anyway; with all seeds members, no message is added.

--- a/src/yuccareach/control/joining.py
+++ b/src/yuccareach/control/joining.py
@@ -1,4 +1,4 @@
-"""Joining the Raft group, and rejoining it after a removal."""
+"""Joining the Raft group, rejoining it after a removal, and being found by others."""
 
 from __future__ import annotations
 
@@ -15,9 +15,14 @@
 from yuccareach.runtime.rpc import get_error_code
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable, Sequence
+
     from yuccareach.control.run import ControlProcess
 
 JOIN_RETRY_INTERVAL_MS = 500
+INTRODUCTION_INTERVAL_MS = 1_000
+# An instance whose last frame is older may have stopped.
+HEARD_TIMEOUT_MS = 3_000
 JOIN_TIMEOUT_MS = 1_000
 # Longer than elections take, so that only an instance that was removed joins again.
 REJOIN_TIMEOUT_MS = 2_500
@@ -36,23 +41,60 @@
             log_filter.clear()
             await asyncio.sleep(JOIN_RETRY_INTERVAL_MS / 1000)
             continue
-        targets = process.join_targets
-        target = leader or targets[next(attempts) % len(targets)]
+        target = leader or select_join_target(
+            process.peers.list_heard(monotonic_ms(), HEARD_TIMEOUT_MS),
+            [*process.join_targets, *process.peers.list_addresses()],
+            process.address,
+            next(attempts),
+        )
         leader = ""
-        if target != process.address:
+        if target:
             leader, outcome = await _request_join(process, target)
             if log_filter.admit(target, outcome, monotonic_ms() / 1000):
                 _log.info(
-                    "join_requested",
-                    extra={
-                        "target": target,
-                        "outcome": outcome,
-                        "targets": ",".join(targets),
-                    },
+                    "join_requested", extra={"target": target, "outcome": outcome}
                 )
         await asyncio.sleep(JOIN_RETRY_INTERVAL_MS / 2 / 1000)
 
 
+def select_join_target(
+    heard: Sequence[str], configured: Iterable[str], own_address: str, attempt: int
+) -> str:
+    """Return the address to ask at an attempt, or an empty string if there is none.
+
+    Every second attempt asks an instance that was heard lately. The configured ones may
+    all be down, or know as little as this one; those that were heard may have no leader
+    either.
+    """
+    others = [
+        address for address in dict.fromkeys(configured) if address != own_address
+    ]
+    round_number, turn = divmod(attempt, 2)
+    choices = (heard or others) if turn == 0 else (others or heard)
+    return choices[round_number % len(choices)] if choices else ""
+
+
+async def introduce_to_seeds(process: ControlProcess) -> None:
+    """Send this instance's address to the seeds that are not members.
+
+    They may have lost their state or be new, and may know no one but each other.
+    Members need no introduction, since the leader sends to their addresses anyway.
+    """
+    while True:
+        await asyncio.sleep(INTRODUCTION_INTERVAL_MS / 1000)
+        for address in _list_unjoined_seeds(process):
+            process.peers.introduce(address)
+
+
+def _list_unjoined_seeds(process: ControlProcess) -> list[str]:
+    """Return the seeds to introduce this instance to; none while it lacks a leader."""
+    state = process.state
+    if state.role is Role.FAILED or _should_join(process):
+        return []
+    members = {peer.address for peer in state.membership.peers}
+    return [address for address in process.join_targets if address not in members]
+
+
 async def _request_join(process: ControlProcess, target: str) -> tuple[str, str]:
     """Send a join request.
 
@@ -83,4 +125,4 @@
     return state.role is not Role.LEADER and since_contact_ms > REJOIN_TIMEOUT_MS
 
 
-__all__ = ["stay_joined"]
+__all__ = ["introduce_to_seeds", "select_join_target", "stay_joined"]
--- a/src/yuccareach/control/peers.py
+++ b/src/yuccareach/control/peers.py
@@ -19,6 +19,8 @@
     from yuccareach.control.raft_types import RaftState
 
 MAX_QUEUED_FRAMES = 256
+# The senders heard longest ago are forgotten above this number.
+MAX_HEARD_ADDRESSES = 32
 
 
 class _PeerOutbox:
@@ -76,6 +78,8 @@
         self.address = address
         self.outbox_by_address: dict[str, _PeerOutbox] = {}
         self.address_by_identity: dict[str, str] = {}
+        # Addresses that frames came from, the latest last.
+        self.heard_ms_by_address: dict[str, int] = {}
 
     def send(self, message: cpb.RaftMessage) -> None:
         """Queue a Raft message for its target; drop it if the address is unknown."""
@@ -95,13 +99,38 @@
             frame = self._frame(**content)
             self._outbox(self.state.address_of(identity)).put(frame)
 
-    def record_source_address(self, frame: cpb.RaftFrame) -> None:
-        """Record the address of a frame's sender, to reply to it.
+    def introduce(self, address: str) -> None:
+        """Queue a frame that tells an instance nothing but this one's address."""
+        self._outbox(address).put(self._frame())
 
-        This instance's log may not contain the membership with that sender yet.
+    def record_source_address(self, frame: cpb.RaftFrame, now_ms: int) -> None:
+        """Record the address of a frame's sender.
+
+        It serves to reply, since this instance's log may not contain the membership
+        with that sender yet, and to join: an instance that has lost its state learns of
+        the others from their frames.
         """
-        if frame.source_address:
-            self.address_by_identity[frame.source] = frame.source_address
+        address = frame.source_address
+        if not address or address == self.address:
+            return
+        self.address_by_identity[frame.source] = address
+        self.heard_ms_by_address.pop(address, None)
+        self.heard_ms_by_address[address] = now_ms
+        if len(self.heard_ms_by_address) > MAX_HEARD_ADDRESSES:
+            del self.heard_ms_by_address[next(iter(self.heard_ms_by_address))]
+
+    def list_heard(self, now_ms: int, max_age_ms: int) -> list[str]:
+        """Return the addresses heard within max_age_ms, the latest first."""
+        return [
+            address
+            for address, heard_ms in reversed(self.heard_ms_by_address.items())
+            if now_ms - heard_ms <= max_age_ms
+        ]
+
+    def list_addresses(self) -> list[str]:
+        """Return the addresses of the members, then of others heard, latest first."""
+        members = (peer.address for peer in self.state.membership.peers)
+        return list(dict.fromkeys((*members, *reversed(self.heard_ms_by_address))))
 
     def _frame(self, **content: Any) -> cpb.RaftFrame:
         return cpb.RaftFrame(
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -12,7 +12,7 @@
 from yuccareach.control.backups import read_backup
 from yuccareach.control.document_deltas import DocumentHistory
 from yuccareach.control.errors import CorruptLog, DiskFailed, RequestRefusedError
-from yuccareach.control.joining import stay_joined
+from yuccareach.control.joining import introduce_to_seeds, stay_joined
 from yuccareach.control.member_tasks import (
     relay_members_periodically,
     save_members_periodically,
@@ -174,7 +174,13 @@
             )
         ]
         if options.join:
-            self.tasks.append(asyncio.create_task(stay_joined(self)))
+            self.tasks += [
+                asyncio.create_task(keep_running(run_loop, partial(write_log, _log)))
+                for run_loop in (
+                    partial(stay_joined, self),
+                    partial(introduce_to_seeds, self),
+                )
+            ]
         _log.info(
             "started",
             extra={"address": self.address, "http": self.http.address},
@@ -337,7 +343,7 @@
     def receive_relayed_frame(self, frame: cpb.RaftFrame) -> None:
         """Apply the members, departures and watchers that another instance relayed."""
         now = monotonic_ms()
-        self.peers.record_source_address(frame)
+        self.peers.record_source_address(frame, now)
         self.last_contact_ms_by_source[frame.source] = now
         version = self.members.version
         if frame.watchers:
--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -305,7 +305,7 @@
     return cpb.View(
         not_leader=True,
         leader_address=leader_address,
-        control_addresses=_control_addresses(process),
+        control_addresses=process.peers.list_addresses(),
     )
 
 
--- a/tests/platform/control_cluster.py
+++ b/tests/platform/control_cluster.py
@@ -43,6 +43,7 @@
         self.group = Group(80)
         self.control_by_name: dict[str, PlatformControl] = {}
         self.gateway_by_name: dict[str, GatewayProcess] = {}
+        self.heartbeat_task_by_name: dict[str, asyncio.Task[None]] = {}
         self.addAsyncCleanup(self.stop_all)
         self.session = aiohttp.ClientSession()
         self.addAsyncCleanup(self.session.close)
@@ -152,6 +153,7 @@
         self.addAsyncCleanup(runner.stop)
         addresses = [self.operators_address(control) for control in controls]
         task = asyncio.create_task(runner.send_heartbeats(addresses))
+        self.heartbeat_task_by_name[name] = task
         self.addCleanup(task.cancel)
         return runner
 
--- a/tests/platform/test_control_discovery.py
+++ b/tests/platform/test_control_discovery.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+import unittest
+
 from tests.platform.control_cluster import ControlClusterTestCase
 from tests.platform.examples import build_document
+from yuccareach.control.joining import select_join_target
 from yuccareach.platform.standin import put_document
 
 
@@ -46,3 +49,92 @@
     async def test_seeds_that_lead_are_found(self) -> None:
         await self.restart_all(["control-2"])
         await self.assert_served()
+
+    async def test_voter_that_lost_its_disk_joins_again_by_seeds_in_memory(
+        self,
+    ) -> None:
+        await self.stop_all()
+        self.durable_names = ("control-1", "control-2")
+        await self.restart_all(["control-4", "control-5"])
+        await self.assert_served()
+        await self.wait_until(lambda: self.has_joined("control-3"))
+
+
+class NewSeedTests(ControlClusterTestCase):
+    """Seeds that no member knows yet."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        self.new_name = "control-6"
+        await self.start_cluster()
+        self.host_by_name = {**self.host_by_name, self.new_name: "127.0.1.6"}
+
+    async def test_instance_that_knows_only_itself_is_introduced_by_its_seeders(
+        self,
+    ) -> None:
+        await self.start_control(self.new_name, [self.new_name])
+        self.replace_seeds([self.new_name])
+        await self.wait_until(lambda: self.has_joined(self.new_name))
+        gateway = await self.start_gateway("gateway", [self.new_name])
+        await self.wait_until(lambda: bool(gateway.view_poller.leader))
+
+    async def test_instance_whose_other_seeds_are_gone_joins(self) -> None:
+        await self.stop_control("control-4")
+        await self.start_control(
+            self.new_name, ["control-4", self.new_name, "control-2"]
+        )
+        await self.wait_until(lambda: self.has_joined(self.new_name))
+
+
+class RestartTests(ControlClusterTestCase):
+    """A control instance in memory restarts alone."""
+
+    async def asyncSetUp(self) -> None:
+        await super().asyncSetUp()
+        await self.start_cluster()
+        self.replace_seeds(["control-4"])
+
+    def leading_members(self) -> set[str]:
+        processes = [item.process for item in self.control_by_name.values()]
+        leader = next(item for item in processes if str(item.state.role) == "leader")
+        return set(leader.members.record_by_name)
+
+    async def test_instance_that_is_its_only_seed_stayed_alone(self) -> None:
+        await self.stop_control("control-4")
+        await self.start_control("control-4", ["control-4"])
+        await self.wait_until(lambda: self.has_joined("control-4"))
+
+    async def test_departure_acknowledged_before_joining_was_forgotten(self) -> None:
+        runner = await self.add_runner("p-1", ["control-4", "control-1"])
+        await self.wait_until(lambda: "p-1" in self.leading_members())
+        await self.stop_control("control-4")
+        await self.start_control("control-4", ["control-4"])
+        self.assertFalse(self.has_joined("control-4"))
+        self.heartbeat_task_by_name["p-1"].cancel()
+        address = self.operators_address("control-4")
+        url = f"http://{address}/-/runners/p-1/deregister"
+        async with self.session.post(url, json=runner.build_heartbeat()) as answer:
+            self.assertEqual(answer.status, 200)
+        # Sooner than the missing heartbeats expire.
+        await self.wait_until(lambda: "p-1" not in self.leading_members(), 1.5)
+
+
+class JoinTargetTests(unittest.TestCase):
+    """Which instance a joining one asks."""
+
+    def list_targets(self, heard: list[str], configured: list[str]) -> list[str]:
+        return [
+            select_join_target(heard, configured, "own", attempt)
+            for attempt in range(6)
+        ]
+
+    def test_instances_heard_lately_take_every_second_attempt(self) -> None:
+        targets = self.list_targets(["h"], ["own", "a", "b", "c"])
+        self.assertEqual(targets, ["h", "a", "h", "b", "h", "c"])
+
+    def test_all_others_are_asked_in_turn_if_none_was_heard(self) -> None:
+        targets = self.list_targets([], ["a", "own", "b", "a"])
+        self.assertEqual(set(targets), {"a", "b"})
+
+    def test_none_is_asked_if_only_the_own_address_is_known(self) -> None:
+        self.assertEqual(set(self.list_targets([], ["own"])), {""})
