Take a refusal without an id for proof only on a new connection

A response without an id was taken for that to the current request. On a connection that has carried a request before, it may be to that one. It now proves nothing there: the caller gets 502, or the route's next attempt if it may repeat. A server that has named a request on the connection names each, so its responses without an id are skipped, like those with another id, and the answer that follows is delivered.

--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -45,6 +45,10 @@
         self.must_close = False
         self.reusable_until_s = 0.0
         self.idle_since_s = 0.0
+        # Requests that were sent here, the current one included.
+        self.sent_requests = 0
+        # Whether a response here bore a request id.
+        self.echoes_ids = False
         self._reset()
 
     def _reset(self) -> None:
@@ -74,6 +78,7 @@
     def send(self, exchange: Exchange, data: bytes) -> None:
         """Send the bytes of a request and start its exchange."""
         self._reset()
+        self.sent_requests += 1
         self.exchange = exchange
         exchange.fail = self._fail
         self.transport.write(data)
@@ -154,9 +159,11 @@
         if exchange is None or self.is_complete or status < 200:
             return
         metadata = exchange.read_response(status, self.headers)
-        self.is_skipping = metadata.request_id not in (None, exchange.request_id)
+        self.is_skipping = not self._is_response_to(exchange, metadata)
         if self.is_skipping:
             return
+        if not self._is_certainly_current(metadata):
+            metadata = metadata._replace(has_not_run=False)
         value_by_name = dict(self.headers)
         self.body_ends_at_close = (
             b"content-length" not in value_by_name
@@ -175,6 +182,22 @@
         if length.isdigit() and int(length) > exchange.limits.body_bytes:
             self._fail(Ending.TOO_LARGE)
 
+    def _is_certainly_current(self, metadata: ResponseMetadata) -> bool:
+        """Return whether a response can only be to the current request.
+
+        One without an id may be to an earlier request on the same connection, so that
+        it does not prove that the current one has not run.
+        """
+        return metadata.request_id is not None or self.sent_requests == 1
+
+    def _is_response_to(self, exchange: Exchange, metadata: ResponseMetadata) -> bool:
+        """Return whether to take a response for that to the current request."""
+        if metadata.request_id is not None:
+            self.echoes_ids = True
+            return metadata.request_id == exchange.request_id
+        # A server that has named a request before names each.
+        return not (exchange.request_id and self.echoes_ids)
+
     def _update_reuse_deadline(self, value: bytes) -> None:
         seconds = DEFAULT_KEEP_ALIVE_S
         for part in value.split(b","):
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -28,7 +28,9 @@
 REQUEST = b"GET / HTTP/1.1\r\nHost: h\r\n\r\n"
 
 
-class ExchangeTests(unittest.IsolatedAsyncioTestCase):
+class ExchangeTestCase(unittest.IsolatedAsyncioTestCase):
+    """A server that sends one of the responses for each request."""
+
     async def asyncSetUp(self) -> None:
         self.responses: list[bytes] = []
         self.close_after_response = False
@@ -72,6 +74,8 @@
         self.pool.release(connection)
         return ending, exchange
 
+
+class ExchangeTests(ExchangeTestCase):
     async def test_connection_is_reused_after_a_complete_response(self) -> None:
         self.responses = [
             COMPLETE_RESPONSE % (b"r1", b"ok"),
@@ -366,3 +370,66 @@
             filler.connect_ex(("127.0.0.1", port))
         with self.assertRaises(TimeoutError):
             await ConnectionPool(f"127.0.0.1:{port}").connect()
+
+
+class RepeatedRefusalTests(ExchangeTestCase):
+    """A server that writes an earlier refusal once more on a kept connection."""
+
+    named = (
+        b"HTTP/1.1 503 Full\r\nYuccareach-Request-Id: r1\r\n"
+        b"Yuccareach-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+    )
+    unnamed = named.replace(b"Yuccareach-Request-Id: r1\r\n", b"")
+    misdirected = b"HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n"
+    answer = COMPLETE_RESPONSE % (b"r2", b"ok")
+
+    def has_not_run(self, exchange: Exchange) -> bool:
+        head = exchange.head.result()
+        return head is not None and head.metadata.has_not_run
+
+    async def test_first_refusal_on_a_connection_is_one_of_the_request(self) -> None:
+        for refusal in (self.named, self.unnamed, self.misdirected):
+            self.pool.close()
+            self.responses = [refusal]
+            _, exchange = await self.exchange_request(b"r1")
+            self.assertTrue(self.has_not_run(exchange))
+
+    async def test_refusal_without_id_was_taken_for_that_of_the_next_request(
+        self,
+    ) -> None:
+        for refusal in (self.unnamed, self.misdirected):
+            self.responses = [refusal, refusal]
+            await self.exchange_request(b"r1")
+            ending, exchange = await self.exchange_request(b"r2")
+            self.assertIs(ending, Ending.COMPLETE)
+            self.assertFalse(self.has_not_run(exchange))
+            self.pool.close()
+
+    async def test_refusal_without_id_is_skipped_if_the_server_names_requests(
+        self,
+    ) -> None:
+        for refusal in (self.named, self.unnamed, self.misdirected):
+            self.responses = [self.named, refusal + self.answer]
+            await self.exchange_request(b"r1")
+            ending, exchange = await self.exchange_request(b"r2")
+            self.assertIs(ending, Ending.COMPLETE)
+            self.assertEqual(b"".join(exchange.body), b"ok")
+            self.assertFalse(self.has_not_run(exchange))
+            self.pool.close()
+
+    async def test_success_without_id_is_skipped_if_the_server_names_requests(
+        self,
+    ) -> None:
+        stale = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nno"
+        self.responses = [self.named, stale + self.answer]
+        await self.exchange_request(b"r1")
+        _, exchange = await self.exchange_request(b"r2")
+        self.assertEqual(b"".join(exchange.body), b"ok")
+
+    async def test_server_that_never_names_requests_is_answered_from(self) -> None:
+        response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
+        self.responses = [response, response]
+        for request_id in (b"r1", b"r2"):
+            ending, exchange = await self.exchange_request(request_id)
+            self.assertIs(ending, Ending.COMPLETE)
+            self.assertEqual(b"".join(exchange.body), b"ok")
