Reject announcements whose address, numbers or name cannot be used

Numbers that do not fit the wire ended calls with 500. Layers beyond the model ended each round of placement with an IndexError, or kept the leader busy over four thousand million layers; a start far in the future outranked each real incarnation; a name with a line break reached backend servers in a header.

The address was checked for a colon and str.isdigit, which other scripts' digits pass; numbers had no bounds. Addresses are now parsed in one place (runtime/addresses.py), which the settings use too, and numbers, names and labels have bounds. Gateways check what control sends, for control of an earlier version; placement cuts layers to the model. Reports of backend servers that are deeply nested or out of range, and headers of thousands of digits, count as missing: these raised RecursionError, OverflowError and ValueError.

--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -20,6 +20,7 @@
 from yuccareach.gateway.state import MEMBERS_TIMEOUT_S, get_boot_time_s
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
+from yuccareach.runtime.addresses import parse_host_port
 from yuccareach.runtime.logs import RepeatFilter
 from yuccareach.runtime.rpc import get_error_code
 
@@ -43,6 +44,7 @@
 # While no leader is found, an instance's unchanged answer is logged at this interval.
 SEARCH_LOG_INTERVAL_S = 5.0
 MAX_KNOWN_ADDRESSES = 32
+MAX_LOGGED_CHARACTERS = 200
 
 
 class ViewPoller:
@@ -300,7 +302,7 @@
             self.source = view.source
             self.resync_at_s = gateway.now() + RESYNC_DELAY_S
         self.members_version = view.members_version
-        announced = [decode_member(member) for member in view.members]
+        announced = self._decode_members(view)
         gateway.fleet.update(announced, view.departed)
         if view.members_snapshot:
             gateway.fleet.remove_all_except({item.name for item in announced})
@@ -337,6 +339,22 @@
             gateway.first_view_received.set()
         gateway.lease_until_s = poll_started_s + gateway.settings.lease_s
 
+    def _decode_members(self, view: cpb.View) -> list[Announcement]:
+        """Return the members whose address can be used; the others are logged."""
+        announced = []
+        for member in view.members:
+            try:
+                parse_host_port(member.address)
+            except ValueError as error:
+                self.gateway.log(
+                    "member_ignored",
+                    backend_server=member.backend_server[:MAX_LOGGED_CHARACTERS],
+                    reason=str(error),
+                )
+            else:
+                announced.append(decode_member(member))
+        return announced
+
     def _apply_document(self, view: cpb.View) -> None:
         """Put a newer routing document in force, or log why it cannot be decoded."""
         version = view.document.version or view.document_delta.version
--- a/src/yuccareach/placement/run.py
+++ b/src/yuccareach/placement/run.py
@@ -181,7 +181,8 @@
         self, member: cpb.Member, model: ModelProfile, now: int
     ) -> Server:
         accelerator = model.accelerator_by_kind[member.kind]
-        layers = LayerRange(member.first_layer, member.end_layer)
+        # A member may announce layers that the model does not have.
+        layers = LayerRange(member.first_layer, min(member.end_layer, model.layers))
         order = self.pending_order_by_name.get(member.backend_server)
         if order is not None:
             is_confirmed = layers == order.layers
@@ -195,7 +196,7 @@
             member.availability_zone,
             accelerator.memory_mb,
             accelerator.decode_factor,
-            layers if layers.size else NO_LAYERS,
+            layers if layers.size > 0 else NO_LAYERS,
         )
 
     async def _send_load_order(
--- a/src/yuccareach/platform/control_app.py
+++ b/src/yuccareach/platform/control_app.py
@@ -21,6 +21,7 @@
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.runtime.health import add_health_routes
 from yuccareach.runtime.logs import Log, logger, write_log
+from yuccareach.runtime.reducer import wall_clock_ms
 
 if TYPE_CHECKING:
     from yuccareach.control.run import ControlProcess
@@ -122,7 +123,9 @@
     async def on_post(self, request: Any, response: Any, name: str) -> None:
         """Record a runner's heartbeat."""
         try:
-            member = decode_heartbeat(name, await _read_announcement(request))
+            member = decode_heartbeat(
+                name, await _read_announcement(request), wall_clock_ms()
+            )
         except InvalidAnnouncement as error:
             _note("heartbeat_refused", backend_server=name, reason=str(error)[:200])
             raise falcon.HTTPBadRequest(title=str(error)) from error
--- a/src/yuccareach/platform/headers.py
+++ b/src/yuccareach/platform/headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 
 import msgspec
@@ -45,11 +46,26 @@
 SERVER_LIMIT = b"server-limit"
 # The runner at the address is not the one that the request was meant for.
 MISDIRECTED_STATUS = 421
+# Numbers of that length fit into 64 bits.
+MAX_DIGITS = 18
 # Scheme of the Authorization header, in lower case.
 KEY_SCHEME = b"token "
 
 _DECIMAL_NUMBER = re.compile(rb"[0-9]{1,12}(\.[0-9]{0,12})?|\.[0-9]{1,12}")
 
+# What decoding a report may raise: it may be no JSON, deeply nested, of another shape
+# or have numbers that are too large.
+_REPORT_ERRORS = (
+    msgspec.DecodeError,
+    UnicodeError,
+    RecursionError,
+    LookupError,
+    TypeError,
+    AttributeError,
+    ValueError,
+    OverflowError,
+)
+
 # Headers that the gateway consumes, or that only the gateway may set.
 _GATEWAY_HEADERS = frozenset(
     (
@@ -117,7 +133,9 @@
 
 
 def _parse_number(value: bytes | None) -> int | None:
-    return int(value) if value is not None and value.isdigit() else None
+    """Return a number of at most MAX_DIGITS digits, or None for anything else."""
+    is_number = value is not None and value.isdigit() and len(value) <= MAX_DIGITS
+    return int(value) if value is not None and is_number else None
 
 
 def _parse_token_bounds(value: bytes | None) -> tuple[int, int]:
@@ -250,7 +268,7 @@
             str(item["id"]).encode(): str(item["address"])
             for item in decoded.get("stalled", [])
         }
-    except (msgspec.DecodeError, KeyError, TypeError, AttributeError):
+    except _REPORT_ERRORS:
         return {}
 
 
@@ -262,9 +280,10 @@
     try:
         # In `kinds` of the routing document, `pace` is the decode factor of an
         # accelerator that works normally.
-        return float(msgspec.json.decode(report)["pace"])
-    except (msgspec.DecodeError, KeyError, TypeError, ValueError):
+        slowdown = float(msgspec.json.decode(report)["pace"])
+    except _REPORT_ERRORS:
         return None
+    return slowdown if 0 < slowdown < math.inf else None
 
 
 def read_faulty_address(body: bytes) -> str:
@@ -274,7 +293,7 @@
     """
     try:
         return str(msgspec.json.decode(body).get("address", ""))
-    except (msgspec.DecodeError, AttributeError):
+    except _REPORT_ERRORS:
         return ""
 
 
--- a/src/yuccareach/platform/settings.py
+++ b/src/yuccareach/platform/settings.py
@@ -14,6 +14,7 @@
 
 from yuccareach.gateway.budget import RetryBudgetLimits
 from yuccareach.platform.errors import InvalidProcessSettings
+from yuccareach.runtime.addresses import parse_host_port
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -157,16 +158,17 @@
         errors.append(f"internalPorts is {ports}, expected two ports, the lower first")
     if not file.seeds:
         errors.append("seeds is empty, expected at least one HOST:PORT")
-    addresses = [("seeds", seed) for seed in file.seeds]
+    addresses = [("seeds", seed, False) for seed in file.seeds]
     addresses += [
-        (f"listen.{name}", value)
+        (f"listen.{name}", value, True)
         for name, value in msgspec.structs.asdict(file.listen).items()
         if value
     ]
-    for field, address in addresses:
-        host, _, port = address.rpartition(":")
-        if not host or not port.isdigit():
-            errors.append(f"{field}: {address} is no HOST:PORT")
+    for field, address, is_listener in addresses:
+        try:
+            parse_host_port(address, may_be_any_port=is_listener)
+        except ValueError as error:
+            errors.append(f"{field}: {error}")
     return errors
 
 
