Ask control on a gateway's own instance, and close streams to former seeds

A gateway that restarted while all of its seeds were gone found no leader, though control ran beside it: it asked the seeds only. It now asks its own host last; where no control runs there, the connection is refused at once. With a leader found, nothing changes.

An instance that introduces itself to seeds would go on to open a stream to each that is gone, several times a second, for ever; so it was already for former members. Streams that were not used for 10 s, to addresses that are neither seeds nor members, are closed.

--- a/src/yuccareach/control/joining.py
+++ b/src/yuccareach/control/joining.py
@@ -82,17 +82,12 @@
     """
     while True:
         await asyncio.sleep(INTRODUCTION_INTERVAL_MS / 1000)
-        for address in _list_unjoined_seeds(process):
-            process.peers.introduce(address)
-
-
-def _list_unjoined_seeds(process: ControlProcess) -> list[str]:
-    """Return the seeds to introduce this instance to; none while it lacks a leader."""
-    state = process.state
-    if state.role is Role.FAILED or _should_join(process):
-        return []
-    members = {peer.address for peer in state.membership.peers}
-    return [address for address in process.join_targets if address not in members]
+        members = {peer.address for peer in process.state.membership.peers}
+        seeds = [item for item in process.join_targets if item != process.address]
+        if process.state.role is not Role.FAILED and not _should_join(process):
+            for address in itertools.filterfalse(members.__contains__, seeds):
+                process.peers.introduce(address)
+        await process.peers.close_unused({*members, *seeds}, monotonic_ms())
 
 
 async def _request_join(process: ControlProcess, target: str) -> tuple[str, str]:
--- a/src/yuccareach/control/peers.py
+++ b/src/yuccareach/control/peers.py
@@ -10,17 +10,19 @@
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
 from yuccareach.runtime.links import CHANNEL_OPTIONS
+from yuccareach.runtime.reducer import monotonic_ms
 from yuccareach.runtime.streams import NewestStreamSignal
 from yuccareach.runtime.tasks import cancel_tasks
 
 if TYPE_CHECKING:
-    from collections.abc import AsyncIterator
+    from collections.abc import AsyncIterator, Collection
 
     from yuccareach.control.raft_types import RaftState
 
 MAX_QUEUED_FRAMES = 256
 # The senders heard longest ago are forgotten above this number.
 MAX_HEARD_ADDRESSES = 32
+UNUSED_STREAM_TIMEOUT_MS = 10_000
 
 
 class _PeerOutbox:
@@ -30,9 +32,12 @@
         self.frames: list[cpb.RaftFrame] = []
         self.frame_signal = NewestStreamSignal()
         self.task: asyncio.Task[None] | None = None
+        # When a frame was queued last.
+        self.used_ms = 0
 
     def put(self, frame: cpb.RaftFrame) -> None:
         """Queue a frame."""
+        self.used_ms = monotonic_ms()
         self.frames.append(frame)
         del self.frames[:-MAX_QUEUED_FRAMES]
         self.frame_signal.notify()
@@ -157,6 +162,20 @@
                 pass
             await asyncio.sleep(0.1)
 
+    async def close_unused(self, addresses: Collection[str], now_ms: int) -> None:
+        """Close the streams to addresses that are not listed, unless used lately.
+
+        A stream to an instance that is gone would be opened again and again.
+        """
+        unused = [
+            address
+            for address, outbox in self.outbox_by_address.items()
+            if address not in addresses
+            and now_ms - outbox.used_ms > UNUSED_STREAM_TIMEOUT_MS
+        ]
+        outboxes = [self.outbox_by_address.pop(address) for address in unused]
+        await cancel_tasks(outbox.task for outbox in outboxes if outbox.task)
+
     async def close(self) -> None:
         """Close all streams."""
         await cancel_tasks(
--- a/src/yuccareach/platform/run_gateway.py
+++ b/src/yuccareach/platform/run_gateway.py
@@ -19,6 +19,15 @@
     from yuccareach.runtime.process import ProcessLifecycle
 
 
+def list_control_addresses(settings: ProcessSettings) -> tuple[str, ...]:
+    """Return the control instances to ask first: the seeds, then this host.
+
+    Control often runs beside a gateway, and all seeds may be gone.
+    """
+    own_address = f"{settings.host}:{settings.peer_port}"
+    return tuple(dict.fromkeys((*settings.control_peers, own_address)))
+
+
 def build_gateway(settings: ProcessSettings) -> GatewayProcess:
     """Return a gateway that is not started yet."""
     gateway_settings = GatewaySettings(
@@ -34,7 +43,11 @@
         f"{settings.host}:{settings.metrics_port}",
     )
     return GatewayProcess(
-        gateway_settings, addresses, settings.control_peers, DIALECT, decode_document
+        gateway_settings,
+        addresses,
+        list_control_addresses(settings),
+        DIALECT,
+        decode_document,
     )
 
 
@@ -50,7 +63,7 @@
 
     def _apply_settings(path: Path) -> None:
         """Apply the control addresses, which may change while the process runs."""
-        gateway.view_poller.replace_seeds(load_settings(path).control_peers)
+        gateway.view_poller.replace_seeds(list_control_addresses(load_settings(path)))
 
     return gateway, _apply_settings
 
--- a/tests/platform/control_cluster.py
+++ b/tests/platform/control_cluster.py
@@ -92,9 +92,11 @@
         await control.start()
         return control
 
-    async def start_gateway(self, name: str, seeds: list[str]) -> GatewayProcess:
-        """Start a gateway."""
-        path = self.write_settings(name, "127.0.1.100", seeds)
+    async def start_gateway(
+        self, name: str, seeds: list[str], host: str = "127.0.1.100"
+    ) -> GatewayProcess:
+        """Start a gateway, by default on a host without control."""
+        path = self.write_settings(name, host, seeds)
         gateway = build_gateway(load_settings(path)._replace(metrics_port=0))
         self.gateway_by_name[name] = gateway
         await gateway.start()
--- a/tests/platform/test_control_discovery.py
+++ b/tests/platform/test_control_discovery.py
@@ -3,9 +3,11 @@
 from __future__ import annotations
 
 import unittest
+from unittest import mock
 
 from tests.platform.control_cluster import ControlClusterTestCase
 from tests.platform.examples import build_document
+from yuccareach.control import peers as peers_module
 from yuccareach.control.joining import select_join_target
 from yuccareach.platform.standin import put_document
 
@@ -78,6 +80,14 @@
         gateway = await self.start_gateway("gateway", [self.new_name])
         await self.wait_until(lambda: bool(gateway.view_poller.leader))
 
+    async def test_gateway_beside_control_found_no_leader_as_all_seeds_were_gone(
+        self,
+    ) -> None:
+        for name in ("control-1", "control-4"):
+            host = self.host_by_name[name]
+            gateway = await self.start_gateway(f"beside-{name}", [self.new_name], host)
+            await self.wait_until(lambda poller=gateway.view_poller: poller.leader)
+
     async def test_instance_whose_other_seeds_are_gone_joins(self) -> None:
         await self.stop_control("control-4")
         await self.start_control(
@@ -85,6 +95,16 @@
         )
         await self.wait_until(lambda: self.has_joined(self.new_name))
 
+    async def test_streams_to_seeds_that_were_replaced_are_closed(self) -> None:
+        gone = self.peer_address(self.new_name)
+        self.replace_seeds([self.new_name])
+        peers = self.control_by_name["control-1"].process.peers
+        await self.wait_until(lambda: gone in peers.outbox_by_address)
+        self.replace_seeds(["control-2"])
+        with mock.patch.object(peers_module, "UNUSED_STREAM_TIMEOUT_MS", 500):
+            await self.wait_until(lambda: gone not in peers.outbox_by_address)
+        self.assertTrue(all(map(self.has_joined, self.control_by_name)))
+
 
 class RestartTests(ControlClusterTestCase):
     """A control instance in memory restarts alone."""
