Forget a leader that is not heard, and ask the next instance after a redirect to it

A control instance without a vote named the leader that it had heard last for as long as it was disconnected from the others; only voters forget one, as they start an election. A gateway that asked such an instance first followed its redirect to a leader that had gone, failed, and asked the same instance again, never the next: its callers got 503 once its lease had run out, and operators were redirected to an address that did not answer.

Instances without a vote forget the leader after an election timeout, and after a failed redirect the next candidate is asked.

Both tests failed before: test_instance_without_a_vote_named_a_lost_leader_for_ever and test_instance_that_names_a_dead_leader_was_asked_for_ever.

--- a/src/yuccareach/control/elections.py
+++ b/src/yuccareach/control/elections.py
@@ -25,10 +25,16 @@
 
 
 def tick(state: RaftState, now: int) -> Effects:
-    """Start an election when it is due, or step down as a leader without a quorum."""
+    """Start an election when it is due, or step down as a leader without a quorum.
+
+    An instance without a vote only forgets the leader, so that it sends nobody there.
+    """
     if state.role is Role.LEADER:
         return _check_quorum(state, now)
-    if now < state.election_due_ms or not state.is_voter:
+    if now < state.election_due_ms:
+        return []
+    if not state.is_voter:
+        state.leader = ""
         return []
     return _start_pre_vote(state, now)
 
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -242,8 +242,10 @@
     async def _handle_poll_error(self, target: str, error: grpc.RpcError) -> None:
         """Try the next instance.
 
-        The channel is closed, since its connection may hang without an error.
+        The channel is closed, since its connection may hang without an error. After a
+        redirect, the instance that gave it is outdated too.
         """
+        is_next_due = self.candidates[0] == target or self.consecutive_redirects > 0
         if self.leader == target:
             self.gateway.log(
                 "control_lost", leader=target, reason=get_error_code(error)
@@ -254,7 +256,7 @@
         channel = self.channel_by_address.pop(target, None)
         if channel is not None:
             await channel.close()
-        if self.candidates[0] == target:
+        if is_next_due:
             self.candidates.rotate(-1)
         await asyncio.sleep(RETRY_DELAY_S)
 
--- a/tests/control/test_raft.py
+++ b/tests/control/test_raft.py
@@ -11,9 +11,16 @@
 from tests.control.cluster import TEAMS, Cluster, Node, run_random
 from yuccareach.control import raft
 from yuccareach.control.persistence import persist
-from yuccareach.control.raft_types import RaftMessageReceived, Role, SendMessage
+from yuccareach.control.raft_types import (
+    ELECTION_JITTER_MS,
+    ELECTION_TIMEOUT_MS,
+    RaftMessageReceived,
+    Role,
+    SendMessage,
+)
 from yuccareach.control.state_machine import StateMachine
 from yuccareach.proto import control_pb2 as cpb
+from yuccareach.runtime.reducer import Tick
 
 NODES = st.sampled_from(["a", "b", "c"])
 POSITIONS = st.integers(0, 50)
@@ -102,6 +109,24 @@
         persist(node.store, node.state, effects)
         return effects
 
+    def test_instance_without_a_vote_named_a_lost_leader_for_ever(self) -> None:
+        node = self.node()
+        node.state.membership.peers[2].voter = False
+        append = cpb.AppendRequest(term=1, previous_index=1, previous_term=1)
+        self.receive(node, "a1", append=append)
+        self.assertEqual(node.state.leader, "a1")
+        for _ in range(10):
+            node.now += ELECTION_TIMEOUT_MS // 5
+            self.receive(node, "a1", append=append)
+            raft.reduce(node.state, Tick(), node.now)
+            self.assertEqual(node.state.leader, "a1")
+        node.now += ELECTION_TIMEOUT_MS + ELECTION_JITTER_MS
+        self.assertEqual(raft.reduce(node.state, Tick(), node.now), [])
+        self.assertEqual(node.state.leader, "")
+        self.assertIs(node.state.role, Role.FOLLOWER)
+        self.receive(node, "b1", append=append)
+        self.assertEqual(node.state.leader, "b1")
+
     def run_for(self, cluster: Cluster, rounds: int) -> None:
         """Advance the clocks and deliver messages, except to a paused instance."""
         for _ in range(rounds):
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -8,6 +8,8 @@
 from typing import Any
 from unittest import mock
 
+import grpc
+
 from yuccareach.control.document_deltas import build_delta
 from yuccareach.gateway import view
 from yuccareach.gateway.view import RETRY_DELAY_S, ViewPoller
@@ -68,6 +70,7 @@
         gateway: Any = mock.Mock(suspect_found=asyncio.Event())
         self.poller = ViewPoller(gateway, ["a", "b"], mock.Mock())
         self.polled_addresses: list[str] = []
+        self.dead_addresses: set[str] = set()
         self.delays_s: list[float] = []
 
     async def run_polls(
@@ -80,6 +83,8 @@
                 if len(self.polled_addresses) == poll_count:
                     raise asyncio.CancelledError
                 self.polled_addresses.append(address)
+                if address in self.dead_addresses:
+                    raise grpc.RpcError
                 leader = leader_by_address[address]
                 return cpb.View(not_leader=True, leader_address=leader)
 
@@ -106,6 +111,12 @@
         await self.run_polls({"a": "b", "b": "a"}, 10)
         self.assertEqual(len(self.delays_s), 9)
 
+    async def test_instance_that_names_a_dead_leader_was_asked_for_ever(self) -> None:
+        # As one that is disconnected from the others, and so hears of no new leader.
+        self.dead_addresses = {"dead"}
+        await self.run_polls({"a": "dead", "b": ""}, 3)
+        self.assertEqual(self.polled_addresses, ["a", "dead", "b"])
+
 
 class KnownAddressTests(unittest.IsolatedAsyncioTestCase):
     """Which control instances a gateway goes on to ask."""
