Soak a stop of all after an exchange of seeds, and mend two defects of the soak

Two control instances without a disk join its cluster now; at the end of a seed all settings name them as seeds, then every process is killed and started again.

Faults that end within 50 ms before a request excuse it.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -19,6 +19,10 @@
     from bench.soak.schedule import ScheduledFault
 
 
+# Less than a process takes to see that its settings have changed.
+SEED_EXCHANGE_DELAY_S = 0.7
+
+
 class InjectedFault(NamedTuple):
     """A fault that was injected, and when.
 
@@ -86,6 +90,24 @@
         )
         self.faulted_programs.discard(program)
 
+    async def stop_all(self) -> None:
+        """Exchange the seeds for instances that lose their state, then kill all.
+
+        Some of the killed processes have read the new seeds before, others have not.
+        """
+        self.deployment.exchange_seeds()
+        await asyncio.sleep(SEED_EXCHANGE_DELAY_S)
+        started_s = time.monotonic()
+        programs = self.deployment.list_all_programs()
+        for program in programs:
+            self.deployment.send_signal(program, signal.SIGKILL)
+        await asyncio.gather(*map(self.deployment.wait_for_end, programs))
+        await asyncio.gather(*map(self.deployment.launch, programs))
+        ended_s = time.monotonic()
+        self.injected_faults += [
+            InjectedFault("kill", program, started_s, ended_s) for program in programs
+        ]
+
     async def _kill(self, program: Program, duration_s: float) -> None:
         self.deployment.send_signal(program, signal.SIGKILL)
         await self.deployment.wait_for_end(program)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -22,7 +22,11 @@
 from bench.soak.faults import Injector
 from bench.soak.observations import Observations, describe
 from bench.soak.promises import find_violations
-from bench.soak.schedule import ScheduledFault, make_schedule
+from bench.soak.schedule import (
+    CLOSING_FAULT_KIND,
+    ScheduledFault,
+    make_schedule,
+)
 from bench.soak.seeds import REGRESSIONS, SOAK_DEFECTS
 from yuccareach.platform.standin import put_document
 
@@ -156,6 +160,8 @@
             await start_deployment(deployment, operator, callers)
             callers.start()
             await _inject_faults(operator, injector, faults, http)
+            if not plan.fault_kinds or CLOSING_FAULT_KIND in plan.fault_kinds:
+                await injector.stop_all()
             await _wait_for_recovery(plan, operator, callers, http)
             await callers.stop()
     except AssertionError as error:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -24,6 +24,8 @@
     "caller_part": 0.0,
     "runner_limited": 0.1,
 }
+# The fault that ends a seed: all processes are killed after the seeds were exchanged.
+CLOSING_FAULT_KIND = "all_stop"
 # Targets are drawn below this number. It exceeds the number of processes of any role.
 MAX_TARGETS = 300
 
@@ -81,4 +83,4 @@
     return sorted(faults)
 
 
-__all__ = ["ScheduledFault", "make_schedule"]
+__all__ = ["CLOSING_FAULT_KIND", "ScheduledFault", "make_schedule"]
--- a/bench/soak/server_promises.py
+++ b/bench/soak/server_promises.py
@@ -32,6 +32,8 @@
 # Servers are silent for about a second. A request may fail if its servers were silent
 # for longer than this in all.
 MAX_SILENCE_S = 3.0
+# A gateway reads the end of a connection this long after it, at most.
+LINK_END_DELAY_S = 0.05
 # The platform's bound on the time in which a server still gets requests from a gateway
 # that has passed on an answer in which the server says so.
 MAX_LEAVING_DELAY_S = 2.0
@@ -129,10 +131,11 @@
     """Return whether a link fault may have cut a request's decisive attempt on its way.
 
     Such an attempt has not arrived, so that its server is not known. It is the last
-    one, or any if every server that the request reached has rejected it.
+    one, or any if every server that the request reached has rejected it. The end of a
+    fault closes the connections that it has held up.
     """
     has_run = any(is_run(runner, arrival) for runner, arrival in arrivals)
-    from_s = record.ended_s if has_run else record.started_s
+    from_s = record.ended_s - LINK_END_DELAY_S if has_run else record.started_s
     services = {runner.service for runner in servers}
     return any(
         start_s < record.ended_s and from_s < end_s
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -316,6 +316,8 @@
             ("a,b(non-voter)", False),
             ("a,b", False),
             ("a,b,c(non-voter)", False),
+            ("a,b(non-voter),c,d(non-voter)", False),
+            ("a,b,c,d(non-voter)", True),
             ("a,b,c", True),
         ):
             with logs[1].open("a") as log_file:
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -127,6 +127,8 @@
         for span, service, count in (
             ((7.5, 8.5), runner.service, 0),
             ((7.5, 7.9), runner.service, 1),
+            # Its end closed the connection.
+            ((7.5, 7.99), runner.service, 0),
             ((7.5, 8.5), "another service", 1),
         ):
             with self.subTest(span=span, service=service):
