Make two tests of odd entries fail on the code before the mend

Read once more and run on: test_gateway_stopped_following_members_after_an_ unusable_one passed there, since the sound server came with a later view. It now comes with the same view, and the test fails there with a timeout, passes here. The test of placement checked the range alone; one more plans with a gap, which raises IndexError there. src is unchanged.

--- a/tests/platform/control_cluster.py
+++ b/tests/platform/control_cluster.py
@@ -27,8 +27,8 @@
 class ControlClusterTestCase(unittest.IsolatedAsyncioTestCase):
     """A test case whose instances share their ports, as on the platform.
 
-    hosts maps the name of each control instance to its host, durable_names lists those
-    that have a data folder.
+    host_by_name holds the host of each control instance; durable_names lists those that
+    have a data folder.
     """
 
     host_by_name = {f"control-{number}": f"127.0.1.{number}" for number in range(1, 6)}
@@ -175,4 +175,4 @@
             return answer.status
 
 
-__all__ = ["RECOVERY_S", "ControlClusterTestCase"]
+__all__ = ["ControlClusterTestCase"]
--- a/tests/platform/test_odd_announcements.py
+++ b/tests/platform/test_odd_announcements.py
@@ -8,15 +8,21 @@
 from unittest import mock
 
 from tests.gateway.fleet import MODEL as MODEL_PROFILE
+from tests.placement.test_planner import make_server
 from tests.platform.deployment import DeploymentTestCase
+from tests.platform.examples import PLAIN
 from tests.platform.test_announcements import encode_heartbeat
 from tests.runtime.test_addresses import UNUSABLE_ADDRESSES
 from yuccareach.control.members import MemberTable
+from yuccareach.placement.assignments import LayerRange
+from yuccareach.placement.planner import plan_assignments
 from yuccareach.placement.run import PlacementController
 from yuccareach.platform.announcements import decode_departure, decode_heartbeat
 from yuccareach.platform.errors import InvalidAnnouncement
 from yuccareach.platform.headers import DIALECT
+from yuccareach.platform.standin import Runner
 from yuccareach.proto import control_pb2 as cpb
+from yuccareach.runtime.reducer import monotonic_ms
 
 LARGE_NUMBERS = (2**31, 2**32, 2**53 + 1, 2**63, 2**64, 10**30, 10**400)
 DEEP_JSON = b"[" * 30_000 + b"]" * 30_000
@@ -95,11 +101,22 @@
 
 
 class PlacementTests(unittest.TestCase):
-    def test_layers_beyond_the_model_ended_each_round_of_placement(self) -> None:
+    def setUp(self) -> None:
         process: Any = mock.Mock()
         process.members = MemberTable(0)
         process.entry_reports.find_unreachable.return_value = set()
-        placement = PlacementController(process, mock.Mock(), mock.Mock())
+        self.placement = PlacementController(process, mock.Mock(), mock.Mock())
+
+    def test_layers_beyond_the_model_ended_rounds_of_placement_with_a_gap(
+        self,
+    ) -> None:
+        kind = next(iter(MODEL_PROFILE.accelerator_by_kind))
+        member = cpb.Member(backend_server="odd", kind=kind, end_layer=500)
+        odd = self.placement._build_server(member, MODEL_PROFILE, 0)
+        held = make_server("a", "z1", "a100", LayerRange(0, 30))
+        plan_assignments([held, odd], MODEL_PROFILE)
+
+    def test_layers_of_a_server_are_cut_to_those_of_the_model(self) -> None:
         kind = next(iter(MODEL_PROFILE.accelerator_by_kind))
         for first, end in ((0, 2**32 - 1), (2**31, 2**32 - 1), (7, 3)):
             member = cpb.Member(
@@ -109,7 +126,7 @@
                 first_layer=first,
                 end_layer=end,
             )
-            server = placement._build_server(member, MODEL_PROFILE, 0)
+            server = self.placement._build_server(member, MODEL_PROFILE, 0)
             self.assertLessEqual(server.layers.end, MODEL_PROFILE.layers)
             self.assertGreaterEqual(server.layers.size, 0)
 
@@ -141,6 +158,10 @@
     async def test_gateway_stopped_following_members_after_an_unusable_one(
         self,
     ) -> None:
+        # A sound server that the same view brings.
+        runner = Runner(self.group, "p-3", PLAIN, "z1", "")
+        await runner.start()
+        self.addAsyncCleanup(runner.stop)
         # As from control of an earlier version.
         members = self.control.process.members
         for number, address in enumerate(UNUSABLE_ADDRESSES):
@@ -152,9 +173,10 @@
                 started_ms=5,
                 sequence=1,
             )
-            members.record_heartbeat(member, members.started_ms)
+            members.record_heartbeat(member, monotonic_ms())
+        heartbeat = json.dumps(runner.build_heartbeat()).encode()
+        members.record_heartbeat(decode_heartbeat("p-3", heartbeat), monotonic_ms())
         self.control.process.notify_member_watchers()
-        await self.add_runner("p-3")
         await self.wait_until_known("p-3")
         for number in range(60):
             answer = await self.send_request("/look/1", f"r{number}", method="GET")
