Review: judge the forgotten departure a second later

A control process takes up to a second to start, so that the machines count as in touch from 4 s after the restart only. An acknowledged departure is forgotten as before.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -30,6 +30,8 @@
 # The processes are killed so long after the acknowledgement, and are back after this.
 KILL_AFTER_S = 0.01
 DOWN_S = 0.5
+# Within it, a process that is started serves.
+START_S = 1.0
 SERVE_S = 11.0
 REQUEST_INTERVAL_S = 0.04
 SERVICES = [
@@ -127,7 +129,7 @@
         # No machine is in touch until contactMs after the last start in the core.
         in_touch_s = max(
             acknowledged_s + BOUNDS["drainMs"] / 1000,
-            restarted_s + BOUNDS["contactMs"] / 1000,
+            restarted_s + START_S + BOUNDS["contactMs"] / 1000,
         )
         late = [
             sent_s_by_request[request] - acknowledged_s
