Review: case 1 rules out more excuses, and exits with 2 where it cannot run

A script whose imports, processes or stand-ins fail exits with 2; one that is terminated ends its processes.

--- a/review/standins/deployment.py
+++ b/review/standins/deployment.py
@@ -166,8 +166,15 @@
             shutil.copytree(self.folder, keep, dirs_exist_ok=True)
         shutil.rmtree(self.folder, ignore_errors=True)
 
-    def read_log(self, role, machine):
-        return (self.folder / f"{role}-{machine}.log").read_text(errors="replace")
+    def check_running(self):
+        """Raise CannotRun if a process has ended that should run."""
+        ended = [
+            f"{role} {machine}"
+            for (role, machine), process in self.processes.items()
+            if process.poll() is not None
+        ]
+        if ended:
+            raise CannotRun(f"ended by themselves: {', '.join(ended)}")
 
 
 def make_document(version, routes, services, tenants):
@@ -239,3 +246,21 @@
         if time.monotonic() > end_s:
             raise CannotRun(f"not within {timeout_s} s: {what}")
         await asyncio.sleep(0.05)
+
+
+def run_and_exit(main):
+    """Exit with what main returns, or with 2 if it fails in any other way."""
+
+    def _stop(number, frame):
+        raise SystemExit(2)
+
+    signal.signal(signal.SIGTERM, _stop)
+    code = 2
+    try:
+        code = asyncio.run(main())
+    except SystemExit:
+        pass
+    except BaseException as error:
+        print(f"cannot run: {type(error).__name__}: {error}")
+    sys.stdout.flush()
+    os._exit(code)
