--- a/review/3/case.py
+++ b/review/3/case.py
@@ -19,6 +19,7 @@
     is_ready,
     make_document,
     put_document,
+    run_and_exit,
     wait_until,
 )
 from runner import Runner  # noqa: E402
@@ -29,7 +30,7 @@
 CALM_S = 8.0
 # The processes are killed so long after the acknowledgement, and are back after this.
 KILL_AFTER_S = 0.01
-DOWN_S = 0.5
+DOWN_S = 0.2
 # Within it, a process that is started serves.
 START_S = 1.0
 SERVE_S = 11.0
@@ -126,6 +127,7 @@
             )
             await asyncio.sleep(REQUEST_INTERVAL_S)
         statuses = await asyncio.gather(*tasks)
+        deployment.check_running()
         # No machine is in touch until contactMs after the last start in the core.
         in_touch_s = max(
             acknowledged_s + BOUNDS["drainMs"] / 1000,
@@ -161,6 +163,4 @@
 
 
 if __name__ == "__main__":
-    code = asyncio.run(main())
-    sys.stdout.flush()
-    os._exit(code)
+    run_and_exit(main)
