Log which members are restored from disk and which departures are recorded

The logs could not tell whether a restarted instance brings the runner back from its disk, whether the others never heard of the departure, or whether the gateways keep it by themselves.

--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -97,6 +97,11 @@
         saved_heartbeats = self.store.load_members().heard
         self.members.restore((item.member for item in saved_heartbeats), monotonic_ms())
         self.saved_members_version = self.members.version
+        if self.members.record_by_name:
+            _log.info(
+                "members_restored",
+                extra={"names": ",".join(sorted(self.members.record_by_name))},
+            )
         self.watchers: set[Watcher] = set()
         self.watch_requests_by_source: dict[str, list[cpb.WatchRequest]] = {}
         self.last_contact_ms_by_source: dict[str, int] = {}
@@ -333,13 +338,30 @@
 
         A started_ms of 0 stands for the incarnation that is recorded.
         """
-        if self.members.deregister(name, started_ms, monotonic_ms()):
+        if self._remove_departed(name, started_ms, "backend_server"):
             self.notify_member_watchers()
         self.unrelayed_dismissals.append(
             cpb.Dismissal(backend_server=name, started_ms=started_ms)
         )
         self.relay_due.set()
 
+    def _remove_departed(self, name: str, started_ms: int, source: str) -> bool:
+        """Remove a departed backend server; source names who reported it.
+
+        Returns whether it was a member.
+        """
+        removed = self.members.deregister(name, started_ms, monotonic_ms())
+        _log.info(
+            "departure_recorded",
+            extra={
+                "backend_server": name,
+                "started_ms": started_ms,
+                "source": source,
+                "removed": removed,
+            },
+        )
+        return removed
+
     def receive_relayed_frame(self, frame: cpb.RaftFrame) -> None:
         """Apply the members, departures and watchers that another instance relayed."""
         now = monotonic_ms()
@@ -350,7 +372,9 @@
             self.watch_requests_by_source[frame.source] = list(frame.watchers)
         self.members.apply_relayed_frame(frame, now)
         for dismissal in frame.dismissed:
-            self.members.deregister(dismissal.backend_server, dismissal.started_ms, now)
+            self._remove_departed(
+                dismissal.backend_server, dismissal.started_ms, frame.source
+            )
         if self.members.version != version:
             self.notify_member_watchers()
 
