Commit departures and drains before they are acknowledged

An acknowledged departure was in memory only, of the instance that acknowledged it and, some ms later, of the others. The members on disk still listed the runner until the next save, up to 0.5 s later. An instance that was killed before restored it for 10 s; the others kept it too if they had not heard of the departure, since the instance that had relayed the runner was back. A drain was lost the same way where no heartbeat followed, a departure also with the disk of its instance, with an instance in memory, and beside a full disk. Without a quorum both were acknowledged all the same.

A departure, and the first heartbeat that reports a drain, are now committed to the log, and acknowledged once that is done; an instance that does not lead forwards them. Every instance applies them to its members, at a start before it restores the saved ones, so that they are kept by whatever keeps an accepted change. Relays still spread a departure before it is committed.

--- a/src/yuccareach/control/joining.py
+++ b/src/yuccareach/control/joining.py
@@ -120,4 +120,9 @@
     return state.role is not Role.LEADER and since_contact_ms > REJOIN_TIMEOUT_MS
 
 
-__all__ = ["introduce_to_seeds", "select_join_target", "stay_joined"]
+__all__ = [
+    "HEARD_TIMEOUT_MS",
+    "introduce_to_seeds",
+    "select_join_target",
+    "stay_joined",
+]
--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -1,7 +1,9 @@
 """Liveness of backend servers, derived from their heartbeats.
 
-Every control instance keeps this table in memory only. It is not replicated through
-the log, since the agents send their heartbeats again after a restart.
+Every control instance keeps this table in memory, and saves the members now and then.
+Heartbeats are not replicated through the log, since the agents send them again after a
+restart. Withdrawals are, since nothing would repeat them: the log is their source, and
+this table holds what is needed to drop older heartbeats.
 """
 
 from __future__ import annotations
@@ -73,6 +75,17 @@
     at_ms: int
 
 
+class Drain(NamedTuple):
+    """The heartbeat with which an incarnation reported that it drains.
+
+    at_ms is the time at which the drain was recorded.
+    """
+
+    started_ms: int
+    sequence: int
+    at_ms: int
+
+
 class MemberDelta(NamedTuple):
     """Changes of the members since a version.
 
@@ -106,6 +119,7 @@
         self.record_by_name: dict[str, MemberRecord] = {}
         self.departures: deque[Departure] = deque(maxlen=MAX_RECENT_DEPARTURES)
         self.tombstone_by_name: dict[str, Tombstone] = {}
+        self.drain_by_name: dict[str, Drain] = {}
         # Of the version for which they were computed.
         self._names_by_zone: dict[str, frozenset[str]] = {}
         self._names_version = 0
@@ -136,6 +150,7 @@
         """
         if self._reject_or_supersede(member, now_ms, relayed=bool(source)):
             return
+        member = self._mark_if_draining(member)
         record = self.record_by_name.get(member.backend_server)
         if record is None:
             record = self.record_by_name[member.backend_server] = MemberRecord(
@@ -205,11 +220,7 @@
         A started_ms of 0 stands for the incarnation that is recorded. Returns whether
         a member was removed.
         """
-        self.tombstone_by_name = {
-            departed_name: tombstone
-            for departed_name, tombstone in self.tombstone_by_name.items()
-            if now_ms - tombstone.at_ms < TOMBSTONE_RETENTION_MS
-        }
+        self._remove_old_withdrawals(now_ms)
         record = self.record_by_name.get(name)
         if record is not None:
             started_ms = started_ms or record.member.started_ms
@@ -220,6 +231,61 @@
         self._remove(name)
         return True
 
+    def record_drain(
+        self, name: str, started_ms: int, sequence: int, now_ms: int
+    ) -> bool:
+        """Mark an incarnation as draining from one of its heartbeats on.
+
+        Its earlier heartbeats, which may be late or restored from disk, no longer show
+        it as ready. Returns whether a member changed.
+        """
+        self._remove_old_withdrawals(now_ms)
+        self.drain_by_name[name] = Drain(started_ms, sequence, now_ms)
+        record = self.record_by_name.get(name)
+        if record is None:
+            return False
+        member = self._mark_if_draining(record.member)
+        if member is record.member:
+            return False
+        record.member = member
+        self._mark_changed(record, now_ms)
+        return True
+
+    def _mark_if_draining(self, member: cpb.Member) -> cpb.Member:
+        """Return the member, marked as draining if a recorded drain covers it."""
+        drain = self.drain_by_name.get(member.backend_server)
+        if drain is None or member.draining or not member.started_ms:
+            return member
+        if (member.started_ms, member.sequence) > (drain.started_ms, drain.sequence):
+            return member
+        marked = type(member)()
+        marked.CopyFrom(member)
+        marked.draining = True
+        return marked
+
+    def _remove_old_withdrawals(self, now_ms: int) -> None:
+        self.tombstone_by_name = {
+            name: tombstone
+            for name, tombstone in self.tombstone_by_name.items()
+            if now_ms - tombstone.at_ms < TOMBSTONE_RETENTION_MS
+        }
+        self.drain_by_name = {
+            name: drain
+            for name, drain in self.drain_by_name.items()
+            if now_ms - drain.at_ms < TOMBSTONE_RETENTION_MS
+        }
+
+    def find_started_ms(self, name: str) -> int:
+        """Return the start of the known incarnation of a name, or 0 if there is none.
+
+        It may have departed already.
+        """
+        record = self.record_by_name.get(name)
+        if record is not None:
+            return record.member.started_ms
+        tombstone = self.tombstone_by_name.get(name)
+        return tombstone.started_ms if tombstone is not None else 0
+
     def _load_interval_ms(self) -> int:
         """Return how often the load of one member is forwarded, in milliseconds.
 
--- a/src/yuccareach/control/raft.py
+++ b/src/yuccareach/control/raft.py
@@ -28,7 +28,15 @@
 Effects = list[Any]
 # Kinds of command that carry the time at which the leader received them.
 _TIMED_COMMANDS = frozenset(
-    ("settings", "permit_acquire", "permit_finish", "lease", "quarantine", "losses")
+    (
+        "settings",
+        "permit_acquire",
+        "permit_finish",
+        "lease",
+        "quarantine",
+        "losses",
+        "withdrawal",
+    )
 )
 
 
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -10,6 +10,7 @@
 
 from yuccareach.control import raft
 from yuccareach.control.backups import read_backup
+from yuccareach.control.departures import apply_withdrawals, remove_departed
 from yuccareach.control.document_deltas import DocumentHistory
 from yuccareach.control.errors import CorruptLog, DiskFailed, RequestRefusedError
 from yuccareach.control.joining import introduce_to_seeds, stay_joined
@@ -94,6 +95,9 @@
         self.read_batcher = ReadBatcher(
             lambda: self.dispatch_and_wait(ReadRequested), READ_ROUND_INTERVAL_S
         )
+        # The last change of withdrawals that the members follow.
+        self.applied_withdrawal = 0
+        apply_withdrawals(self)
         saved_heartbeats = self.store.load_members().heard
         self.members.restore((item.member for item in saved_heartbeats), monotonic_ms())
         self.saved_members_version = self.members.version
@@ -272,6 +276,7 @@
             case RequestRefused(ticket=ticket, reason=reason, leader=leader):
                 self._reject(ticket, reason, leader)
             case RecordsApplied(revision=revision):
+                self._follow_withdrawals()
                 if self.machine.document.version != self.notified_document_version:
                     self.notified_document_version = self.machine.document.version
                     self.notify_all_watchers()
@@ -336,32 +341,16 @@
     def deregister(self, name: str, started_ms: int) -> None:
         """Remove a departing backend server here and on the other control instances.
 
-        A started_ms of 0 stands for the incarnation that is recorded.
+        A started_ms of 0 stands for the incarnation that is recorded. Nothing of this
+        is durable: see departures.commit_withdrawal.
         """
-        if self._remove_departed(name, started_ms, "backend_server"):
+        if remove_departed(self, name, started_ms, "backend_server"):
             self.notify_member_watchers()
         self.unrelayed_dismissals.append(
             cpb.Dismissal(backend_server=name, started_ms=started_ms)
         )
         self.relay_due.set()
 
-    def _remove_departed(self, name: str, started_ms: int, source: str) -> bool:
-        """Remove a departed backend server; source names who reported it.
-
-        Returns whether it was a member.
-        """
-        removed = self.members.deregister(name, started_ms, monotonic_ms())
-        _log.info(
-            "departure_recorded",
-            extra={
-                "backend_server": name,
-                "started_ms": started_ms,
-                "source": source,
-                "removed": removed,
-            },
-        )
-        return removed
-
     def receive_relayed_frame(self, frame: cpb.RaftFrame) -> None:
         """Apply the members, departures and watchers that another instance relayed."""
         now = monotonic_ms()
@@ -372,12 +361,19 @@
             self.watch_requests_by_source[frame.source] = list(frame.watchers)
         self.members.apply_relayed_frame(frame, now)
         for dismissal in frame.dismissed:
-            self._remove_departed(
-                dismissal.backend_server, dismissal.started_ms, frame.source
+            remove_departed(
+                self, dismissal.backend_server, dismissal.started_ms, frame.source
             )
         if self.members.version != version:
             self.notify_member_watchers()
 
+    def _follow_withdrawals(self) -> None:
+        """Apply new withdrawals to the members, and wake watchers of a change."""
+        version = self.members.version
+        apply_withdrawals(self)
+        if self.members.version != version:
+            self.notify_member_watchers()
+
     def build_update(self, watcher: Watcher) -> cpb.WatchUpdate | None:
         """Return the changes not yet sent to a watcher, or None if there are none."""
         update = cpb.WatchUpdate()
--- a/src/yuccareach/control/server.py
+++ b/src/yuccareach/control/server.py
@@ -7,6 +7,7 @@
 
 import grpc
 
+from yuccareach.control.departures import complete_withdrawal
 from yuccareach.control.errors import RequestRefusedError
 from yuccareach.control.members import MEMBER_LEASE_MS
 from yuccareach.control.raft_types import (
@@ -87,6 +88,7 @@
 
     async def Submit(self, request: cpb.SubmitRequest, context: Any) -> cpb.SubmitReply:
         """Commit a command, or return the leader's address if another one leads."""
+        complete_withdrawal(self.process, request.command)
         try:
             answer = await self.process.dispatch_and_wait(
                 lambda ticket: CommandSubmitted(ticket, request.command)
--- a/src/yuccareach/control/state_machine.py
+++ b/src/yuccareach/control/state_machine.py
@@ -1,5 +1,6 @@
-"""The replicated state machine: settings, permits, leases, quarantine and routing.
+"""The state machine that every control instance derives from the replicated log.
 
+It holds settings, permits, leases, quarantine, the routing document and withdrawals.
 Every instance applies the same commands and must reach the same state, so nothing here
 reads a clock or random numbers; the time comes from the commands.
 """
@@ -13,6 +14,7 @@
 import xxhash
 
 from yuccareach.control.loss_counts import LossCounts, load_loss_counts
+from yuccareach.control.withdrawals import Withdrawals
 from yuccareach.proto import control_pb2 as cpb, data_pb2 as pb
 
 MAX_HISTORY_RECORDS = 500
@@ -51,6 +53,7 @@
         self.lease_by_resource: dict[str, cpb.LeaseRecord] = {}
         self.loss_counts = LossCounts()
         self.document = cpb.RoutingDocument()
+        self.withdrawals = Withdrawals()
 
     def apply(self, command: cpb.Command) -> cpb.CommandAnswer:
         """Apply one committed command and return its answer."""
@@ -71,6 +74,9 @@
                 self.loss_counts.apply_reports(command.losses.reports, self.now_ms)
             case "document":
                 return self._replace_document(command.document)
+            case "withdrawal":
+                self._advance_clock(command.withdrawal.at_ms)
+                self.withdrawals.apply(command.withdrawal, self.now_ms)
         return cpb.CommandAnswer()
 
     def _advance_clock(self, at_ms: int) -> None:
@@ -277,6 +283,8 @@
             quarantines=self.loss_counts.list_current(self.now_ms),
             loss_changes=self.loss_counts.changes,
             document=self.document,
+            withdrawals=self.withdrawals.record_by_name.values(),
+            withdrawal_changes=self.withdrawals.changes,
             tombstones=[
                 cpb.TombstoneRecord(digest=digest, at_ms=at_ms)
                 for digest, at_ms in self.tombstone_by_digest.items()
@@ -304,6 +312,7 @@
     machine.lease_by_resource = {lease.resource: lease for lease in state.leases}
     machine.loss_counts = load_loss_counts(state.quarantines, state.loss_changes)
     machine.document.CopyFrom(state.document)
+    machine.withdrawals = Withdrawals(state.withdrawals, state.withdrawal_changes)
     machine.tombstone_by_digest = OrderedDict(
         (record.digest, record.at_ms) for record in state.tombstones
     )
--- a/src/yuccareach/platform/control_app.py
+++ b/src/yuccareach/platform/control_app.py
@@ -13,7 +13,8 @@
 import falcon
 import falcon.asgi
 
-from yuccareach.control.errors import RequestRefusedError
+from yuccareach.control.departures import commit_withdrawal
+from yuccareach.control.errors import ControlUnavailable, RequestRefusedError
 from yuccareach.control.raft_types import CommandSubmitted, ReadRequested
 from yuccareach.platform.announcements import decode_departure, decode_heartbeat
 from yuccareach.platform.documents import decode_document
@@ -65,6 +66,27 @@
     return body
 
 
+async def _commit_withdrawal(
+    process: ControlProcess, withdrawal: cpb.Withdrawal
+) -> None:
+    """Commit a runner's departure or drain.
+
+    Raises the falcon error with status 503 if it cannot be acknowledged, so that the
+    runner calls another instance.
+    """
+    try:
+        await commit_withdrawal(process, withdrawal)
+    except ControlUnavailable as error:
+        _note(
+            "withdrawal_not_committed",
+            logging.WARNING,
+            backend_server=withdrawal.backend_server,
+            departed=withdrawal.departed,
+            reason=str(error),
+        )
+        raise falcon.HTTPServiceUnavailable(title=str(error)) from error
+
+
 class _ConfigPut:
     """POST /-/config/put"""
 
@@ -121,7 +143,10 @@
         self.process = process
 
     async def on_post(self, request: Any, response: Any, name: str) -> None:
-        """Record a runner's heartbeat."""
+        """Record a runner's heartbeat.
+
+        The first one that reports a drain is acknowledged once the drain is committed.
+        """
         try:
             member = decode_heartbeat(
                 name, await _read_announcement(request), wall_clock_ms()
@@ -130,6 +155,15 @@
             _note("heartbeat_refused", backend_server=name, reason=str(error)[:200])
             raise falcon.HTTPBadRequest(title=str(error)) from error
         self.process.record_single_heartbeat(member)
+        if member.draining:
+            await _commit_withdrawal(
+                self.process,
+                cpb.Withdrawal(
+                    backend_server=name,
+                    started_ms=member.started_ms,
+                    sequence=member.sequence,
+                ),
+            )
         response.media = {}
 
 
@@ -140,13 +174,19 @@
         self.process = process
 
     async def on_post(self, request: Any, response: Any, name: str) -> None:
-        """Remove a departing runner from the members."""
+        """Remove a departing runner from the members, and commit its departure."""
         try:
             started_ms = decode_departure(await _read_announcement(request))
         except InvalidAnnouncement as error:
             _note("departure_refused", backend_server=name, reason=str(error)[:200])
             raise falcon.HTTPBadRequest(title=str(error)) from error
+        withdrawal = cpb.Withdrawal(
+            backend_server=name,
+            started_ms=started_ms or self.process.members.find_started_ms(name),
+            departed=True,
+        )
         self.process.deregister(name, started_ms)
+        await _commit_withdrawal(self.process, withdrawal)
         _note("departed", backend_server=name)
         response.media = {}
 
--- a/tests/control/test_members.py
+++ b/tests/control/test_members.py
@@ -9,6 +9,7 @@
     MIN_LOAD_INTERVAL_MS,
     RESTORED_LEASE_MS,
     SOURCE_TIMEOUT_MS,
+    TOMBSTONE_RETENTION_MS,
     MemberTable,
 )
 from yuccareach.proto import control_pb2 as cpb
@@ -181,6 +182,48 @@
         self.assertEqual(self.names(), set())
 
 
+class DrainTests(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = MemberTable(0)
+
+    def is_draining(self, name: str = "a") -> bool:
+        return self.table.record_by_name[name].member.draining
+
+    def test_drain_marks_the_member_and_is_forwarded(self) -> None:
+        self.table.record_heartbeat(ordered_member("a", 5, 3), 0)
+        version = self.table.version
+        self.assertTrue(self.table.record_drain("a", 5, 4, 10))
+        (changed,) = self.table.delta_since(version, 10).members
+        self.assertTrue(changed.draining)
+
+    def test_restored_heartbeat_from_before_a_drain_showed_a_ready_server(self) -> None:
+        self.table.record_drain("a", 5, 4, 0)
+        self.table.restore([ordered_member("a", 5, 3)], 0)
+        self.assertTrue(self.is_draining())
+
+    def test_later_heartbeat_and_later_incarnation_count(self) -> None:
+        self.table.record_drain("a", 5, 4, 0)
+        self.table.record_heartbeat(ordered_member("a", 5, 5), 10)
+        self.assertFalse(self.is_draining())
+        self.table.record_drain("b", 5, 4, 0)
+        self.table.record_heartbeat(ordered_member("b", 6, 1), 10)
+        self.assertFalse(self.is_draining("b"))
+
+    def test_drain_of_a_draining_or_unknown_member_changes_nothing(self) -> None:
+        self.table.record_heartbeat(ordered_member("a", 5, 4, draining=True), 0)
+        version = self.table.version
+        self.assertFalse(self.table.record_drain("a", 5, 4, 10))
+        self.assertFalse(self.table.record_drain("b", 5, 4, 10))
+        self.assertEqual(self.table.version, version)
+
+    def test_start_of_a_departed_incarnation_is_known(self) -> None:
+        self.table.record_heartbeat(ordered_member("a", 5, 3), 0)
+        self.assertEqual(self.table.find_started_ms("a"), 5)
+        self.table.deregister("a", 0, 10)
+        self.assertEqual(self.table.find_started_ms("a"), 5)
+        self.assertEqual(self.table.find_started_ms("b"), 0)
+
+
 class RestoreTests(unittest.TestCase):
     def setUp(self) -> None:
         self.table = MemberTable(0)
