Name withdrawn servers to gateways that follow a new leader

The new leader had applied the departure and did not list the runner. But its members are no complete list until its warm-up has ended, and the changes that it keeps begin with its own start, so the gateway removed nothing until it asked for all members again, 6 s after it had followed that leader.

A view or update from version 0 now names the withdrawn servers that are not members. The two tests failed before: test_gateway_kept_a_departed_server_as_a_new_leader_warmed_up and test_watcher_of_another_instance_kept_a_withdrawn_server.

--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -386,16 +386,26 @@
         self.departures.append(Departure(self.version, name))
 
     def delta_since(self, version: int, now_ms: int) -> MemberDelta:
-        """Return the changes after a version; version 0 requests every member."""
+        """Return the changes after a version.
+
+        Version 0 requests every member. The watcher may then know members of another
+        instance's table, so that all withdrawn servers that are not members count as
+        departed.
+        """
         members = [
             record.member
             for record in self.record_by_name.values()
             if record.version > version
         ]
-        departed = self.departed_since(version) if version else []
+        departed = self.departed_since(version) if version else self._list_withdrawn()
         snapshot = version == 0 and self.is_warmed_up(now_ms)
         return MemberDelta(self.version, members, departed, snapshot)
 
+    def _list_withdrawn(self) -> list[str]:
+        """Return the names of the withdrawn servers that are not members."""
+        withdrawn = {**self.tombstone_by_name, **self.drain_by_name}
+        return [name for name in withdrawn if name not in self.record_by_name]
+
     def direct_members_since(self, version: int) -> list[MemberRecord]:
         """Return the changed members whose agents sent their heartbeats here."""
         return [
--- a/tests/control/test_members.py
+++ b/tests/control/test_members.py
@@ -216,6 +216,23 @@
         self.assertFalse(self.table.record_drain("b", 5, 4, 10))
         self.assertEqual(self.table.version, version)
 
+    def test_watcher_of_another_instance_kept_a_withdrawn_server(self) -> None:
+        # Until the warm-up ends, a new leader's members are no snapshot.
+        self.table.deregister("a", 5, 0)
+        self.table.record_drain("b", 5, 4, 0)
+        self.table.record_drain("c", 5, 4, 0)
+        self.table.record_heartbeat(ordered_member("c", 5, 3), 0)
+        delta = self.table.delta_since(0, 10)
+        self.assertFalse(delta.snapshot)
+        self.assertEqual(delta.departed, ["a", "b"])
+        self.assertEqual([item.draining for item in delta.members], [True])
+
+    def test_old_withdrawals_are_removed(self) -> None:
+        self.table.record_drain("a", 5, 4, 0)
+        self.table.deregister("b", 5, 0)
+        self.table.record_drain("c", 5, 4, TOMBSTONE_RETENTION_MS)
+        self.assertEqual(self.table.delta_since(0, 0).departed, ["c"])
+
     def test_start_of_a_departed_incarnation_is_known(self) -> None:
         self.table.record_heartbeat(ordered_member("a", 5, 3), 0)
         self.assertEqual(self.table.find_started_ms("a"), 5)
--- a/tests/platform/test_acknowledged_departures.py
+++ b/tests/platform/test_acknowledged_departures.py
@@ -15,6 +15,8 @@
 from yuccareach.control.errors import DiskFailed
 from yuccareach.control.raft_types import Role
 from yuccareach.control.store import DiskStore
+from yuccareach.control.views import LONG_POLL_TIMEOUT_MS
+from yuccareach.platform import run_control
 from yuccareach.platform.standin import put_document
 
 if TYPE_CHECKING:
@@ -239,6 +241,21 @@
             await self.restart(*self.host_by_name)
             await self.assert_nothing_reaches("p-1")
 
+    async def test_gateway_kept_a_departed_server_as_a_new_leader_warmed_up(
+        self,
+    ) -> None:
+        async def _hear_nothing(target: str) -> None:
+            await asyncio.sleep(0.05)
+
+        poller = self.gateway.view_poller
+        with mock.patch.object(poller, "_poll", _hear_nothing):
+            # The poll that the leader holds ends meanwhile.
+            await asyncio.sleep(2 * LONG_POLL_TIMEOUT_MS / 1000)
+            self.assertEqual(await self.deregister("p-1", "control-1"), 200)
+            with mock.patch.object(run_control, "WARM_UP_HEARTBEAT_COUNT", 50):
+                await self.restart(*self.host_by_name)
+        await self.assert_nothing_reaches("p-1")
+
     async def test_runner_that_starts_again_under_its_name_is_used(self) -> None:
         runner = self.runner_by_name["p-1"]
         self.assertEqual(await self.deregister("p-1", "control-1"), 200)
