Create a data folder that a full disk refused at the start

A control instance whose data folder did not exist, and whose disk was full as it started, never took part: it looked for room every half second by writing a file to the folder, which nothing created any more.

The check creates the folder. test_folder_that_a_full_disk_refused_was_never_created failed before (No such file or directory).

--- a/src/yuccareach/control/store.py
+++ b/src/yuccareach/control/store.py
@@ -219,9 +219,13 @@
             return cpb.RaftFrame()
 
     def check_writable(self) -> None:
-        """Write, sync and remove a file; raises DiskFailed if the disk refuses."""
+        """Write, sync and remove a file; raises DiskFailed if the disk refuses.
+
+        The folder is created if the disk refused that before.
+        """
         path = self.folder / "writable"
         try:
+            self.folder.mkdir(parents=True, exist_ok=True)
             with path.open("wb") as file:
                 file.write(bytes(WRITE_CHECK_BYTES))
                 file.flush()
--- a/tests/control/test_store.py
+++ b/tests/control/test_store.py
@@ -2,11 +2,14 @@
 
 from __future__ import annotations
 
+import errno
+import os
 import tempfile
 import unittest
 from pathlib import Path
+from unittest import mock
 
-from yuccareach.control.errors import CorruptLog
+from yuccareach.control.errors import CorruptLog, DiskFailed
 from yuccareach.control.store import DiskStore
 from yuccareach.proto import control_pb2 as cpb
 
@@ -42,6 +45,15 @@
     def indices(self) -> list[int]:
         return [item.index for item in self.stored.records]
 
+    def test_folder_that_a_full_disk_refused_was_never_created(self) -> None:
+        store = DiskStore(self.folder.parent / "refused", "c1")
+        self.addCleanup(store.close)
+        full = OSError(errno.ENOSPC, os.strerror(errno.ENOSPC))
+        with mock.patch("os.mkdir", side_effect=full), self.assertRaises(DiskFailed):
+            store.load()
+        store.check_writable()
+        self.assertTrue(store.load().hard_state.identity)
+
     def test_records_and_vote_survive_a_restart(self) -> None:
         self.write(1, 2, 3)
         identity = self.stored.hard_state.identity
