Complete the start of a log that a full disk interrupted

The start of a new log stores the first term, then the first record. With the term on disk and no record, the log counted as started by another instance, and was waited for. The instance that starts a log now stores its vote for itself in the first term with it. A vote like that without a record is an interrupted start, since only this instance votes in the first term and nobody joins before the first record; it is completed, also by a later process that is not asked to start a log.

--- a/src/yuccareach/control/raft.py
+++ b/src/yuccareach/control/raft.py
@@ -80,10 +80,10 @@
 
     Does nothing if there is a log already.
     """
-    if state.last_index or state.term:
+    if not _has_no_log(state):
         return []
     peer.voter = True
-    state.term = 1
+    _vote_in_first_term(state)
     command = cpb.Command(membership=cpb.Membership(peers=[peer]))
     return [roles.save_vote(state), *replication.append_command(state, command)]
 
@@ -93,10 +93,10 @@
 
     Does nothing if there is a log already.
     """
-    if state.last_index or state.term:
+    if not _has_no_log(state):
         return []
     peer.voter = True
-    state.term = 1
+    _vote_in_first_term(state)
     state.machine = load_state_machine(backup)
     state.snapshot = cpb.SnapshotFile(
         last_index=1,
@@ -109,6 +109,27 @@
     return [roles.save_vote(state), SaveSnapshot(state.snapshot)]
 
 
+def is_start_interrupted(state: RaftState) -> bool:
+    """Return whether a new log was started here, and its first record not stored.
+
+    Only the instance that starts a log votes in the first term, and no other can have
+    joined before the first record was stored.
+    """
+    return (
+        not state.last_index and state.term == 1 and state.voted_for == state.identity
+    )
+
+
+def _has_no_log(state: RaftState) -> bool:
+    has_any = bool(state.last_index or state.term)
+    return not has_any or is_start_interrupted(state)
+
+
+def _vote_in_first_term(state: RaftState) -> None:
+    state.term = 1
+    state.voted_for = state.identity
+
+
 def _handle_message(state: RaftState, message: cpb.RaftMessage, now: int) -> Effects:
     """Handle a Raft message, dropping one for another identity.
 
@@ -208,4 +229,4 @@
     return [] if ticket is None else [RequestRefused(ticket, "disk_failed", "")]
 
 
-__all__ = ["bootstrap", "reduce", "restore"]
+__all__ = ["bootstrap", "is_start_interrupted", "reduce", "restore"]
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -196,12 +196,16 @@
         )
 
     def _initialize_log(self) -> None:
-        """Start a new log if requested, unless there is one or the disk has failed."""
+        """Start a new log if requested, unless there is one or the disk has failed.
+
+        A start that the disk interrupted is completed, also if a later start of the
+        process does not request it.
+        """
         if self.state.role is Role.FAILED:
             return
         if self.options.restore is not None:
             self.perform(raft.restore(self.state, self.own_peer(), self.backup))
-        elif self.options.bootstrap:
+        elif self.options.bootstrap or raft.is_start_interrupted(self.state):
             now = monotonic_ms()
             self.perform(raft.bootstrap(self.state, self.own_peer(), now))
 
