Keep a departure over a late one of an earlier incarnation

A departure of an earlier incarnation that came late replaced that of the later one, so that a late heartbeat made the departed server a member again. Found by reading, beside the departures that were forgotten.

The departure of the later incarnation stays. test_late_departure_of_an_earlier_incarnation_let_a_departed_one_return failed before.

--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -224,8 +224,10 @@
         record = self.record_by_name.get(name)
         if record is not None:
             started_ms = started_ms or record.member.started_ms
-        # Heartbeats still in transit may have any sequence number.
-        self.tombstone_by_name[name] = Tombstone(started_ms, MAX_SEQUENCE, now_ms)
+        tombstone = self.tombstone_by_name.get(name)
+        if tombstone is None or tombstone.started_ms <= started_ms:
+            # Heartbeats still in transit may have any sequence number.
+            self.tombstone_by_name[name] = Tombstone(started_ms, MAX_SEQUENCE, now_ms)
         if record is None or record.member.started_ms > started_ms:
             return False
         self._remove(name)
--- a/tests/control/test_members.py
+++ b/tests/control/test_members.py
@@ -176,6 +176,14 @@
         self.assertFalse(self.table.deregister("a", 5, 10))
         self.assertEqual(self.names(), {"a"})
 
+    def test_late_departure_of_an_earlier_incarnation_let_a_departed_one_return(
+        self,
+    ) -> None:
+        self.table.deregister("a", 6, 0)
+        self.table.deregister("a", 5, 10)
+        self.table.record_heartbeat(ordered_member("a", 6, 7), 20)
+        self.assertEqual(self.names(), set())
+
     def test_departure_of_an_unknown_member_blocks_its_heartbeats(self) -> None:
         self.assertFalse(self.table.deregister("a", 5, 0))
         self.table.record_heartbeat(ordered_member("a", 5, 7), 10)
