Decide in the calls module whether a shutdown might cut a call

The durations of calls need no gateway, and the module joined the import circle of the gateway only for the decision. No change of behaviour.

--- a/src/yuccareach/gateway/call_durations.py
+++ b/src/yuccareach/gateway/call_durations.py
@@ -2,12 +2,6 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
-
-if TYPE_CHECKING:
-    from yuccareach.gateway.admitted_requests import AdmittedRequest
-    from yuccareach.gateway.state import Gateway
-
 # A duration counts for one to two windows.
 WINDOW_S = 30.0
 
@@ -45,16 +39,4 @@
         self.window_started_s = now_s
 
 
-def may_outlast_shutdown(gateway: Gateway, admitted: AdmittedRequest) -> bool:
-    """Return whether a call that is sent now might be cut by a shutdown under way.
-
-    Its caller would be left in doubt whether it has run; another gateway can serve it.
-    """
-    now_s = gateway.now()
-    route = admitted.route
-    longest_s = gateway.call_durations.estimate_s(route.name, now_s)
-    duration_s = longest_s or route.objective_ms / 1000
-    return min(now_s + duration_s, admitted.deadline_s) > gateway.shutdown_s
-
-
-__all__ = ["CallDurations", "may_outlast_shutdown"]
+__all__ = ["CallDurations"]
--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -26,7 +26,6 @@
 )
 from yuccareach.gateway.backend_requests import BackendRequest, send_request
 from yuccareach.gateway.backends import Backend, rank_backends
-from yuccareach.gateway.call_durations import may_outlast_shutdown
 from yuccareach.gateway.call_places import CallPlace, cancel_place, find_place
 from yuccareach.gateway.crashes import record_broken_attempt, seek_end_proof
 from yuccareach.gateway.dialect import ForwardMetadata
@@ -215,10 +214,15 @@
 def _refuse_before_shutdown(
     gateway: Gateway, admitted: AdmittedRequest, run: CallRun
 ) -> bool:
-    """Return whether a call is refused since the shutdown under way might cut it."""
-    run.is_refused_by_shutdown = not run.possible_runs and may_outlast_shutdown(
-        gateway, admitted
-    )
+    """Return whether a call is refused since the shutdown under way might cut it.
+
+    Its caller would be left in doubt whether it has run; another gateway can serve it.
+    """
+    now_s = gateway.now()
+    longest_s = gateway.call_durations.estimate_s(admitted.route.name, now_s)
+    duration_s = longest_s or admitted.route.objective_ms / 1000
+    may_be_cut = min(now_s + duration_s, admitted.deadline_s) > gateway.shutdown_s
+    run.is_refused_by_shutdown = may_be_cut and not run.possible_runs
     return run.is_refused_by_shutdown
 
 
