Commit one drain of an incarnation, not each heartbeat that reports it

Only a drain that the log does not hold, or one after the runner was ready again, is committed. test_each_heartbeat_of_a_draining_server_was_committed failed before (5 records for 5 heartbeats).

--- a/src/yuccareach/control/members.py
+++ b/src/yuccareach/control/members.py
@@ -277,6 +277,15 @@
             if now_ms - drain.at_ms < TOMBSTONE_RETENTION_MS
         }
 
+    def is_ready(self, name: str, started_ms: int) -> bool:
+        """Return whether an incarnation is a member that does not drain."""
+        record = self.record_by_name.get(name)
+        return (
+            record is not None
+            and record.member.started_ms == started_ms
+            and not record.member.draining
+        )
+
     def find_started_ms(self, name: str) -> int:
         """Return the start of the known incarnation of a name, or 0 if there is none.
 
--- a/src/yuccareach/control/withdrawals.py
+++ b/src/yuccareach/control/withdrawals.py
@@ -71,6 +71,11 @@
         known = self.record_by_name.get(withdrawal.backend_server)
         return known is not None and _get_order(known) >= _get_order(withdrawal)
 
+    def has_withdrawn(self, name: str, started_ms: int) -> bool:
+        """Return whether an incarnation, or a later one, has drained or departed."""
+        known = self.record_by_name.get(name)
+        return known is not None and known.started_ms >= started_ms
+
     def list_after(self, change: int) -> list[cpb.Withdrawal]:
         """Return the records that changed after a number, oldest first."""
         newer = itertools.takewhile(
--- a/src/yuccareach/platform/control_app.py
+++ b/src/yuccareach/platform/control_app.py
@@ -154,8 +154,11 @@
         except InvalidAnnouncement as error:
             _note("heartbeat_refused", backend_server=name, reason=str(error)[:200])
             raise falcon.HTTPBadRequest(title=str(error)) from error
+        was_ready = self.process.members.is_ready(name, member.started_ms)
         self.process.record_single_heartbeat(member)
-        if member.draining:
+        withdrawals = self.process.machine.withdrawals
+        is_committed = withdrawals.has_withdrawn(name, member.started_ms)
+        if member.draining and (was_ready or not is_committed):
             await _commit_withdrawal(
                 self.process,
                 cpb.Withdrawal(
--- a/tests/platform/test_acknowledged_departures.py
+++ b/tests/platform/test_acknowledged_departures.py
@@ -288,6 +288,26 @@
             await self.restart(leader)
             await self.assert_nothing_reaches("p-1")
 
+    async def test_each_heartbeat_of_a_draining_server_was_committed(self) -> None:
+        machine = self.control_by_name["control-1"].process.machine
+        self.assertEqual(await self.report_draining("p-1", "control-1"), 200)
+        processes = [item.process for item in self.control_by_name.values()]
+        await self.wait_until(
+            lambda: all(item.machine.withdrawals.changes == 1 for item in processes)
+        )
+        for control in (*VOTERS, "control-4"):
+            self.assertEqual(await self.announce("p-1", "heartbeat", control), 200)
+        self.assertEqual(machine.withdrawals.changes, 1)
+        # It is used again if it says so, and is withdrawn again after that.
+        self.runner_by_name["p-1"].draining = False
+        self.assertEqual(await self.announce("p-1", "heartbeat", "control-1"), 200)
+        fleet = self.gateway.gateway.fleet
+        await self.wait_until(
+            lambda: not fleet.backend_by_name["p-1"].announcement.draining
+        )
+        self.assertEqual(await self.report_draining("p-1", "control-1"), 200)
+        self.assertEqual(machine.withdrawals.changes, 2)
+
     async def test_drain_was_acknowledged_that_no_quorum_kept(self) -> None:
         instance = next(name for name in VOTERS if name != self.find_leader())
         await asyncio.gather(
--- a/tests/platform/test_disks_full_in_turn.py
+++ b/tests/platform/test_disks_full_in_turn.py
@@ -30,7 +30,7 @@
 
 
 class FullDiskTestCase(ControlClusterTestCase):
-    """A test case whose data folders can be full; each write is then torn or refused."""
+    """A test case whose disks can be full; each write is then torn or refused."""
 
     host_by_name = {f"control-{number}": f"127.0.1.{number}" for number in range(1, 4)}
 
