Test that a late heartbeat does not return a departed server after a restart

A heartbeat from before a departure, which arrives after control has restarted, made the server a member again on the landed code: the test fails there. It is dropped since departures are in the log.

--- a/tests/platform/test_acknowledged_departures.py
+++ b/tests/platform/test_acknowledged_departures.py
@@ -241,6 +241,21 @@
             await self.restart(*self.host_by_name)
             await self.assert_nothing_reaches("p-1")
 
+    async def test_late_heartbeat_returned_a_departed_server_after_a_restart(
+        self,
+    ) -> None:
+        late = self.runner_by_name["p-1"].build_heartbeat()
+        self.assertEqual(await self.deregister("p-1", "control-1"), 200)
+        await self.restart(*self.host_by_name)
+        await self.wait_until(lambda: bool(self.get_source()))
+        for control in self.host_by_name:
+            url = f"http://{self.operators_address(control)}/-/runners/p-1/heartbeat"
+            async with self.session.post(url, json=late) as answer:
+                self.assertEqual(answer.status, 200)
+            members = self.control_by_name[control].process.members
+            self.assertNotIn("p-1", members.record_by_name)
+        await self.assert_nothing_reaches("p-1")
+
     async def test_gateway_kept_a_departed_server_as_a_new_leader_warmed_up(
         self,
     ) -> None:
