Soak servers that depart right before control is killed

The soak could not see that acknowledged departures were forgotten: its servers went on with their heartbeats until they were gone, and it killed control long after.

--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
 import signal
 import time
 from typing import TYPE_CHECKING, NamedTuple
@@ -19,6 +20,10 @@
     from bench.soak.schedule import ScheduledFault
 
 
+# Servers that depart right before the stop of all, and the time in which those that
+# take their place announce themselves.
+DEPARTING_RUNNERS = 2
+REPLACEMENT_START_S = 1.0
 # Less than a process takes to see that its settings have changed.
 SEED_EXCHANGE_DELAY_S = 0.7
 
@@ -94,9 +99,11 @@
         """Exchange the seeds for instances that lose their state, then kill all.
 
         Some of the killed processes have read the new seeds before, others have not.
+        Servers depart right before the kill, and serve on.
         """
         self.deployment.exchange_seeds()
         await asyncio.sleep(SEED_EXCHANGE_DELAY_S)
+        await self._let_servers_depart()
         started_s = time.monotonic()
         programs = self.deployment.list_all_programs()
         for program in programs:
@@ -108,6 +115,25 @@
             InjectedFault("kill", program, started_s, ended_s) for program in programs
         ]
 
+    async def _let_servers_depart(self) -> None:
+        """Let some servers of the plain service depart at different instances."""
+        departing = [
+            runner
+            for runner in self.deployment.runners
+            if not runner.kind and not runner.draining and runner.closed_s is None
+        ][:DEPARTING_RUNNERS]
+        for runner in departing:
+            # Until its departure, its heartbeats say that it is ready.
+            await self.deployment.add_runner(runner.service, runner.zone)
+        await asyncio.sleep(REPLACEMENT_START_S)
+        addresses = itertools.cycle(self.deployment.control_addresses)
+        await asyncio.gather(
+            *(
+                runner.depart(address)
+                for runner, address in zip(departing, addresses, strict=False)
+            )
+        )
+
     async def _kill(self, program: Program, duration_s: float) -> None:
         self.deployment.send_signal(program, signal.SIGKILL)
         await self.deployment.wait_for_end(program)
--- a/bench/soak/run.py
+++ b/bench/soak/run.py
@@ -37,6 +37,8 @@
 # The platform's bound on the time from the last fault until every request is served.
 MAX_RECOVERY_S = 15.0
 CONFIG_INTERVAL_RANGE_S = (0.5, 2.0)
+# Longer than a server may get requests after its departure.
+DEPARTED_OBSERVATION_S = 3.0
 POLL_INTERVAL_S = 0.2
 SCRAPE_TIMEOUT_S = 2.0
 FAULTS_PER_S = 1.5
@@ -163,6 +165,8 @@
             if not plan.fault_kinds or CLOSING_FAULT_KIND in plan.fault_kinds:
                 await injector.stop_all()
             await _wait_for_recovery(plan, operator, callers, http)
+            # Servers that departed before the stop must get nothing after it.
+            await asyncio.sleep(DEPARTED_OBSERVATION_S)
             await callers.stop()
     except AssertionError as error:
         violations.append(str(error))
--- a/bench/soak/runners.py
+++ b/bench/soak/runners.py
@@ -7,10 +7,17 @@
 from collections import Counter
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+import aiohttp
 from aiohttp import web
 
 from bench.soak.endless import EndlessKind, send_endless
-from yuccareach.platform.standin import Group, Runner, get_prompt_parts, parse_path
+from yuccareach.platform.standin import (
+    CALL_TIMEOUT_S,
+    Group,
+    Runner,
+    get_prompt_parts,
+    parse_path,
+)
 from yuccareach.standin.proxy import ProxyProcess
 
 if TYPE_CHECKING:
@@ -123,6 +130,27 @@
         """Start to send heartbeats in the background."""
         self.heartbeat_task = asyncio.create_task(self.send_heartbeats(control))
 
+    async def depart(self, control: str) -> None:
+        """Send no more heartbeats, report the departure, and serve on.
+
+        The time of an acknowledgement is recorded as that of a drain.
+        """
+        self.draining = True
+        if self.heartbeat_task is not None:
+            self.heartbeat_task.cancel()
+        url = f"http://{control}/-/runners/{self.name}/deregister"
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with (
+                aiohttp.ClientSession(timeout=timeout) as session,
+                session.post(url, json=self.build_heartbeat()) as answer,
+            ):
+                if answer.status == 200:
+                    self.drain_acknowledged_s = time.monotonic()
+        except (aiohttp.ClientError, OSError, TimeoutError):
+            # Without an acknowledgement, nothing is promised.
+            pass
+
     async def _send_heartbeat(self, session: Any, address: str) -> bool:
         if self.are_heartbeats_silent:
             await self.faults.wait_while_silent()
