--- a/bench/soak/seeds.py
+++ b/bench/soak/seeds.py
@@ -14,6 +14,7 @@
     37: "gateways were scraped one after another, for longer than the bound allows",
     501: "streams were expected to begin while their whole service took no requests",
     902: "a link closed connections as it was mended, just before a stream ended",
+    1005: "a server crashed before it had read a request that the others had rejected",
     412: "a control instance was wiped while the group had two voters",
 }
 
--- a/tests/test_soak_servers.py
+++ b/tests/test_soak_servers.py
@@ -155,6 +155,30 @@
                 violations = self.check_records(cut, runners=[runner, other])
                 self.assertEqual(len(violations), count)
 
+    def test_server_that_crashed_before_the_only_attempt_not_rejected_arrived_excuses(
+        self,
+    ) -> None:
+        # Seed 1005: nothing else was wrong with the request's servers.
+        cut = make_record(status=502, body=b"", ended_s=2.0)
+        arrival = Arrival(1.1, "r1", "")
+        rejections = [Rejection(1.9, arrival, None)]
+        for closed_s, service, rejected, count in (
+            (1.95, "", rejections, 0),
+            (1.95, "another service", rejections, 1),
+            # Before the request, and while the one server still ran it.
+            (0.5, "", rejections, 1),
+            (1.5, "", [], 1),
+        ):
+            with self.subTest(closed_s=closed_s, service=service, rejected=rejected):
+                runner = make_runner(
+                    arrival, silences=[(1.0, 1.8)], rejections=rejected
+                )
+                other = make_runner(
+                    name="i-2", closed_s=closed_s, service=service or runner.service
+                )
+                violations = self.check_records(cut, runners=[runner, other])
+                self.assertEqual(len(violations), count)
+
     def test_silent_server_does_not_excuse_a_shutdown_that_cuts(self) -> None:
         cut = make_stream_record(make_event(1), is_complete=False)
         term = InjectedFault("term", Program("gateway", 0), 0.5, 3.0)
