Give a zone several pipelines where slots run out before memory

On a fleet of 58 small servers each zone got one pipeline of its 18 to 20 servers. Each of them was the only holder of its layers, so that callers of a third of the system waited for a load after a loss or replacement, and the pipeline had memory for some 300 requests or more beside one or two first stages of 96 slots.

Cause: the request rate of a pipeline did not count slots, so that more servers in one pipeline always seemed better than a second one.

An empty zone beside loaded ones and a repartitioned zone are divided in the same way.

--- a/src/yuccareach/placement/pipelines.py
+++ b/src/yuccareach/placement/pipelines.py
@@ -13,6 +13,7 @@
     compute_token_capacity,
     sum_max_layers,
 )
+from yuccareach.placement.divisions import divide_servers, find_most_tokens
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -25,12 +26,19 @@
 # Each server that a pipeline uses is one more that may fail and one spare server less.
 # A further server has to raise the request rate by more than this fraction.
 SERVER_COST_FRACTION = 0.02
+# A zone is divided only if its best pipeline has memory for more than this many times
+# the requests that its first stage has slots for. Below that, one replica of the first
+# stage adds the slots that are missing, and a second copy of the weights costs more.
+SLOT_SHORTAGE_FACTOR = 1.5
+# Pipelines into which the servers of a zone are divided at most. It bounds the time of
+# the first plan; each layer then has enough holders for losses and replacements.
+MAX_PIPELINES_PER_ZONE = 4
 
 
 def build_pipelines(
     servers: Iterable[Server], model: ModelProfile
 ) -> list[list[Assignment]]:
-    """Return a pipeline for each zone that can hold the model.
+    """Return the pipelines of each zone that can hold the model.
 
     If no zone can, return one pipeline over all zones, or none if memory is too small
     for that as well.
@@ -41,9 +49,7 @@
         for _, group in itertools.groupby(ordered, key=lambda item: item.zone)
     ]
     pipelines = [
-        pipeline
-        for group in groups
-        if (pipeline := find_best_pipeline(group, model)) is not None
+        pipeline for group in groups for pipeline in find_zone_pipelines(group, model)
     ]
     if pipelines:
         return pipelines
@@ -52,6 +58,41 @@
     return [pipeline_over_zones] if pipeline_over_zones is not None else []
 
 
+def find_zone_pipelines(
+    servers: list[Server], model: ModelProfile
+) -> list[list[Assignment]]:
+    """Return the disjoint pipelines of one zone that together have the best rate.
+
+    The fastest servers should come first. Return none if all of them together cannot
+    hold every layer.
+    """
+    by_memory = find_best_pipeline(servers, model._replace(slots=0))
+    if by_memory is None:
+        return []
+    if (
+        not model.slots
+        or _count_requests_in_memory(by_memory, model)
+        <= SLOT_SHORTAGE_FACTOR * model.slots
+    ):
+        return [by_memory]
+    candidates = []
+    for count in range(1, MAX_PIPELINES_PER_ZONE + 1):
+        pipelines = [
+            pipeline
+            for group in divide_servers(servers, model, count)
+            if (pipeline := find_best_pipeline(group, model)) is not None
+        ]
+        if len(pipelines) < count:
+            break
+        candidates.append(pipelines)
+    return max(
+        candidates,
+        key=lambda pipelines: sum(
+            _score_pipeline(pipeline, model) for pipeline in pipelines
+        ),
+    )
+
+
 def find_best_pipeline(
     servers: list[Server], model: ModelProfile
 ) -> list[Assignment] | None:
@@ -65,28 +106,21 @@
         for count in range(1, len(servers) + 1)
         if sum_max_layers(servers[:count], model, 0) >= model.layers
     ]
-
-    def _score(assignments: list[Assignment]) -> float:
-        return estimate_request_rate(assignments, model) * (
-            1 - SERVER_COST_FRACTION * len(assignments)
-        )
-
-    return max(pipelines, key=_score, default=None)
+    return max(
+        pipelines, key=lambda pipeline: _score_pipeline(pipeline, model), default=None
+    )
 
 
 def estimate_request_rate(assignments: list[Assignment], model: ModelProfile) -> float:
-    """Return how many typical requests per second a pipeline with full memory finishes.
+    """Return how many typical requests per second a fully used pipeline finishes.
 
-    The stage with the lowest token capacity limits how many requests run at a time;
-    they are spread evenly over the stages.
+    The stage with the lowest token capacity and the slots of the first stage limit how
+    many requests run at a time; they are spread evenly over the stages.
     """
-    tokens_per_request = max(
-        1, model.typical_prompt_tokens + model.typical_answer_tokens
-    )
-    requests = (
-        min(compute_token_capacity(assignment, model) for assignment in assignments)
-        / tokens_per_request
-    )
+    tokens_per_request = _count_tokens_per_request(model)
+    requests = _count_requests_in_memory(assignments, model)
+    if model.slots:
+        requests = min(requests, model.slots)
     batch = requests / len(assignments)
     step_ms = (
         model.step_ms
@@ -104,29 +138,41 @@
     return requests / seconds
 
 
-def _partition_layers(servers: list[Server], model: ModelProfile) -> list[Assignment]:
-    """Assign all layers in the order of the servers, with balanced token capacity.
+def _score_pipeline(assignments: list[Assignment], model: ModelProfile) -> float:
+    """Return the request rate of a pipeline after the deduction per server."""
+    return estimate_request_rate(assignments, model) * (
+        1 - SERVER_COST_FRACTION * len(assignments)
+    )
 
-    A bisection finds the most tokens, to within one, that every server can hold beside
-    its layers.
-    """
-    low, high = 0.0, 1.0
-    while sum_max_layers(servers, model, high) >= model.layers:
-        low, high = high, high * 2
-    while high - low > 1:
-        middle = (low + high) / 2
-        if sum_max_layers(servers, model, middle) >= model.layers:
-            low = middle
-        else:
-            high = middle
+
+def _count_tokens_per_request(model: ModelProfile) -> int:
+    return max(1, model.typical_prompt_tokens + model.typical_answer_tokens)
+
+
+def _count_requests_in_memory(
+    assignments: list[Assignment], model: ModelProfile
+) -> float:
+    """Return for how many typical requests every stage of a pipeline has memory."""
+    tokens = min(compute_token_capacity(item, model) for item in assignments)
+    return tokens / _count_tokens_per_request(model)
+
+
+def _partition_layers(servers: list[Server], model: ModelProfile) -> list[Assignment]:
+    """Assign all layers in the order of the servers, with balanced token capacity."""
+    tokens = find_most_tokens(servers, model)
     assignments = []
     layer = 0
     for server in servers:
-        end = min(model.layers, layer + compute_max_layers(server, model, low))
+        end = min(model.layers, layer + compute_max_layers(server, model, tokens))
         if end > layer:
             assignments.append(Assignment(server, LayerRange(layer, end)))
         layer = end
     return assignments
 
 
-__all__ = ["build_pipelines", "estimate_request_rate", "find_best_pipeline"]
+__all__ = [
+    "build_pipelines",
+    "estimate_request_rate",
+    "find_best_pipeline",
+    "find_zone_pipelines",
+]
--- a/src/yuccareach/placement/repairs.py
+++ b/src/yuccareach/placement/repairs.py
@@ -18,7 +18,7 @@
     count_servers_by_layer,
     sum_max_layers,
 )
-from yuccareach.placement.pipelines import find_best_pipeline
+from yuccareach.placement.pipelines import find_zone_pipelines
 from yuccareach.placement.ranges import find_longest_minimum
 from yuccareach.placement.replicas import add_replicas
 
@@ -56,7 +56,7 @@
     """
     holders = [server for server in servers if server.layers.size]
     if not holders:
-        return find_best_pipeline(servers, model) or []
+        return _partition_zone(servers, model)
     counts = count_servers_by_layer(servers, model)
     free_servers = sorted(
         (server for server in servers if not server.layers.size),
@@ -70,10 +70,19 @@
         return _assign_to_free_servers(free_servers, gap, holders, model)
     assignments = _extend_adjacent_servers(servers, gap, model)
     if not assignments and repartition:
-        assignments = find_best_pipeline(servers, model) or []
+        assignments = _partition_zone(servers, model)
     return assignments
 
 
+def _partition_zone(servers: list[Server], model: ModelProfile) -> list[Assignment]:
+    """Partition the layers among the servers of a zone, whatever these hold."""
+    return [
+        assignment
+        for pipeline in find_zone_pipelines(servers, model)
+        for assignment in pipeline
+    ]
+
+
 def _assign_to_free_servers(
     free_servers: list[Server],
     gap: LayerRange,
