End connections between our processes that fall silent within 3.5 s

Cause: a ping that is not answered ends a connection only after grpc.http2.ping_timeout_ms, 60 s by default. The option is now set for channels and servers. An attempt to connect to a peer that accepts but never answers was held for 20 s, the default of gRPC, and is now given up after 2 s.

gateway/view.py is unchanged: its polls have a time-out of their own and a failed one closes the channel, so nothing there rests on keepalive.

--- a/src/yuccareach/runtime/links.py
+++ b/src/yuccareach/runtime/links.py
@@ -17,13 +17,27 @@
 MAX_MESSAGE_BYTES = 32 << 20
 # Queued messages are split into frames of this size, or of one larger message.
 MAX_FRAME_BYTES = MAX_MESSAGE_BYTES // 2
-# Keepalive pings detect a peer that no longer responds, also on an idle stream.
-CHANNEL_OPTIONS = (
-    ("grpc.keepalive_time_ms", 2_000),
-    ("grpc.keepalive_timeout_ms", 1_500),
+# Pings detect a peer that no longer responds, also on an idle stream. A connection
+# that falls silent is given up at the latest after the sum of the two times.
+PING_INTERVAL_MS = 2_000
+# A process that is paused for 1 s, or kept from running by load, must not be given up.
+PING_TIMEOUT_MS = 1_500
+# A peer that accepts a connection but never answers would hold an attempt for 20 s, the
+# default of gRPC.
+CONNECT_TIMEOUT_MS = 2_000
+_KEEPALIVE_OPTIONS = (
+    ("grpc.keepalive_time_ms", PING_INTERVAL_MS),
+    ("grpc.keepalive_timeout_ms", PING_TIMEOUT_MS),
+    # What ends the connection is the time-out of the ping itself, 60 s by default; the
+    # time-out of keepalive alone has no effect below that.
+    ("grpc.http2.ping_timeout_ms", PING_TIMEOUT_MS),
     ("grpc.keepalive_permit_without_calls", 1),
-    ("grpc.http2.max_pings_without_data", 0),
     ("grpc.http2.min_ping_interval_without_data_ms", 1_000),
+)
+CHANNEL_OPTIONS = (
+    *_KEEPALIVE_OPTIONS,
+    ("grpc.http2.max_pings_without_data", 0),
+    ("grpc.min_reconnect_backoff_ms", CONNECT_TIMEOUT_MS),
     ("grpc.initial_reconnect_backoff_ms", 100),
     ("grpc.max_reconnect_backoff_ms", 1_000),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
@@ -31,11 +45,8 @@
     ("grpc.use_local_subchannel_pool", 1),
 )
 SERVER_OPTIONS = (
-    ("grpc.http2.min_ping_interval_without_data_ms", 1_000),
+    *_KEEPALIVE_OPTIONS,
     ("grpc.http2.max_ping_strikes", 0),
-    ("grpc.keepalive_time_ms", 2_000),
-    ("grpc.keepalive_timeout_ms", 1_500),
-    ("grpc.keepalive_permit_without_calls", 1),
     ("grpc.max_send_message_length", MAX_MESSAGE_BYTES),
     ("grpc.max_receive_message_length", MAX_MESSAGE_BYTES),
     ("grpc.so_reuseport", 0),
