Bound what callers' connections hold in a gateway

Every connection is charged for what it holds (parsed headers at what they cost, body, pipelined bytes, waiting requests, unread answers) to an account of the process, whose budget follows limits.memoryMb and whose number of connections follows limits.maxFds. What exceeds it is shed: the largest, or for a new connection the one that has been silent for longest. Bodies are one buffer, trailers are dropped and bounded, pipelined requests wait for unread answers, and an answer that is not read at all is given up.

tests/buffers/test_random_streams.py compares the account with what 4,000 random connections hold.

--- a/src/yuccareach/gateway/http_server.py
+++ b/src/yuccareach/gateway/http_server.py
@@ -8,11 +8,23 @@
 from __future__ import annotations
 
 import asyncio
+import os
+import socket
 from collections import deque
 from typing import TYPE_CHECKING, Any, NamedTuple
 
 import httptools
 
+from yuccareach.buffers.account import (
+    CONNECTION_COST_BYTES,
+    REQUEST_COST_BYTES,
+    Activity,
+    BufferAccount,
+    Holder,
+    ShedReason,
+    compute_header_cost,
+)
+from yuccareach.buffers.limits import DEFAULT_LIMITS
 from yuccareach.gateway.dialect import Headers
 
 if TYPE_CHECKING:
@@ -24,6 +36,20 @@
 SWEEP_INTERVAL_S = 0.25
 # Limit on what a caller may send while an earlier request of its connection is served.
 MAX_PIPELINED_BYTES = 65_536
+# Data is parsed in blocks of this size, so that what one block adds to the memory held
+# is small: at most 2,700 header lines, or 450 pipelined requests.
+PARSE_BLOCK_BYTES = 8_192
+# While a request is served, its body is held twice: by the request, and by the
+# connection to a backend server that reads slowly.
+SERVED_BODY_COPIES = 2
+# A body of a reply that is larger is written apart from the head, without a copy.
+MAX_JOINED_BYTES = 65_536
+# Retry delay of a request that is refused for want of memory. Other gateways serve
+# meanwhile.
+SHED_RETRY_DELAY_S = 1
+# Connections that are accepted at once, before the limit on connections is applied to
+# them. The limit leaves descriptors for as many.
+ACCEPT_BATCH = 32
 REASON_BY_STATUS = {
     200: b"OK",
     307: b"Temporary Redirect",
@@ -111,7 +137,11 @@
         reason = REASON_BY_STATUS.get(status, b"Status")
         lines = [b"HTTP/1.1 %d %b\r\n" % (status, reason)]
         lines += [b"%b: %b\r\n" % item for item in headers]
-        self.connection.write(b"".join((*lines, b"\r\n", body)))
+        if len(body) <= MAX_JOINED_BYTES:
+            self.connection.write(b"".join((*lines, b"\r\n", body)))
+        else:
+            self.connection.write(b"".join((*lines, b"\r\n")))
+            self.connection.write(body)
 
     def _mark_finished(self) -> None:
         self.has_finished = True
@@ -126,21 +156,36 @@
         self.parser = httptools.HttpRequestParser(self)
         self.task: asyncio.Task[None] | None = None
         self.pipelined_data = bytearray()
-        self.pending_requests: deque[tuple[CallerRequest, Reply]] = deque()
+        # Requests with their replies and what they hold in bytes.
+        self.pending_requests: deque[tuple[CallerRequest, Reply, int]] = deque()
+        # What the pending requests and the one that is served hold.
+        self.requests_bytes = 0
+        # Bytes of replies that the caller has yet to read.
+        self.unread_bytes = 0
         self.writable = asyncio.Event()
         self.writable.set()
-        # When the idle timeout or the timeout of receiving a request ends.
+        # When the idle timeout or the timeout of receiving a request ends, or the time
+        # to read the rest of a reply after which the connection is closed.
         self.expires_s: float | None = None
         # Whether a part of a request has been received, but not all of it.
         self.is_receiving = False
+        self.has_served = False
+        # Whether the next request waits until the caller has read earlier replies.
+        self.is_blocked = False
+        self.holder = Holder(self._shed, server.now())
         self._reset()
 
     def _reset(self) -> None:
         self.target = b""
         self.headers: Headers = []
+        # What the parsed target and headers hold.
+        self.head_cost_bytes = 0
+        # Bytes received from the start of the request to the end of its head.
         self.head_bytes = 0
-        self.body: list[bytes] = []
-        self.body_bytes = 0
+        # Bytes received after the head since the last part of the body: trailers, and
+        # what frames the chunks.
+        self.frame_bytes = 0
+        self.body = bytearray()
         self.head_received_s = 0.0
         self.is_rejected = False
 
@@ -151,10 +196,12 @@
         self.transport = transport
         self.server.connections.add(self)
         self._await_request()
+        self.server.account.open(self.holder)
 
     def connection_lost(self, exc: Exception | None) -> None:
         """Cancel the request of a caller that has disconnected."""
         self.server.connections.discard(self)
+        self.server.account.close(self.holder)
         self.writable.set()
         if self.task is not None:
             self.task.cancel()
@@ -172,17 +219,33 @@
         if self.task is not None:
             self.pipelined_data += data
             if len(self.pipelined_data) > MAX_PIPELINED_BYTES:
+                self.pipelined_data.clear()
                 self.abort()
+            self._update_account()
             return
         self._parse(data)
 
     def _parse(self, data: bytes) -> None:
+        """Parse data up to the end of a request, and buffer the rest."""
+        for start in range(0, len(data), PARSE_BLOCK_BYTES):
+            if self.task is not None:
+                self.pipelined_data += data[start:]
+                self._update_account()
+                return
+            self._parse_block(data[start : start + PARSE_BLOCK_BYTES])
+            self._update_account()
+            if self.is_rejected or self.transport.is_closing():
+                return
+
+    def _parse_block(self, data: bytes) -> None:
         limits = self.server.get_limits()
         if not self.is_receiving and not self.head_received_s:
             self.is_receiving = True
             self.expires_s = self.server.now() + limits.header_timeout_ms / 1000
         if not self.head_received_s:
             self.head_bytes += len(data)
+        else:
+            self.frame_bytes += len(data)
         try:
             self.parser.feed_data(data)
         except httptools.HttpParserUpgrade:
@@ -192,19 +255,28 @@
                 self._reject(400)
         if not self.head_received_s and self.head_bytes > limits.max_header_bytes:
             self._reject(431)
+        elif self.frame_bytes > max(limits.max_header_bytes, PARSE_BLOCK_BYTES):
+            self._reject(431)
 
     # Parser callbacks.
 
     def on_url(self, url: bytes) -> None:
         """Append a part of the request's target."""
-        self.target += url
+        if not self.is_rejected:
+            self.target += url
+            self.head_cost_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
+        """Append a header; drop it if it is part of a trailer."""
+        if self.is_rejected or self.head_received_s:
+            return
         self.headers.append((name.lower(), value))
+        self.head_cost_bytes += compute_header_cost(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the size limits; send 100 Continue if the caller expects it."""
+        if self.is_rejected:
+            return
         self.head_received_s = self.server.now()
         limits = self.server.get_limits()
         size = sum(len(name) + len(value) + 4 for name, value in self.headers)
@@ -221,34 +293,99 @@
 
     def on_body(self, data: bytes) -> None:
         """Append a part of the body and check its size limit."""
-        self.body.append(data)
-        self.body_bytes += len(data)
-        if self.body_bytes > self.server.get_limits().max_body_bytes:
+        if self.is_rejected:
+            return
+        self.frame_bytes = 0
+        self.body += data
+        if len(self.body) > self.server.get_limits().max_body_bytes:
             self._reject(413)
 
     def on_message_complete(self) -> None:
-        """Serve the request, or queue it behind an earlier one from the same packet."""
+        """Serve the request, or queue it behind an earlier one from the same block."""
         if self.is_rejected or self.transport.is_closing():
             return
         request = CallerRequest(
             self.parser.get_method(),
             self.target,
             self.headers,
-            b"".join(self.body),
+            bytes(self.body),
             self.head_received_s,
         )
         reply = Reply(self, self.parser.should_keep_alive())
+        request_bytes = (
+            REQUEST_COST_BYTES
+            + self.head_cost_bytes
+            + SERVED_BODY_COPIES * len(request.body)
+        )
+        self.requests_bytes += request_bytes
         self.expires_s = None
         self.is_receiving = False
+        self.has_served = True
         self._reset()
         if self.task is None:
-            self.task = asyncio.create_task(self._serve(request, reply))
+            self.task = asyncio.create_task(self._serve(request, reply, request_bytes))
+        else:
+            self.pending_requests.append((request, reply, request_bytes))
+
+    # Accounting.
+
+    def compute_held_bytes(self) -> int:
+        """Return the estimated memory that the connection holds."""
+        return (
+            CONNECTION_COST_BYTES
+            + self.head_cost_bytes
+            # A growing buffer is allocated with an eighth more than it holds.
+            + len(self.body) * 9 // 8
+            + len(self.pipelined_data) * 9 // 8
+            + self.requests_bytes
+            + self.unread_bytes
+        )
+
+    def _update_account(self) -> None:
+        if self.task is not None and not self.is_blocked:
+            activity = Activity.SERVING
+        elif self.is_receiving:
+            activity = Activity.RECEIVING
+        elif self.unread_bytes:
+            activity = Activity.SENDING
+        else:
+            activity = Activity.IDLE if self.has_served else Activity.SILENT
+        self.holder.set_activity(activity, self.server.now())
+        self.server.account.set_held(self.holder, self.compute_held_bytes())
+
+    def _shed(self, reason: ShedReason) -> None:
+        """Close the connection, and release what it holds.
+
+        A request of which nothing has run is refused first. Otherwise, the caller
+        cannot know whether it has run.
+        """
+        self.server.on_shed(reason, self.holder)
+        may_refuse = self.is_receiving and not self.unread_bytes
+        if may_refuse and self.task is None and not self.is_rejected:
+            self._discard_request()
+            retry_after = b"%d" % SHED_RETRY_DELAY_S
+            Reply(self, keep_alive=False).send(503, [(b"Retry-After", retry_after)])
+            self._close()
         else:
-            self.pending_requests.append((request, reply))
+            self._discard_request()
+            self.transport.abort()
+
+    def _discard_request(self) -> None:
+        """Release what has been received, and ignore what follows."""
+        self._reset()
+        self.is_rejected = True
+        self.is_receiving = False
+        self.pipelined_data.clear()
+        while self.pending_requests:
+            self.requests_bytes -= self.pending_requests.pop()[-1]
 
     # Serving.
 
-    async def _serve(self, request: CallerRequest, reply: Reply) -> None:
+    async def _serve(
+        self, request: CallerRequest, reply: Reply, request_bytes: int
+    ) -> None:
+        if not self.writable.is_set():
+            await self._wait_until_read()
         try:
             await self.server.handle(request, reply)
         except asyncio.CancelledError:
@@ -263,14 +400,29 @@
         if not reply.has_finished:
             reply.abort()
         self.task = None
+        self.requests_bytes -= request_bytes
         if not reply.keep_alive or self.server.is_draining:
-            self.transport.close()
+            self._close()
         elif self.pending_requests:
             self.task = asyncio.create_task(
                 self._serve(*self.pending_requests.popleft())
             )
         else:
             self._await_request()
+        self._update_account()
+
+    async def _wait_until_read(self) -> None:
+        """Wait until the caller has read most of the replies to earlier requests.
+
+        Replies are often far larger than the pipelined requests for them.
+        """
+        self.is_blocked = True
+        self._extend_reading_time()
+        self._update_account()
+        await self.writable.wait()
+        self.is_blocked = False
+        self.expires_s = None
+        self._update_account()
 
     def _await_request(self) -> None:
         self.expires_s = (
@@ -288,30 +440,57 @@
         """
         if self.is_rejected:
             return
-        self.is_rejected = True
+        self._discard_request()
         if self.task is not None:
             self.task.cancel()
             self.abort()
             return
         Reply(self, keep_alive=False).send(status, [])
         self.server.on_rejection(status)
-        self.transport.close()
+        self._close()
 
     def write(self, data: bytes) -> None:
         """Send bytes, unless the connection is closing."""
-        if not self.transport.is_closing():
-            self.transport.write(data)
+        if self.transport.is_closing():
+            return
+        self.transport.write(data)
+        unread_bytes = self.transport.get_write_buffer_size()
+        if unread_bytes != self.unread_bytes:
+            self.unread_bytes = unread_bytes
+            self._update_account()
+
+    def _close(self) -> None:
+        """Close once the caller has read the replies, which it must do in time."""
+        self.transport.close()
+        self._extend_reading_time()
+
+    def _extend_reading_time(self) -> None:
+        idle_timeout_s = self.server.get_limits().idle_timeout_ms / 1000
+        self.expires_s = self.server.now() + idle_timeout_s
 
     def abort(self) -> None:
         """Close at once, without sending buffered bytes."""
         if not self.transport.is_closing():
             self.transport.abort()
 
-    def close_if_expired(self, now_s: float) -> None:
-        """Close an idle connection, or reject a slow request, after its timeout."""
-        if self.expires_s is None or now_s < self.expires_s or self.task is not None:
+    def check_progress(self, now_s: float) -> None:
+        """Close an idle connection, or reject a slow request, after its timeout.
+
+        A caller that reads no part of a reply within the idle timeout is closed too.
+        """
+        unread_bytes = self.transport.get_write_buffer_size()
+        if unread_bytes != self.unread_bytes:
+            has_read = unread_bytes < self.unread_bytes
+            if has_read and self.expires_s is not None and not self.is_receiving:
+                self._extend_reading_time()
+            self.unread_bytes = unread_bytes
+            self._update_account()
+        is_served = self.task is not None and not self.is_blocked
+        if self.expires_s is None or now_s < self.expires_s or is_served:
             return
-        if self.is_receiving:
+        if self.unread_bytes:
+            self.transport.abort()
+        elif self.is_receiving and not self.transport.is_closing():
             self._reject(408)
         else:
             self.transport.close()
@@ -331,11 +510,16 @@
         get_limits: Callable[[], Limits],
         on_failure: Callable[[CallerRequest, Exception], None],
         on_rejection: Callable[[int], None],
+        account: BufferAccount | None = None,
+        on_shed: Callable[[ShedReason, Holder], None] = lambda reason, holder: None,
     ) -> None:
+        """Create a server; servers of one process share the account."""
         self.handle = handle
         self.get_limits = get_limits
         self.on_failure = on_failure
         self.on_rejection = on_rejection
+        self.account = account or BufferAccount(DEFAULT_LIMITS)
+        self.on_shed = on_shed
         self.connections: set[CallerConnection] = set()
         self.is_draining = False
         self.listeners: list[asyncio.Server] = []
@@ -347,12 +531,11 @@
 
     async def listen(self, host: str, port: int, backlog: int) -> None:
         """Accept connections on an address, in addition to earlier ones."""
-        loop = asyncio.get_running_loop()
-        self.listeners.append(
-            await loop.create_server(
-                lambda: CallerConnection(self), host, port, backlog=backlog
-            )
+        listener = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self), host, port, backlog=ACCEPT_BATCH
         )
+        self.listeners.append(listener)
+        set_backlog(listener, backlog)
         if self.sweep_task is None:
             self.sweep_task = asyncio.create_task(self._sweep())
 
@@ -361,7 +544,7 @@
             await asyncio.sleep(SWEEP_INTERVAL_S)
             now_s = self.now()
             for connection in tuple(self.connections):
-                connection.close_if_expired(now_s)
+                connection.check_progress(now_s)
 
     def close_listeners(self) -> None:
         """Stop accepting connections."""
@@ -395,4 +578,15 @@
             connection.transport.close()
 
 
+def set_backlog(server: asyncio.Server, backlog: int) -> None:
+    """Let the kernel hold more new connections than asyncio accepts at once.
+
+    asyncio accepts as many in a row as the backlog that it is told, before any of them
+    is counted, which would exceed the process's descriptors.
+    """
+    for listener in server.sockets:
+        with socket.socket(fileno=os.dup(listener.fileno())) as duplicate:
+            duplicate.listen(backlog)
+
+
 __all__ = ["CallerRequest", "CallerServer", "Reply"]
--- a/src/yuccareach/gateway/run.py
+++ b/src/yuccareach/gateway/run.py
@@ -6,6 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, NamedTuple
 
+from yuccareach.buffers.log_lines import LineLimiter
 from yuccareach.gateway.handler import handle
 from yuccareach.gateway.http_server import CallerRequest, CallerServer, Reply
 from yuccareach.gateway.limit_rechecks import recheck_limits
@@ -20,6 +21,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterable
 
+    from yuccareach.buffers.account import Holder, ShedReason
     from yuccareach.gateway.dialect import Dialect
     from yuccareach.gateway.table import RoutingTable
 
@@ -62,10 +64,18 @@
             self.gateway.get_limits,
             self._log_crash,
             self._record_rejection,
+            self.gateway.buffer_account,
+            self._record_shed,
         )
         self.monitoring_server = CallerServer(
-            self._serve_monitoring, Limits, self._log_crash, self._record_rejection
+            self._serve_monitoring,
+            Limits,
+            self._log_crash,
+            self._record_rejection,
+            self.gateway.buffer_account,
+            self._record_shed,
         )
+        self.closed_lines = LineLimiter()
         self.tasks: list[asyncio.Task[None]] = []
 
     async def start(self) -> None:
@@ -126,6 +136,9 @@
             "backend_servers": len(gateway.fleet.backend_by_name),
             "limited_servers": limited_servers,
             "limit_grants": limit_grants,
+            "client_connections": len(gateway.buffer_account.holders),
+            "client_buffer_bytes": gateway.buffer_account.held_bytes,
+            "response_buffer_bytes": gateway.response_buffers.total_bytes,
         }
 
     def _log_crash(self, request: CallerRequest, error: Exception) -> None:
@@ -138,7 +151,27 @@
 
     def _record_rejection(self, status: int) -> None:
         self.gateway.registry.count("rejected_connections", str(status))
-        self.gateway.log("connection_rejected", status=status)
+        omitted_lines = self.closed_lines.take(self.gateway.now())
+        if omitted_lines is not None:
+            self.gateway.log(
+                "connection_rejected", status=status, omitted_lines=omitted_lines
+            )
+
+    def _record_shed(self, reason: ShedReason, holder: Holder) -> None:
+        self.gateway.registry.count("shed_connections", str(reason))
+        omitted_lines = self.closed_lines.take(self.gateway.now())
+        if omitted_lines is not None:
+            account = self.gateway.buffer_account
+            self.gateway.log(
+                "connection_shed",
+                logging.WARNING,
+                reason=str(reason),
+                activity=holder.activity.name.lower(),
+                held_bytes=holder.held_bytes,
+                all_held_bytes=account.held_bytes,
+                connections=len(account.holders),
+                omitted_lines=omitted_lines,
+            )
 
     async def drain(self) -> None:
         """Leave the load balancer's rotation and wait for requests in flight.
--- a/src/yuccareach/gateway/state.py
+++ b/src/yuccareach/gateway/state.py
@@ -11,6 +11,8 @@
 from collections import Counter, deque
 from typing import TYPE_CHECKING, Any, NamedTuple
 
+from yuccareach.buffers.account import BufferAccount, BufferLimits
+from yuccareach.buffers.limits import DEFAULT_LIMITS
 from yuccareach.gateway.admission import AdmissionQueue
 from yuccareach.gateway.availability import (
     can_take_part,
@@ -67,6 +69,8 @@
     retry_budget: RetryBudgetLimits
     # How long requests in flight may continue after a request to shut down.
     grace_period_s: float
+    # Limits of what all connections together hold.
+    buffers: BufferLimits = DEFAULT_LIMITS
 
     @property
     def lease_s(self) -> float:
@@ -100,7 +104,8 @@
         self.dialect = dialect
         self.table: RoutingTable | None = None
         self.fleet = Fleet()
-        self.response_buffers = ResponseBuffers()
+        self.response_buffers = ResponseBuffers(settings.buffers.response_bytes)
+        self.buffer_account = BufferAccount(settings.buffers)
         # Gateways that share the retry budget, this one included; 0 if unknown.
         self.entry_count = 0
         # Loop time and number of gateways of recent views, oldest first.
--- a/src/yuccareach/metrics/catalog.py
+++ b/src/yuccareach/metrics/catalog.py
@@ -50,6 +50,19 @@
         "connections",
         "Callers' connections closed after an invalid request, by status.",
     ),
+    "shed_connections": _describe_counter(
+        "connections",
+        "Clients' connections closed for want of memory or descriptors, by which.",
+    ),
+    "client_connections": _describe_gauge(
+        "connections", "Open connections of clients to the ports of a gateway."
+    ),
+    "client_buffer_bytes": _describe_gauge(
+        "bytes", "Memory that these connections are charged for."
+    ),
+    "response_buffer_bytes": _describe_gauge(
+        "bytes", "Memory for responses of backend servers that are not yet delivered."
+    ),
     "limited_requests": _describe_counter(
         "requests",
         "Requests that a backend server's limit sent elsewhere, delayed or refused.",
--- a/src/yuccareach/platform/run_gateway.py
+++ b/src/yuccareach/platform/run_gateway.py
@@ -36,6 +36,7 @@
         max_revocation_delay_s=settings.revocation_ms / 1000,
         retry_budget=settings.budget,
         grace_period_s=settings.grace_s,
+        buffers=settings.buffers,
     )
     addresses = GatewayAddresses(
         settings.callers_address,
--- a/src/yuccareach/platform/settings.py
+++ b/src/yuccareach/platform/settings.py
@@ -12,6 +12,11 @@
 import msgspec
 import yaml
 
+from yuccareach.buffers.limits import (
+    DEFAULT_MEMORY_MB,
+    derive_limits,
+    find_descriptor_limit,
+)
 from yuccareach.gateway.budget import RetryBudgetLimits
 from yuccareach.platform.errors import InvalidProcessSettings
 from yuccareach.runtime.addresses import parse_host_port
@@ -19,6 +24,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from yuccareach.buffers.account import BufferLimits
+
 SETTINGS_VARIABLE = "YUCCAREACH_CONFIG"
 
 
@@ -30,8 +37,10 @@
 
 
 class _Limits(msgspec.Struct):
-    # Accepted, but not used.
-    maxFds: int = 1024
+    # Descriptors and memory, in units of 1,000,000 bytes, that the process may use.
+    # Without a number of descriptors, the operating system's limit applies.
+    maxFds: int | None = None
+    memoryMb: int = DEFAULT_MEMORY_MB
 
 
 class _FaultTolerance(msgspec.Struct):
@@ -106,6 +115,8 @@
     # Time within which every gateway must refuse a revoked key.
     revocation_ms: int
     budget: RetryBudgetLimits
+    # Limits of what all connections together hold.
+    buffers: BufferLimits
 
 
 def find_settings_path() -> Path:
@@ -156,6 +167,11 @@
     ports = file.internalPorts
     if len(ports) != 2 or ports[0] >= ports[1]:
         errors.append(f"internalPorts is {ports}, expected two ports, the lower first")
+    errors += [
+        f"limits.{name} is {value}, expected a positive number"
+        for name, value in msgspec.structs.asdict(file.limits).items()
+        if value is not None and value <= 0
+    ]
     if not file.seeds:
         errors.append("seeds is empty, expected at least one HOST:PORT")
     addresses = [("seeds", seed, False) for seed in file.seeds]
@@ -177,6 +193,8 @@
     if errors:
         raise InvalidProcessSettings(f"{path}: {'; '.join(errors)}")
     peer_port, metrics_port = file.internalPorts
+    descriptor_limit = find_descriptor_limit()
+    max_fds = min(file.limits.maxFds or descriptor_limit, descriptor_limit)
     return ProcessSettings(
         instance=file.nodeId,
         zone=file.zone,
@@ -198,6 +216,7 @@
         budget=RetryBudgetLimits(
             file.bounds.budgetRatio, file.bounds.budgetSlack, file.bounds.budgetWindowS
         ),
+        buffers=derive_limits(file.limits.memoryMb, max_fds),
     )
 
 
--- /dev/null
+++ b/tests/buffers/test_random_streams.py
@@ -0,0 +1,250 @@
+"""Random legal and illegal bytes from clients against the gateway's server."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from random import Random
+from typing import Any
+
+from yuccareach.buffers.account import (
+    CONNECTION_COST_BYTES,
+    REQUEST_COST_BYTES,
+    BufferAccount,
+    BufferLimits,
+    compute_header_cost,
+)
+from yuccareach.gateway.http_server import (
+    MAX_PIPELINED_BYTES,
+    PARSE_BLOCK_BYTES,
+    SERVED_BODY_COPIES,
+    CallerConnection,
+    CallerRequest,
+    CallerServer,
+    Reply,
+)
+from yuccareach.gateway.table import Limits
+
+SEEDS = 100
+STREAMS_PER_SEED = 40
+OPEN_AT_ONCE = 8
+BUDGET_BYTES = 250_000
+MAX_CONNECTIONS = 6
+LIMITS = Limits(
+    max_header_bytes=4_096,
+    max_body_bytes=20_000,
+    header_timeout_ms=60_000,
+    idle_timeout_ms=60_000,
+)
+HIGH_WATER_BYTES = 65_536
+
+
+class FakeTransport:
+    """A transport whose peer reads when the test says so."""
+
+    def __init__(self, connection: CallerConnection) -> None:
+        self.connection = connection
+        self.buffered_bytes = 0
+        self.is_closed = False
+        self.is_lost = False
+
+    def get_write_buffer_size(self) -> int:
+        return self.buffered_bytes
+
+    def is_closing(self) -> bool:
+        return self.is_closed
+
+    def write(self, data: bytes) -> None:
+        self.buffered_bytes += len(data)
+        if self.buffered_bytes > HIGH_WATER_BYTES:
+            self.connection.pause_writing()
+
+    def read(self, max_bytes: int) -> None:
+        self.buffered_bytes -= min(max_bytes, self.buffered_bytes)
+        if not self.buffered_bytes:
+            self.connection.resume_writing()
+            if self.is_closed:
+                self._lose()
+
+    def close(self) -> None:
+        self.is_closed = True
+        if not self.buffered_bytes:
+            self._lose()
+
+    def abort(self) -> None:
+        self.is_closed = True
+        self.buffered_bytes = 0
+        self._lose()
+
+    def _lose(self) -> None:
+        if not self.is_lost:
+            self.is_lost = True
+            asyncio.get_running_loop().call_soon(self.connection.connection_lost, None)
+
+
+def build_head(random: Random) -> bytes:
+    lines = [b"POST /%b HTTP/1.1\r\n" % (b"p" * random.randrange(50)), b"Host: h\r\n"]
+    kind = random.randrange(4)
+    count = random.choice((0, 3, 300, 900))
+    if kind == 0:
+        lines += [b"a:\r\n"] * count
+    elif kind == 1:
+        lines += [b"%x: %d\r\n" % (number, number) for number in range(count)]
+    elif kind == 2:
+        lines.append(b"x: " + b"y" * random.choice((10, 1_000, 6_000)) + b"\r\n")
+    return b"".join(lines)
+
+
+def build_chunks(random: Random) -> bytes:
+    size = random.choice((1, 2, 50, 5_000))
+    chunk = b"%x\r\n%b\r\n" % (size, b"x" * size)
+    return chunk * random.choice((1, 10, 1_000 if size < 50 else 5))
+
+
+def build_request(random: Random) -> bytes:
+    """Return one request, legal or not, with or without an end."""
+    head = build_head(random)
+    kind = random.randrange(9)
+    if kind == 0:
+        return head
+    if kind == 1:
+        return bytes(random.randrange(256) for _ in range(random.randrange(500)))
+    if kind == 2:
+        return b"\r\n" * random.choice((1, 100, 5_000))
+    if kind in (3, 4):
+        size = random.choice((0, 10, 5_000, 19_000, 30_000))
+        sent = size if random.random() < 0.7 else size // 2
+        return head + b"Content-Length: %d\r\n\r\n" % size + b"x" * sent
+    if kind in (5, 6):
+        trailers = b"a:\r\n" * random.choice((0, 0, 1, 500, 5_000))
+        end = random.choice((b"\r\n", b"\r\n", b""))
+        chunked = b"Transfer-Encoding: chunked\r\n\r\n"
+        return head + chunked + build_chunks(random) + b"0\r\n" + trailers + end
+    count = random.choice((1, 5, 300))
+    return b"GET /many HTTP/1.1\r\nHost: h\r\na:\r\n\r\n" * count
+
+
+def split_at_random(random: Random, data: bytes) -> list[bytes]:
+    parts = []
+    while data:
+        size = random.choice((1, 100, 3_000, 100_000))
+        parts.append(data[:size])
+        data = data[size:]
+    return parts[:200]
+
+
+def compute_request_bytes(request: CallerRequest) -> int:
+    head_bytes = len(request.target) + sum(
+        compute_header_cost(*item) for item in request.headers
+    )
+    return REQUEST_COST_BYTES + head_bytes + SERVED_BODY_COPIES * len(request.body)
+
+
+def compute_held_bytes(connection: CallerConnection) -> int:
+    """Return what a connection should be charged for, from the objects it holds."""
+    if connection.transport.is_lost:
+        # It is about to leave the account.
+        return connection.holder.held_bytes
+    requests = [request for request, _, _ in connection.pending_requests]
+    if connection.task is not None:
+        coroutine: Any = connection.task.get_coro()
+        requests.append(coroutine.cr_frame.f_locals["request"])
+    return (
+        CONNECTION_COST_BYTES
+        + len(connection.target)
+        + sum(compute_header_cost(*item) for item in connection.headers)
+        + len(connection.body) * 9 // 8
+        + len(connection.pipelined_data) * 9 // 8
+        + sum(map(compute_request_bytes, requests))
+        + connection.transport.get_write_buffer_size()
+    )
+
+
+class RandomStreamTests(unittest.IsolatedAsyncioTestCase):
+    def make_server(self, random: Random) -> CallerServer:
+        async def _handle(request: CallerRequest, reply: Reply) -> None:
+            for _ in range(random.choice((0, 0, 1, 50))):
+                await asyncio.sleep(0)
+            reply.send(200, [], b"x" * random.choice((0, 100, 100_000)))
+
+        return CallerServer(
+            _handle,
+            lambda: LIMITS,
+            self.record_failure,
+            lambda status: None,
+            BufferAccount(BufferLimits(BUDGET_BYTES, BUDGET_BYTES, MAX_CONNECTIONS)),
+            lambda reason, holder: self.shed_reasons.append(reason),
+        )
+
+    def record_failure(self, request: CallerRequest, error: Exception) -> None:
+        raise AssertionError("the handler failed") from error
+
+    def check_account(self, server: CallerServer) -> None:
+        account = server.account
+        charged = [
+            item for item in server.connections if item.holder in account.holders
+        ]
+        held_bytes = sum(map(compute_held_bytes, charged))
+        self.assertEqual(account.held_bytes, held_bytes)
+        self.assertLessEqual(account.held_bytes, BUDGET_BYTES)
+        self.assertLessEqual(len(account.holders), MAX_CONNECTIONS)
+        for connection in server.connections - set(charged):
+            # A shed connection has released all but the refusal it sends.
+            self.assertTrue(connection.transport.is_closing())
+            self.assertFalse(connection.headers or connection.body)
+            self.assertFalse(connection.pipelined_data or connection.pending_requests)
+        for connection in charged:
+            max_bytes = MAX_PIPELINED_BYTES + 100_000
+            self.assertLessEqual(len(connection.pipelined_data), max_bytes)
+            # A head over the limit is rejected with the block that exceeds it.
+            head_bytes = sum(
+                len(name) + len(value) for name, value in connection.headers
+            )
+            self.assertLessEqual(
+                head_bytes, LIMITS.max_header_bytes + PARSE_BLOCK_BYTES
+            )
+
+    async def run_seed(self, seed: int) -> None:
+        random = Random(seed)
+        server = self.make_server(random)
+        open_streams: list[tuple[CallerConnection, list[bytes]]] = []
+        unopened = STREAMS_PER_SEED
+        while unopened or open_streams:
+            if unopened and len(open_streams) < OPEN_AT_ONCE:
+                unopened -= 1
+                connection = CallerConnection(server)
+                connection.connection_made(FakeTransport(connection))
+                data = b"".join(
+                    build_request(random) for _ in range(random.randrange(1, 4))
+                )
+                open_streams.append((connection, split_at_random(random, data)))
+            stream = random.choice(open_streams)
+            connection, parts = stream
+            transport: Any = connection.transport
+            if transport.is_closing() or not parts:
+                # The client leaves, whatever it has been sent.
+                transport.abort()
+                open_streams.remove(stream)
+            elif random.random() < 0.1:
+                transport.read(random.choice((100, 200_000)))
+                connection.check_progress(server.now())
+            else:
+                connection.data_received(parts.pop(0))
+            self.check_account(server)
+            if random.random() < 0.5:
+                await asyncio.sleep(0)
+                for open_connection in tuple(server.connections):
+                    open_connection.check_progress(server.now())
+                self.check_account(server)
+        for _ in range(100):
+            await asyncio.sleep(0)
+        self.assertEqual((server.account.held_bytes, server.connections), (0, set()))
+
+    async def test_account_equals_what_is_held_and_stays_in_its_budget(self) -> None:
+        self.shed_reasons: list[str] = []
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                await self.run_seed(seed)
+        # The streams are large enough to use the budget up.
+        self.assertGreater(self.shed_reasons.count("memory"), SEEDS)
+        self.assertGreater(self.shed_reasons.count("connections"), SEEDS)
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -10,6 +10,7 @@
 import yaml
 
 from tests.platform.examples import build_settings
+from yuccareach.buffers.limits import derive_limits, find_descriptor_limit
 from yuccareach.platform.errors import InvalidProcessSettings
 from yuccareach.platform.run_control import build_control_options
 from yuccareach.platform.settings import ProcessSettings, load_settings
@@ -58,3 +59,13 @@
                 self.assertNotIn("\n", str(raised.exception))
         with self.assertRaises(InvalidProcessSettings):
             load_settings(Path("/nonexistent/local.yaml"))
+
+    def test_limits_of_buffers_follow_memory_and_descriptors(self) -> None:
+        loaded = self.load(limits={"memoryMb": 152, "maxFds": 200, "cores": 2})
+        self.assertEqual(loaded.buffers, derive_limits(152, 200))
+        without = self.load(limits={"memoryMb": 152})
+        self.assertEqual(without.buffers, derive_limits(152, find_descriptor_limit()))
+        for fields in ({"memoryMb": 0}, {"maxFds": -1}, {"memoryMb": "much"}):
+            with self.subTest(fields=fields):
+                with self.assertRaises(InvalidProcessSettings):
+                    self.load(limits=fields)
