--- a/src/yuccareach/platform/run_gateway.py
+++ b/src/yuccareach/platform/run_gateway.py
@@ -2,6 +2,14 @@
 
 from __future__ import annotations
 
+if __name__ == "__main__":
+    # Before the other imports, which take long enough for signals to arrive.
+    import signal
+
+    from yuccareach.runtime.early_signals import record_signals
+
+    record_signals(signal.SIGHUP, signal.SIGTERM, signal.SIGINT)
+
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.run import GatewayAddresses, GatewayProcess
--- a/src/yuccareach/runtime/process.py
+++ b/src/yuccareach/runtime/process.py
@@ -7,6 +7,8 @@
 import signal
 from typing import TYPE_CHECKING, Protocol
 
+from yuccareach.runtime.early_signals import take_signals
+
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
@@ -35,23 +37,44 @@
     """Run a role until SIGTERM or SIGINT, then shut it down gracefully.
 
     A second signal ends the wait for work in flight. SIGHUP calls reload, if passed.
+    Signals that the entry point has recorded have the same effects.
     """
-    loop = asyncio.get_running_loop()
     first_signal, second_signal = asyncio.Event(), asyncio.Event()
 
     def _handle_signal() -> None:
         (second_signal if first_signal.is_set() else first_signal).set()
 
-    for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, _handle_signal)
+    handler_by_signal: dict[int, Callable[[], None]] = {
+        signal.SIGTERM: _handle_signal,
+        signal.SIGINT: _handle_signal,
+    }
     if reload is not None:
-        loop.add_signal_handler(signal.SIGHUP, reload)
+        handler_by_signal[signal.SIGHUP] = reload
+    _install_handlers(handler_by_signal)
     await process.start()
     await first_signal.wait()
     await _wait_for_first(process.drain, second_signal.wait)
     await process.stop()
 
 
+def _install_handlers(handler_by_signal: dict[int, Callable[[], None]]) -> None:
+    """Install handlers, and run them for the signals recorded before.
+
+    The signals are blocked meanwhile: one that arrives after the loop has its wake-up
+    descriptor, but before its handler is replaced, would be handled twice.
+    """
+    loop = asyncio.get_running_loop()
+    signal.pthread_sigmask(signal.SIG_BLOCK, handler_by_signal)
+    try:
+        for number, handler in handler_by_signal.items():
+            loop.add_signal_handler(number, handler)
+        for number in take_signals():
+            if number in handler_by_signal:
+                loop.call_soon(handler_by_signal[number])
+    finally:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, handler_by_signal)
+
+
 async def _wait_for_first(*waits: Callable[[], Awaitable[object]]) -> None:
     """Run several awaitables until the first ends, then cancel the others."""
     tasks = [asyncio.ensure_future(wait()) for wait in waits]
