Bound what the framing of backend servers' responses holds

Bodies are one buffer, parsed headers are charged at what they cost to the buffers of the process, trailers are dropped, and a response whose trailers or chunk extensions exceed the limit on heads ends as too_large.

tests/gateway/test_http_client.py and test_exchanges.py looked at the list of body parts, which is a buffer now; they check the same bytes.

--- a/src/yuccareach/gateway/calls.py
+++ b/src/yuccareach/gateway/calls.py
@@ -309,7 +309,7 @@
             if backend_request.exchange.head.done()
             else None
         )
-        attempt = Attempt(ending, head, b"".join(backend_request.exchange.body))
+        attempt = Attempt(ending, head, backend_request.exchange.take_body())
         waited_s = gateway.now() - sent_s
         if not attempt.has_not_run:
             gateway.call_durations.record(admitted.route.name, waited_s, gateway.now())
--- a/src/yuccareach/gateway/exchanges.py
+++ b/src/yuccareach/gateway/exchanges.py
@@ -6,6 +6,7 @@
 from enum import StrEnum
 from typing import TYPE_CHECKING, NamedTuple
 
+from yuccareach.buffers.limits import DEFAULT_LIMITS
 from yuccareach.gateway.dialect import Headers, ResponseMetadata
 
 if TYPE_CHECKING:
@@ -26,9 +27,6 @@
 CALLER_RESPONSE_LIMITS = ResponseLimits(64 << 10, 16 << 20, 1 << 20)
 # Reports and answers to orders.
 REPORT_LIMITS = ResponseLimits(64 << 10, 1 << 20, 0)
-# A gateway has some 200 of the 300 MB of the smallest instance to itself, and a body is
-# copied twice on its way to the caller.
-MAX_BUFFERED_BYTES = 64 << 20
 
 
 class Ending(StrEnum):
@@ -88,9 +86,10 @@
         self.head: asyncio.Future[ResponseHead | None] = loop.create_future()
         self.ended: asyncio.Future[Ending] = loop.create_future()
         self.forwards_body = False
-        self.body: list[bytes] = []
-        self.body_bytes = 0
-        # Bytes of the body that are buffered now.
+        self.body = bytearray()
+        # What the head holds.
+        self.head_cost_bytes = 0
+        # Memory that the head and what is buffered of the body take now.
         self.buffered_bytes = 0
         # Ends the exchange and closes its connection.
         self.fail: Callable[[Ending], None] = self.set_ending
@@ -107,14 +106,23 @@
             buffered_bytes = self.on_data(data)
             max_bytes = self.limits.event_bytes
         else:
-            self.body.append(data)
-            self.body_bytes += len(data)
-            buffered_bytes = self.body_bytes
+            self.body += data
+            buffered_bytes = len(self.body)
             max_bytes = self.limits.body_bytes
-        if buffered_bytes != self.buffered_bytes:
-            self._set_buffered(buffered_bytes)
+        self._set_buffered(self.head_cost_bytes + buffered_bytes)
         return buffered_bytes <= max_bytes
 
+    def set_head_cost(self, cost_bytes: int) -> None:
+        """Set how much memory the head takes, as far as it has arrived."""
+        added_bytes = cost_bytes - self.head_cost_bytes
+        self.head_cost_bytes = cost_bytes
+        self._set_buffered(self.buffered_bytes + added_bytes)
+
+    def take_body(self) -> bytes:
+        """Return the body, which the exchange no longer holds."""
+        body, self.body = self.body, bytearray()
+        return bytes(body)
+
     def _set_buffered(self, buffered_bytes: int) -> None:
         added_bytes = buffered_bytes - self.buffered_bytes
         self.buffered_bytes = buffered_bytes
@@ -133,16 +141,16 @@
         if not self.ended.done():
             self.ended.set_result(ending)
             if ending is not Ending.COMPLETE:
-                self.body.clear()
+                self.body = bytearray()
                 self.release_buffers()
         if not self.head.done():
             self.head.set_result(None)
 
 
 class ResponseBuffers:
-    """The bodies that one process buffers, whose total is bounded."""
+    """The heads and bodies that one process buffers, whose total is bounded."""
 
-    def __init__(self, max_bytes: int = MAX_BUFFERED_BYTES) -> None:
+    def __init__(self, max_bytes: int = DEFAULT_LIMITS.response_bytes) -> None:
         self.max_bytes = max_bytes
         self.total_bytes = 0
         # Exchanges with buffered bytes.
@@ -166,7 +174,6 @@
 
 __all__ = [
     "CALLER_RESPONSE_LIMITS",
-    "MAX_BUFFERED_BYTES",
     "REPORT_LIMITS",
     "Ending",
     "Exchange",
--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -12,6 +12,7 @@
 
 import httptools
 
+from yuccareach.buffers.account import compute_header_cost
 from yuccareach.gateway.dialect import Headers, ResponseMetadata
 from yuccareach.gateway.exchanges import (
     REPORT_LIMITS,
@@ -31,6 +32,9 @@
 # A connection is reused for this much less than the keep-alive timeout that a backend
 # server states, since the server may be closing the connection already.
 KEEP_ALIVE_MARGIN_S = 1.0
+# Data is parsed in blocks of this size, so that what one block adds to the memory held
+# is small: at most 16,000 header lines.
+PARSE_BLOCK_BYTES = 64 << 10
 # For backend servers that state no keep-alive timeout.
 DEFAULT_KEEP_ALIVE_S = 4.0
 
@@ -59,6 +63,11 @@
         self.head_bytes = 0
         # All bytes received since the request was sent.
         self.received_bytes = 0
+        # What the parsed headers hold.
+        self.head_cost_bytes = 0
+        # Bytes received after the head since the last part of the body: trailers, and
+        # what frames the chunks.
+        self.frame_bytes = 0
         # Whether the response is to an earlier request and is discarded.
         self.is_skipping = False
         # Whether the body has neither a length nor chunks.
@@ -101,8 +110,7 @@
         try:
             if self.is_awaiting_head:
                 data = self._parse_head(data, limits.head_bytes)
-            if self.exchange is not None:
-                self.parser.feed_data(data)
+            self._parse_body(data, limits.head_bytes)
         except (httptools.HttpParserError, httptools.HttpParserUpgrade):
             self._fail(Ending.MALFORMED)
         if self.received_bytes > limits.head_bytes + limits.body_bytes:
@@ -118,11 +126,26 @@
             if remaining_bytes <= 0:
                 self._fail(Ending.TOO_LARGE)
                 return b""
-            self.head_bytes += min(len(data), remaining_bytes)
-            self.parser.feed_data(data[:remaining_bytes])
-            data = data[remaining_bytes:]
+            block_bytes = min(remaining_bytes, PARSE_BLOCK_BYTES)
+            self.head_bytes += min(len(data), block_bytes)
+            self.parser.feed_data(data[:block_bytes])
+            data = data[block_bytes:]
+            if self.exchange is not None and self.head_cost_bytes:
+                self.exchange.set_head_cost(self.head_cost_bytes)
         return data
 
+    def _parse_body(self, data: bytes, max_frame_bytes: int) -> None:
+        """Parse data that follows the head.
+
+        Fails the exchange if too much precedes or follows each part of the body.
+        """
+        while data and self.exchange is not None:
+            self.frame_bytes += min(len(data), PARSE_BLOCK_BYTES)
+            self.parser.feed_data(data[:PARSE_BLOCK_BYTES])
+            data = data[PARSE_BLOCK_BYTES:]
+            if self.frame_bytes > max_frame_bytes:
+                self._fail(Ending.TOO_LARGE)
+
     def eof_received(self) -> bool:
         """Complete a response whose body ends with the connection."""
         if (
@@ -145,12 +168,16 @@
     def on_message_begin(self) -> None:
         """Start a response; do not reuse the connection after a second response."""
         self.headers = []
+        self.head_cost_bytes = 0
         if self.is_complete:
             self.must_close = True
 
     def on_header(self, name: bytes, value: bytes) -> None:
-        """Append a header."""
+        """Append a header; drop it if it is part of a trailer."""
+        if not self.is_awaiting_head or self.exchange is None:
+            return
         self.headers.append((name.lower(), value))
+        self.head_cost_bytes += compute_header_cost(name, value)
 
     def on_headers_complete(self) -> None:
         """Match the response with the request by the request id."""
@@ -176,8 +203,6 @@
         self._update_reuse_deadline(value_by_name.get(b"keep-alive", b""))
         self.is_awaiting_head = False
         exchange.set_head(ResponseHead(status, self.headers, metadata))
-        # A trailer is not part of the head.
-        self.headers = []
         length = value_by_name.get(b"content-length", b"")
         if length.isdigit() and int(length) > exchange.limits.body_bytes:
             self._fail(Ending.TOO_LARGE)
@@ -209,6 +234,7 @@
 
     def on_body(self, data: bytes) -> None:
         """Forward a part of the body to the exchange."""
+        self.frame_bytes = 0
         if self.exchange is None or self.is_complete:
             return
         if self.is_skipping:
@@ -400,7 +426,7 @@
         return BackendResponse(ending, 0, b"")
     if ending is not Ending.COMPLETE or head is None:
         return None
-    return BackendResponse(ending, head.status, b"".join(exchange.body))
+    return BackendResponse(ending, head.status, exchange.take_body())
 
 
 def encode_request(
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -434,7 +434,7 @@
         and head.metadata.is_signed
     ):
         run.failure_head = head
-        run.failure_body = b"".join(backend_request.exchange.body)
+        run.failure_body = backend_request.exchange.take_body()
         return AttemptResult.FAILED
     backend_request.backend.record_failure(now_s)
     run.excluded_incarnations.add(backend_request.backend.announcement.incarnation)
--- a/src/yuccareach/platform/standin_bytes.py
+++ b/src/yuccareach/platform/standin_bytes.py
@@ -41,6 +41,10 @@
     TRAILER = "trailer"
     EVENT = "event"
     REFUSAL = "refusal"
+    # ... header lines, trailer lines and chunks that are as short as possible.
+    SHORT_HEADERS = "short_headers"
+    SHORT_TRAILERS = "short_trailers"
+    SMALL_CHUNKS = "small_chunks"
     # With an end.
     NO_HTTP = "no_http"
     LARGE_WITH_LENGTH = "large_with_length"
@@ -117,6 +121,12 @@
             return _Parts(head + chunked, chunk)
         case RawAnswer.CHUNK_EXTENSION:
             return _Parts(ok + signed + chunked + b"2;x=", filler)
+        case RawAnswer.SHORT_HEADERS:
+            return _Parts(ok + signed, b"a:\r\n" * (BLOCK_BYTES // 4))
+        case RawAnswer.SHORT_TRAILERS:
+            return _Parts(ok + signed + chunked + b"0\r\n", b"a:\r\n" * 1_000)
+        case RawAnswer.SMALL_CHUNKS:
+            return _Parts(ok + signed + chunked, b"2\r\nxx\r\n" * 1_000)
         case RawAnswer.TRAILER:
             return _Parts(ok + signed + chunked + b"2\r\nok\r\n0\r\n", line * 64)
         case RawAnswer.EVENT:
--- a/tests/gateway/test_exchanges.py
+++ b/tests/gateway/test_exchanges.py
@@ -37,7 +37,7 @@
             for _ in range(parts):
                 exchange.receive_data(PART)
         self.assertIs(large.ended.result(), Ending.BUFFERS_FULL)
-        self.assertEqual(large.body, [])
+        self.assertEqual(large.body, b"")
         self.assertFalse(small.ended.done() or third.ended.done())
         self.assertEqual(buffers.total_bytes, 30)
 
@@ -58,7 +58,7 @@
         self.assertEqual(buffers.total_bytes, len(PART))
         exchange.release_buffers()
         self.assertEqual((buffers.total_bytes, buffers.exchanges), (0, set()))
-        self.assertEqual(exchange.body, [PART])
+        self.assertEqual(exchange.body, PART)
 
     async def test_incomplete_event_of_a_stream_counts(self) -> None:
         buffers = ResponseBuffers()
--- a/tests/gateway/test_http_client.py
+++ b/tests/gateway/test_http_client.py
@@ -83,7 +83,7 @@
         ]
         ending, exchange = await self.exchange_request(b"r1")
         self.assertIs(ending, Ending.COMPLETE)
-        self.assertEqual(b"".join(exchange.body), b"ok")
+        self.assertEqual(bytes(exchange.body), b"ok")
         self.assertIs((await self.exchange_request(b"r2"))[0], Ending.COMPLETE)
         self.assertEqual(self.accepted_count, 1)
 
@@ -93,7 +93,7 @@
         ]
         ending, exchange = await self.exchange_request(b"r1")
         self.assertIs(ending, Ending.COMPLETE)
-        self.assertEqual(b"".join(exchange.body), b"ok")
+        self.assertEqual(bytes(exchange.body), b"ok")
 
     async def test_connection_is_not_reused_after_a_second_response(self) -> None:
         self.responses = [
@@ -102,7 +102,7 @@
         ]
         ending, exchange = await self.exchange_request(b"r1")
         self.assertIs(ending, Ending.COMPLETE)
-        self.assertEqual(b"".join(exchange.body), b"ok")
+        self.assertEqual(bytes(exchange.body), b"ok")
         self.assertIs((await self.exchange_request(b"r2"))[0], Ending.COMPLETE)
         self.assertEqual(self.accepted_count, 2)
 
@@ -121,7 +121,7 @@
         self.close_after_response = True
         ending, exchange = await self.exchange_request()
         self.assertIs(ending, Ending.COMPLETE)
-        self.assertEqual(b"".join(exchange.body), b"all")
+        self.assertEqual(bytes(exchange.body), b"all")
 
     async def test_response_without_a_length_is_broken_by_a_reset(self) -> None:
         self.responses = [
@@ -234,7 +234,7 @@
                     fed_bytes, MAX_HEAD_BYTES + MAX_BODY_BYTES + 2 * BLOCK_BYTES
                 )
                 self.assertEqual(str(await self.receive()), "too_large")
-                self.assertLessEqual(sum(map(len, self.exchange.body)), MAX_BODY_BYTES)
+                self.assertLessEqual(len(self.exchange.body), MAX_BODY_BYTES)
 
     async def test_body_with_a_length_over_the_limit_is_refused_by_its_head(
         self,
@@ -248,14 +248,14 @@
         head = OK + b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES
         body = [FILLER] * (MAX_BODY_BYTES // BLOCK_BYTES)
         self.assertIs(await self.receive(head, *body), Ending.COMPLETE)
-        self.assertEqual(sum(map(len, self.exchange.body)), MAX_BODY_BYTES)
+        self.assertEqual(len(self.exchange.body), MAX_BODY_BYTES)
 
     async def test_head_below_the_limit_is_accepted_with_its_body(self) -> None:
         head = OK + b"A: %b\r\nContent-Length: %d\r\n\r\n"
         value = b"x" * (MAX_HEAD_BYTES - 200)
         data = head % (value, BLOCK_BYTES) + FILLER
         self.assertIs(await self.receive(data), Ending.COMPLETE)
-        self.assertEqual(self.exchange.body_bytes, BLOCK_BYTES)
+        self.assertEqual(len(self.exchange.body), BLOCK_BYTES)
 
     async def test_large_late_response_is_discarded(self) -> None:
         late = OK_LINE + REQUEST_ID_HEADER % b"r0" + b"Content-Length: %d\r\n\r\n"
@@ -263,7 +263,7 @@
         data = late % (32 * BLOCK_BYTES)
         ending = await self.receive(data, *body, COMPLETE_RESPONSE % (b"r1", b"ok"))
         self.assertIs(ending, Ending.COMPLETE)
-        self.assertEqual(b"".join(self.exchange.body), b"ok")
+        self.assertEqual(bytes(self.exchange.body), b"ok")
 
     async def test_trailer_adds_no_headers_to_the_response(self) -> None:
         data = CHUNKED + b"2\r\nok\r\n0\r\nContent-Encoding: gzip\r\n\r\n"
@@ -413,7 +413,7 @@
             await self.exchange_request(b"r1")
             ending, exchange = await self.exchange_request(b"r2")
             self.assertIs(ending, Ending.COMPLETE)
-            self.assertEqual(b"".join(exchange.body), b"ok")
+            self.assertEqual(bytes(exchange.body), b"ok")
             self.assertFalse(self.has_not_run(exchange))
             self.pool.close()
 
@@ -424,7 +424,7 @@
         self.responses = [self.named, stale + self.answer]
         await self.exchange_request(b"r1")
         _, exchange = await self.exchange_request(b"r2")
-        self.assertEqual(b"".join(exchange.body), b"ok")
+        self.assertEqual(bytes(exchange.body), b"ok")
 
     async def test_server_that_never_names_requests_is_answered_from(self) -> None:
         response = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
@@ -432,4 +432,4 @@
         for request_id in (b"r1", b"r2"):
             ending, exchange = await self.exchange_request(request_id)
             self.assertIs(ending, Ending.COMPLETE)
-            self.assertEqual(b"".join(exchange.body), b"ok")
+            self.assertEqual(bytes(exchange.body), b"ok")
--- a/tests/platform/test_endless_bytes.py
+++ b/tests/platform/test_endless_bytes.py
@@ -36,6 +36,7 @@
     RawAnswer.HEADER_VALUE,
     RawAnswer.REASON,
     RawAnswer.INTERIM,
+    RawAnswer.SHORT_HEADERS,
 )
 ENDLESS_BODIES = (
     RawAnswer.LATE_ANSWERS,
@@ -46,6 +47,8 @@
     RawAnswer.REFUSAL,
     RawAnswer.CHUNK_EXTENSION,
     RawAnswer.TRAILER,
+    RawAnswer.SHORT_TRAILERS,
+    RawAnswer.SMALL_CHUNKS,
 )
 
 
--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -27,6 +27,7 @@
     build_settings,
 )
 from yuccareach.platform.standin import Group, Runner, put_document
+from yuccareach.platform.standin_bytes import RawAnswer
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -311,3 +312,21 @@
     async def test_silent_connections_to_the_readiness_port(self) -> None:
         await self.send_crowd(2 * MAX_FDS, b"", "ready")
         await self.check_gateway()
+
+
+class BackendTests(UntrustedClientTestCase):
+    async def check_raw_answer(self, kind: RawAnswer) -> None:
+        """Send requests that get a raw answer, then an ordinary one."""
+        self.runner.faults.raw_answer = kind
+        await asyncio.gather(*(self.send_ordinary() for _ in range(8)))
+        self.runner.faults.raw_answer = None
+        await self.check_gateway()
+
+    async def test_head_of_short_lines(self) -> None:
+        await self.check_raw_answer(RawAnswer.SHORT_HEADERS)
+
+    async def test_trailers_of_short_lines(self) -> None:
+        await self.check_raw_answer(RawAnswer.SHORT_TRAILERS)
+
+    async def test_body_of_small_chunks(self) -> None:
+        await self.check_raw_answer(RawAnswer.SMALL_CHUNKS)
