Reroute a stream at once when a probe has found its stage silent

Cause: before the order, the gateway waited until the loss was counted, which probes the stage once more: another 80 ms for a server that the probe before had just found silent. A server that refuses connections answers that probe at once, so that waiting for it costs nothing there.

The loss is now counted in the background if the stage is known not to accept connections. The new test fails on the code before.

--- a/src/yuccareach/gateway/stalls.py
+++ b/src/yuccareach/gateway/stalls.py
@@ -289,7 +289,13 @@
     if blocking_backend.announcement.incarnation not in run.suspected_incarnations:
         run.suspected_incarnations.add(blocking_backend.announcement.incarnation)
         run.later_stage_lost = True
-        await record_broken_attempt(gateway, run.lost_attempt, [blocking_backend])
+        recording = record_broken_attempt(gateway, run.lost_attempt, [blocking_backend])
+        if blocking_backend.is_connectable:
+            await recording
+        else:
+            # The probe that found it silent has only just ended. Waiting for another
+            # time-out would make the pause longer than callers accept.
+            gateway.start_background_task(recording)
     has_ended = await seek_end_proof(gateway, blocking_backend)
     if (
         run.backend_request is not request
--- a/tests/platform/test_lost_later_stages.py
+++ b/tests/platform/test_lost_later_stages.py
@@ -76,6 +76,17 @@
     async def test_stream_with_more_attempts_is_rerouted(self) -> None:
         await self.assert_rerouted("/draft/1")
 
+    async def test_reroute_does_not_wait_until_the_loss_is_counted(self) -> None:
+        # Guards against reroutes that waited for another probe of a stage that a probe
+        # had just found silent, and took longer than callers accept a pause.
+        async def _count_without_end(*args: object) -> None:
+            await asyncio.Event().wait()
+
+        with mock.patch(
+            "yuccareach.gateway.stalls.record_broken_attempt", _count_without_end
+        ):
+            await self.assert_rerouted("/draft/1")
+
 
 class EndedTests(LaterStageTestCase):
     async def measure_pause_s(self, *, is_other_zone_avoided: bool) -> float:
