Load second holders of layers before third ones

Of the loads that the store serves at a time, those that close a gap came first and all others in the order of the plan, zone after zone. While many servers are lost or replaced, a third copy in one zone was loaded before the second holder of layers in another, whose next loss stopped that zone for a whole load.

Loads for layers with a single holder now follow those that close gaps. Within each of the three the order is as before.

The new test in tests.placement.test_loads fails on: the third copy is ordered first.

--- a/src/yuccareach/placement/loads.py
+++ b/src/yuccareach/placement/loads.py
@@ -28,9 +28,15 @@
     """Return the assignments to load now, those that close gaps first.
 
     Of several zones with gaps, the one that lacks fewest layers comes first, so that
-    one is whole before another is begun.
+    one is whole before another is begun. Layers with a single holder follow: the next
+    loss makes them a gap.
     """
-    missing_by_zone = _find_missing_layers(servers, model)
+    counts_by_zone = _count_holders_by_zone(servers, model)
+    # A zone that holds nothing has no pipeline to complete.
+    missing_by_zone = {
+        zone: {layer for layer, count in enumerate(counts) if any(counts) and not count}
+        for zone, counts in counts_by_zone.items()
+    }
 
     def _count_closed(assignment: Assignment) -> int:
         layers = range(assignment.layers.first, assignment.layers.end)
@@ -44,28 +50,28 @@
             -_count_closed(item),
         ),
     )
-    others = [item for item in assignments if not _count_closed(item)]
+    others = sorted(
+        (item for item in assignments if not _count_closed(item)),
+        key=lambda item: min(
+            counts_by_zone[item.server.zone][item.layers.first : item.layers.end],
+            default=0,
+        )
+        > 1,
+    )
     free_loads = max(0, model.max_concurrent_loads - pending_loads)
     return [*closing, *others][:free_loads]
 
 
-def _find_missing_layers(
+def _count_holders_by_zone(
     servers: Sequence[Server], model: ModelProfile
-) -> dict[str, set[int]]:
-    """Return by zone the layers that none of its servers holds or loads.
-
-    A zone that holds nothing has no pipeline to complete.
-    """
-    missing_by_zone = {}
-    for zone in {server.zone for server in servers}:
-        counts = count_servers_by_layer(
+) -> dict[str, list[int]]:
+    """Return by zone how many of its servers hold or load each layer."""
+    return {
+        zone: count_servers_by_layer(
             [server for server in servers if server.zone == zone], model
         )
-        has_pipeline = any(counts)
-        missing_by_zone[zone] = {
-            layer for layer, count in enumerate(counts) if not count and has_pipeline
-        }
-    return missing_by_zone
+        for zone in {server.zone for server in servers}
+    }
 
 
 __all__ = ["select_loads"]
--- a/tests/placement/test_loads.py
+++ b/tests/placement/test_loads.py
@@ -35,6 +35,19 @@
         selected = select_loads([replica, far, near], servers, MODEL, 0)
         self.assertEqual(selected, [near, far, replica])
 
+    def test_layers_with_a_single_holder_come_before_other_replicas(self) -> None:
+        # A third copy of some layers was loaded while the next loss of a server would
+        # have stopped the zone.
+        servers = [
+            make_server("a-1", "a", "a100", LayerRange(0, 40)),
+            make_server("a-2", "a", "a100", LayerRange(0, 40)),
+            make_server("a-3", "a", "a100", LayerRange(40, 80)),
+        ]
+        third = Assignment(make_server("a-4", "a", "l4"), LayerRange(0, 10))
+        second = Assignment(make_server("a-5", "a", "l4"), LayerRange(35, 45))
+        selected = select_loads([third, second], servers, MODEL, 0)
+        self.assertEqual(selected, [second, third])
+
     def test_pending_loads_are_not_exceeded(self) -> None:
         replica = Assignment(make_server("a-3", "a", "l4"), LayerRange(0, 5))
         for pending in (MODEL.max_concurrent_loads, MODEL.max_concurrent_loads + 3):
