Tell the planner which servers load and are new, and plan less often

The planner saw a range that a server was still loading as held, so that it could move the only loaded holder away, and it could not tell a server that had just been announced from a spare one. A server without layers is new for 3 s after this instance first saw its incarnation. The state is in memory of the leader; records of incarnations that are no longer members are removed.

The loop also planned each 0.25 s whether or not anything had changed.

--- a/src/yuccareach/placement/assignments.py
+++ b/src/yuccareach/placement/assignments.py
@@ -33,7 +33,9 @@
     """A backend server that may load layers.
 
     Layers are those that it has loaded, or those that it has been ordered to load.
-    The decode factor multiplies the model's decode times: a higher one is slower.
+    The decode factor multiplies the model's decode times: a higher one is slower. A
+    server that is loading has been ordered to load its layers and serves none yet. One
+    that is new may be meant to replace a server that has not begun to drain.
     """
 
     name: str
@@ -42,6 +44,8 @@
     memory_mb: float
     decode_factor: float
     layers: LayerRange
+    is_loading: bool = False
+    is_new: bool = False
 
 
 class Assignment(NamedTuple):
@@ -58,10 +62,14 @@
     )
 
 
+def count_tokens_per_request(model: ModelProfile) -> int:
+    """Return the tokens of a typical request, at least one."""
+    return max(1, model.typical_prompt_tokens + model.typical_answer_tokens)
+
+
 def compute_target_tokens(model: ModelProfile) -> float:
     """Return the token capacity that a server covering missing layers should keep."""
-    tokens_per_request = model.typical_prompt_tokens + model.typical_answer_tokens
-    return TARGET_REQUEST_COUNT * tokens_per_request
+    return TARGET_REQUEST_COUNT * count_tokens_per_request(model)
 
 
 def compute_max_layers(server: Server, model: ModelProfile, tokens: float) -> int:
@@ -92,5 +100,6 @@
     "compute_target_tokens",
     "compute_token_capacity",
     "count_servers_by_layer",
+    "count_tokens_per_request",
     "sum_max_layers",
 ]
--- a/src/yuccareach/placement/run.py
+++ b/src/yuccareach/placement/run.py
@@ -30,6 +30,10 @@
 # A fleet without layers is planned once no new backend server has announced itself for
 # this long, which is a little more than a heartbeat interval.
 SETTLING_DELAY_MS = 1_600
+# A server without layers counts as new for this long after it was first seen: the one
+# that it replaces may begin to drain some seconds later. With 1.6 s, replacements whose
+# predecessors drained 2 s later cost three times the capacity.
+NEW_SERVER_MS = 3_000
 # A range that a server was ordered to load counts as loaded for twice its expected load
 # time plus this time, within which a heartbeat has to report it.
 CONFIRMATION_TIMEOUT_MS = 3_500
@@ -47,6 +51,14 @@
     expires_at_ms: int
 
 
+class PlanInputs(NamedTuple):
+    """What a plan depends on."""
+
+    servers: list[Server]
+    model: ModelProfile
+    repartition: bool
+
+
 class PlacementController:
     """Plans the layers of all services in a loop, and orders servers to load them.
 
@@ -63,6 +75,11 @@
         self.get_table = get_table
         self.send_order = send_order
         self.pending_order_by_name: dict[str, PendingOrder] = {}
+        # When each incarnation that has not left was first seen by this instance.
+        self.first_seen_ms_by_incarnation: dict[str, int] = {}
+        # By service, the inputs of the last plan if nothing was to be done. A plan of
+        # the same inputs is not made again.
+        self.idle_inputs_by_service: dict[str, PlanInputs] = {}
         self.known_server_count = 0
         self.settled_at_ms = 0
         # When every zone that holds layers was last known to hold all of them.
@@ -87,13 +104,22 @@
 
     async def _place_service(self, service: str, model: ModelProfile) -> None:
         self._expire_orders()
+        self._forget_departed()
         servers = self._list_servers(service, model)
         if not servers or not self._is_settled(servers):
             return
         repartition = self._has_lasting_gap(servers, model)
-        assignments = self._limit_loads(
-            plan_assignments(servers, model, repartition=repartition), servers, model
-        )
+        inputs = PlanInputs(servers, model, repartition)
+        if inputs == self.idle_inputs_by_service.get(service):
+            return
+        if not self._count_free_loads(servers, model):
+            return
+        planned = plan_assignments(servers, model, repartition=repartition)
+        if not planned:
+            self.idle_inputs_by_service[service] = inputs
+            return
+        self.idle_inputs_by_service.pop(service, None)
+        assignments = self._limit_loads(planned, servers, model)
         if not assignments:
             return
         try:
@@ -118,8 +144,15 @@
         """
         if not any(server.layers.size for server in servers):
             return assignments
-        pending_loads = len(self.pending_order_by_name)
-        return select_loads(assignments, servers, model, pending_loads)
+        return select_loads(
+            assignments, servers, model, len(self.pending_order_by_name)
+        )
+
+    def _count_free_loads(self, servers: list[Server], model: ModelProfile) -> int:
+        """Return how many loads may begin, which is every load in an unloaded fleet."""
+        if not any(server.layers.size for server in servers):
+            return len(servers)
+        return max(0, model.max_concurrent_loads - len(self.pending_order_by_name))
 
     def _has_lasting_gap(self, servers: list[Server], model: ModelProfile) -> bool:
         """Return whether a zone has lacked layers for longer than a restart takes.
@@ -177,10 +210,25 @@
             if now < order.expires_at_ms and name in members
         }
 
+    def _forget_departed(self) -> None:
+        """Remove the records of incarnations that are no longer members."""
+        present = {
+            record.member.incarnation
+            for record in self.process.members.record_by_name.values()
+        }
+        self.first_seen_ms_by_incarnation = {
+            incarnation: first_seen_ms
+            for incarnation, first_seen_ms in self.first_seen_ms_by_incarnation.items()
+            if incarnation in present
+        }
+
     def _build_server(
         self, member: cpb.Member, model: ModelProfile, now: int
     ) -> Server:
         accelerator = model.accelerator_by_kind[member.kind]
+        first_seen_ms = self.first_seen_ms_by_incarnation.setdefault(
+            member.incarnation, now
+        )
         # A member may announce layers that the model does not have.
         layers = LayerRange(member.first_layer, min(member.end_layer, model.layers))
         order = self.pending_order_by_name.get(member.backend_server)
@@ -197,6 +245,8 @@
             accelerator.memory_mb,
             accelerator.decode_factor,
             layers if layers.size > 0 else NO_LAYERS,
+            is_loading=member.backend_server in self.pending_order_by_name,
+            is_new=layers.size <= 0 and now - first_seen_ms < NEW_SERVER_MS,
         )
 
     async def _send_load_order(
@@ -226,4 +276,4 @@
         )
 
 
-__all__ = ["PlacementController"]
+__all__ = ["NEW_SERVER_MS", "PendingOrder", "PlacementController"]
