Give new servers the layers that a zone with several copies is short of

On a fleet of 58 servers with two copies of the weights in each zone, a planned replacement of ten servers left three quarters of the capacity for good, and up to 18 loads were ordered for ten new servers.

Causes, seen by replaying replacements as data against the planner: a new server loaded a replica before the one that it replaces began to drain, and had nothing left for the range that fell short; the slowest free server came first and took a part of the longest short range, so that the server which fitted that range got the rest; a first stage was sized for the requests of all copies together and held 4 or 11 layers instead of 10 or 16; and a move could take the only loaded server from a range that others were still loading.

In a zone that is limited by slots, balance.py now compares plans by a cost that counts the layers with the fewest requests most, layers with a single holder as half of their capacity, and first stages. Each free server gets the range that lowers it most, the smallest server that gains about as much first, and the ranges of several are chosen again beside each other. A new server waits while no layer is short. A server is moved only if its layers keep a loaded holder, and not fewer holders than the move gives. The first plan prefers a division that leaves no layer with a single holder, and the test for a zone limited by slots is the same in both places. Zones limited by memory are planned as before.

--- a/src/yuccareach/placement/divisions.py
+++ b/src/yuccareach/placement/divisions.py
@@ -5,7 +5,7 @@
 import itertools
 from typing import TYPE_CHECKING, NamedTuple
 
-from yuccareach.placement.assignments import sum_max_layers
+from yuccareach.placement.assignments import count_tokens_per_request, sum_max_layers
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
@@ -16,6 +16,10 @@
 # How often a division is improved by moving or exchanging servers. It bounds the time
 # of a plan.
 MAX_CHANGES = 12
+# A pipeline that has memory for more than this many times the requests that its first
+# stage has slots for is limited by slots. Below that, one replica of the first stage
+# adds the slots that are missing, and a second copy of the weights costs more.
+SLOT_SHORTAGE_FACTOR = 2.0
 
 Group = list["Server"]
 
@@ -76,6 +80,14 @@
     ]
 
 
+def is_slot_limited(servers: list[Server], model: ModelProfile) -> bool:
+    """Return whether one pipeline of servers has memory for far more than its slots."""
+    if not model.slots:
+        return False
+    slot_tokens = model.slots * count_tokens_per_request(model)
+    return find_most_tokens(servers, model) > SLOT_SHORTAGE_FACTOR * slot_tokens
+
+
 def find_most_tokens(servers: list[Server], model: ModelProfile) -> float:
     """Return the most tokens, to within one, that fit into every server of a pipeline.
 
@@ -132,12 +144,8 @@
 
 def _build_group_score(model: ModelProfile) -> Callable[[Group], GroupScore]:
     """Return a function that scores groups, and remembers those of the same sizes."""
-    tokens_per_request = max(
-        1, model.typical_prompt_tokens + model.typical_answer_tokens
-    )
-    max_tokens = (
-        float(model.slots * tokens_per_request) if model.slots else float("inf")
-    )
+    slot_tokens = float(model.slots * count_tokens_per_request(model))
+    max_tokens = slot_tokens if model.slots else float("inf")
     score_by_sizes: dict[tuple[float, ...], GroupScore] = {}
 
     def _score(group: Group) -> GroupScore:
@@ -153,4 +161,4 @@
     return _score
 
 
-__all__ = ["divide_servers", "find_most_tokens"]
+__all__ = ["divide_servers", "find_most_tokens", "is_slot_limited"]
--- a/src/yuccareach/placement/pipelines.py
+++ b/src/yuccareach/placement/pipelines.py
@@ -11,9 +11,16 @@
     Server,
     compute_max_layers,
     compute_token_capacity,
+    count_servers_by_layer,
+    count_tokens_per_request,
     sum_max_layers,
 )
-from yuccareach.placement.divisions import divide_servers, find_most_tokens
+from yuccareach.placement.balance import assign_free_servers
+from yuccareach.placement.divisions import (
+    divide_servers,
+    find_most_tokens,
+    is_slot_limited,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
@@ -26,10 +33,6 @@
 # Each server that a pipeline uses is one more that may fail and one spare server less.
 # A further server has to raise the request rate by more than this fraction.
 SERVER_COST_FRACTION = 0.02
-# A zone is divided only if its best pipeline has memory for more than this many times
-# the requests that its first stage has slots for. Below that, one replica of the first
-# stage adds the slots that are missing, and a second copy of the weights costs more.
-SLOT_SHORTAGE_FACTOR = 1.5
 # Pipelines into which the servers of a zone are divided at most. It bounds the time of
 # the first plan; each layer then has enough holders for losses and replacements.
 MAX_PIPELINES_PER_ZONE = 4
@@ -61,20 +64,17 @@
 def find_zone_pipelines(
     servers: list[Server], model: ModelProfile
 ) -> list[list[Assignment]]:
-    """Return the disjoint pipelines of one zone that together have the best rate.
+    """Return the disjoint pipelines of one zone that together serve it best.
+
+    Where slots run out before memory, these are those with the best rate together of
+    the divisions that leave no layer with a single holder; else the best pipeline.
 
     The fastest servers should come first. Return none if all of them together cannot
     hold every layer.
     """
-    by_memory = find_best_pipeline(servers, model._replace(slots=0))
-    if by_memory is None:
-        return []
-    if (
-        not model.slots
-        or _count_requests_in_memory(by_memory, model)
-        <= SLOT_SHORTAGE_FACTOR * model.slots
-    ):
-        return [by_memory]
+    if not is_slot_limited(servers, model):
+        pipeline = find_best_pipeline(servers, model._replace(slots=0))
+        return [pipeline] if pipeline is not None else []
     candidates = []
     for count in range(1, MAX_PIPELINES_PER_ZONE + 1):
         pipelines = [
@@ -87,12 +87,36 @@
         candidates.append(pipelines)
     return max(
         candidates,
-        key=lambda pipelines: sum(
-            _score_pipeline(pipeline, model) for pipeline in pipelines
+        key=lambda pipelines: (
+            _is_redundant(servers, pipelines, model),
+            sum(_score_pipeline(pipeline, model) for pipeline in pipelines),
         ),
     )
 
 
+def _is_redundant(
+    servers: list[Server], pipelines: list[list[Assignment]], model: ModelProfile
+) -> bool:
+    """Return whether each layer has two holders, with replicas on the other servers."""
+    layers_by_name = {
+        server.name: layers
+        for server, layers in itertools.chain.from_iterable(pipelines)
+    }
+    holders = [
+        server._replace(layers=layers_by_name[server.name])
+        for server in servers
+        if server.name in layers_by_name
+    ]
+    free_servers = [
+        server._replace(is_new=False)
+        for server in servers
+        if server.name not in layers_by_name
+    ]
+    replicas = assign_free_servers(free_servers, holders, model)
+    holders += [server._replace(layers=layers) for server, layers in replicas]
+    return min(count_servers_by_layer(holders, model)) >= 2
+
+
 def find_best_pipeline(
     servers: list[Server], model: ModelProfile
 ) -> list[Assignment] | None:
@@ -117,7 +141,7 @@
     The stage with the lowest token capacity and the slots of the first stage limit how
     many requests run at a time; they are spread evenly over the stages.
     """
-    tokens_per_request = _count_tokens_per_request(model)
+    tokens_per_request = count_tokens_per_request(model)
     requests = _count_requests_in_memory(assignments, model)
     if model.slots:
         requests = min(requests, model.slots)
@@ -145,16 +169,12 @@
     )
 
 
-def _count_tokens_per_request(model: ModelProfile) -> int:
-    return max(1, model.typical_prompt_tokens + model.typical_answer_tokens)
-
-
 def _count_requests_in_memory(
     assignments: list[Assignment], model: ModelProfile
 ) -> float:
     """Return for how many typical requests every stage of a pipeline has memory."""
     tokens = min(compute_token_capacity(item, model) for item in assignments)
-    return tokens / _count_tokens_per_request(model)
+    return tokens / count_tokens_per_request(model)
 
 
 def _partition_layers(servers: list[Server], model: ModelProfile) -> list[Assignment]:
--- a/src/yuccareach/placement/planner.py
+++ b/src/yuccareach/placement/planner.py
@@ -44,7 +44,9 @@
         assignment.server.name: assignment.layers for assignment in assignments
     }
     placed_servers = [
-        server._replace(layers=layers_by_name.get(server.name, server.layers))
+        server._replace(
+            layers=layers_by_name.get(server.name, server.layers), is_new=False
+        )
         for server in servers
     ]
     if not assignments:
--- a/src/yuccareach/placement/repairs.py
+++ b/src/yuccareach/placement/repairs.py
@@ -18,6 +18,8 @@
     count_servers_by_layer,
     sum_max_layers,
 )
+from yuccareach.placement.balance import assign_free_servers, find_move
+from yuccareach.placement.divisions import is_slot_limited
 from yuccareach.placement.pipelines import find_zone_pipelines
 from yuccareach.placement.ranges import find_longest_minimum
 from yuccareach.placement.replicas import add_replicas
@@ -62,6 +64,12 @@
         (server for server in servers if not server.layers.size),
         key=lambda server: server.decode_factor,
     )
+    if is_slot_limited(servers, model):
+        if free_servers:
+            return assign_free_servers(free_servers, holders, model)
+        move = find_move(holders, model)
+        if move or min(counts) > 0:
+            return move
     if min(counts) > 0:
         return add_replicas(free_servers, holders, model)
     gap = find_longest_minimum(counts)
