Log what zones lack, and what each load is for

Operators saw the ranges that were ordered, but neither whether a zone lacked layers nor why a load had been chosen.

placement_zone_changed gives, for each zone whose state has changed, the layers that no loaded server holds, those with a single holder, and the servers that are loading. placement_ordered names the reason (gap, single_holder, capacity) and the expected time of the load.

tests.placement.test_loads and test_run cover both.

--- a/src/yuccareach/placement/loads.py
+++ b/src/yuccareach/placement/loads.py
@@ -8,9 +8,10 @@
 
 from __future__ import annotations
 
-from typing import TYPE_CHECKING
+from enum import StrEnum
+from typing import TYPE_CHECKING, NamedTuple
 
-from yuccareach.placement.assignments import count_servers_by_layer
+from yuccareach.placement.assignments import NO_LAYERS, count_servers_by_layer
 
 if TYPE_CHECKING:
     from collections.abc import Sequence
@@ -19,6 +20,48 @@
     from yuccareach.placement.assignments import Assignment, Server
 
 
+class LoadReason(StrEnum):
+    """What a load is for, in the order in which loads begin."""
+
+    GAP = "gap"
+    SINGLE_HOLDER = "single_holder"
+    CAPACITY = "capacity"
+
+
+class ZoneState(NamedTuple):
+    """How many layers no loaded server of a zone holds, and how many a single one."""
+
+    missing_layers: int
+    single_holder_layers: int
+
+
+def find_load_reason(
+    assignment: Assignment, servers: Sequence[Server], model: ModelProfile
+) -> LoadReason:
+    """Return what a load is for, beside what the other servers hold or load."""
+    counts = count_servers_by_layer(
+        [server for server in servers if server.zone == assignment.server.zone], model
+    )
+    lowest = min(counts[assignment.layers.first : assignment.layers.end], default=0)
+    if lowest == 0:
+        return LoadReason.GAP
+    return LoadReason.SINGLE_HOLDER if lowest == 1 else LoadReason.CAPACITY
+
+
+def measure_zone_states(
+    servers: Sequence[Server], model: ModelProfile
+) -> dict[str, ZoneState]:
+    """Return the state of each zone; servers that are loading do not count."""
+    loaded = [
+        server._replace(layers=NO_LAYERS) if server.is_loading else server
+        for server in servers
+    ]
+    return {
+        zone: ZoneState(counts.count(0), counts.count(1))
+        for zone, counts in _count_holders_by_zone(loaded, model).items()
+    }
+
+
 def select_loads(
     assignments: Sequence[Assignment],
     servers: Sequence[Server],
@@ -74,4 +117,10 @@
     }
 
 
-__all__ = ["select_loads"]
+__all__ = [
+    "LoadReason",
+    "ZoneState",
+    "find_load_reason",
+    "measure_zone_states",
+    "select_loads",
+]
--- a/src/yuccareach/placement/run.py
+++ b/src/yuccareach/placement/run.py
@@ -14,7 +14,12 @@
     Server,
     count_servers_by_layer,
 )
-from yuccareach.placement.loads import select_loads
+from yuccareach.placement.loads import (
+    ZoneState,
+    find_load_reason,
+    measure_zone_states,
+    select_loads,
+)
 from yuccareach.placement.planner import plan_assignments
 from yuccareach.runtime.logs import logger
 from yuccareach.runtime.reducer import monotonic_ms
@@ -24,6 +29,7 @@
 
     from yuccareach.control.run import ControlProcess
     from yuccareach.gateway.table import ModelProfile, RoutingTable
+    from yuccareach.placement.loads import LoadReason
     from yuccareach.proto import control_pb2 as cpb
 
 PLAN_INTERVAL_S = 0.25
@@ -80,6 +86,8 @@
         # By service, the inputs of the last plan if nothing was to be done. A plan of
         # the same inputs is not made again.
         self.idle_inputs_by_service: dict[str, PlanInputs] = {}
+        # The zones of each service as they were last logged.
+        self.zone_states_by_service: dict[str, dict[str, ZoneState]] = {}
         self.known_server_count = 0
         self.settled_at_ms = 0
         # When every zone that holds layers was last known to hold all of them.
@@ -112,6 +120,7 @@
         inputs = PlanInputs(servers, model, repartition)
         if inputs == self.idle_inputs_by_service.get(service):
             return
+        self._log_zone_states(service, servers, model)
         if not self._count_free_loads(servers, model):
             return
         planned = plan_assignments(servers, model, repartition=repartition)
@@ -129,9 +138,38 @@
         except RequestRefusedError:
             return
         await asyncio.gather(
-            *(self._send_load_order(assignment, model) for assignment in assignments)
+            *(
+                self._send_load_order(
+                    assignment, model, find_load_reason(assignment, servers, model)
+                )
+                for assignment in assignments
+            )
         )
 
+    def _log_zone_states(
+        self, service: str, servers: list[Server], model: ModelProfile
+    ) -> None:
+        """Log each zone whose missing layers or single holders have changed."""
+        states = measure_zone_states(servers, model)
+        logged = self.zone_states_by_service.get(service, {})
+        for zone, state in states.items():
+            if state != logged.get(zone):
+                _log.info(
+                    "placement_zone_changed",
+                    extra={
+                        "service": service,
+                        "availability_zone": zone,
+                        "missing_layers": state.missing_layers,
+                        "single_holder_layers": state.single_holder_layers,
+                        "loading": sum(
+                            server.is_loading
+                            for server in servers
+                            if server.zone == zone
+                        ),
+                    },
+                )
+        self.zone_states_by_service[service] = states
+
     def _limit_loads(
         self, assignments: list[Assignment], servers: list[Server], model: ModelProfile
     ) -> list[Assignment]:
@@ -250,7 +288,7 @@
         )
 
     async def _send_load_order(
-        self, assignment: Assignment, model: ModelProfile
+        self, assignment: Assignment, model: ModelProfile, reason: LoadReason
     ) -> None:
         record = self.process.members.record_by_name.get(assignment.server.name)
         if record is None:
@@ -270,6 +308,8 @@
                 "held": f"{assignment.server.layers.first}-"
                 f"{assignment.server.layers.end}",
                 "layers": f"{assignment.layers.first}-{assignment.layers.end}",
+                "reason": reason.value,
+                "expected_ms": load_ms,
                 "members": self.process.members.version,
                 "taken": is_accepted,
             },
--- a/tests/placement/test_loads.py
+++ b/tests/placement/test_loads.py
@@ -17,7 +17,13 @@
     Server,
     count_servers_by_layer,
 )
-from yuccareach.placement.loads import select_loads
+from yuccareach.placement.loads import (
+    LoadReason,
+    ZoneState,
+    find_load_reason,
+    measure_zone_states,
+    select_loads,
+)
 from yuccareach.placement.planner import plan_assignments
 
 ZONES = tuple(f"zone-{letter}" for letter in "abcde")
@@ -61,6 +67,38 @@
         self.assertEqual(select_loads([replica], servers, MODEL, 0), [replica])
 
 
+class ObservationTests(unittest.TestCase):
+    """What operators read in the log about loads and zones."""
+
+    def setUp(self) -> None:
+        self.servers = [
+            make_server("a-1", "a", "a100", LayerRange(0, 40)),
+            make_server("a-2", "a", "a100", LayerRange(20, 60)),
+            make_server("b-1", "b", "a100", LayerRange(60, 80)),
+        ]
+
+    def test_reason_is_that_of_the_layer_with_the_fewest_holders(self) -> None:
+        for layers, reason in (
+            (LayerRange(50, 65), LoadReason.GAP),
+            (LayerRange(15, 25), LoadReason.SINGLE_HOLDER),
+            (LayerRange(20, 40), LoadReason.CAPACITY),
+        ):
+            with self.subTest(layers=layers):
+                assignment = Assignment(make_server("a-3", "a", "l4"), layers)
+                self.assertEqual(
+                    find_load_reason(assignment, self.servers, MODEL), reason
+                )
+
+    def test_layers_that_are_being_loaded_are_missing(self) -> None:
+        # The plan counts them as held, but no request can use them yet.
+        self.assertEqual(
+            measure_zone_states(self.servers, MODEL),
+            {"a": ZoneState(20, 40), "b": ZoneState(60, 20)},
+        )
+        loading = [*self.servers[:1], self.servers[1]._replace(is_loading=True)]
+        self.assertEqual(measure_zone_states(loading, MODEL), {"a": ZoneState(40, 40)})
+
+
 class ReleaseBesideCrashTests(unittest.TestCase):
     """Five zones; servers restart empty in the first four, and one loses a stage."""
 
--- a/tests/placement/test_run.py
+++ b/tests/placement/test_run.py
@@ -153,3 +153,23 @@
             self.placement.pending_order_by_name.popitem()
             asyncio.run(self.placement._place_service("s", MODEL))
             self.assertEqual(plan.call_count, 1)
+
+    def test_zone_is_logged_when_its_state_changes(self) -> None:
+        for number in range(4):
+            layers = LayerRange(20 * number, 20 * number + 20)
+            self.add_member(make_member(f"used-{number}", layers))
+        with (
+            patch("yuccareach.placement.run.plan_assignments", return_value=[]),
+            self.assertLogs("yuccareach", "INFO") as logs,
+        ):
+            for _ in range(3):
+                asyncio.run(self.placement._place_service("s", MODEL))
+            del self.record_by_name["used-0"]
+            asyncio.run(self.placement._place_service("s", MODEL))
+        self.assertEqual(
+            [
+                (record.msg, record.__dict__["missing_layers"])
+                for record in logs.records
+            ],
+            [("placement_zone_changed", 0), ("placement_zone_changed", 20)],
+        )
