Halve the time of placement's plans

The planner runs four times a second beside the replicated log, on instances with 0.387 to 1.38 cores.

Most of it was the cost of each layer by itself, and the layers that fit into each server of a group by itself. Layers with the same holders and servers with the same memory are now computed once, and divisions into two or more pipelines are not checked for second holders, which they have.

The first plans at eight sizes of requests have the same pipelines, memory and slots as before.

--- a/src/yuccareach/placement/balance.py
+++ b/src/yuccareach/placement/balance.py
@@ -102,21 +102,21 @@
     slots_gain = _compute_slots_cost(zone.first_stages, model) - _compute_slots_cost(
         zone.first_stages + 1, model
     )
-    cost_by_layer = [
-        _compute_layer_cost(requests, holders, model.slots)
-        for requests, holders in zip(zone.requests_by_layer, zone.holders_by_layer)
-    ]
-    holders_by_layer = [holders + 1 for holders in zone.holders_by_layer]
+    # Most layers have the same holders as others, so that their cost is the same.
+    capacity_by_layer = list(zip(zone.requests_by_layer, zone.holders_by_layer))
+    capacities = list(set(capacity_by_layer))
+    index_by_capacity = {capacity: place for place, capacity in enumerate(capacities)}
+    index_by_layer = [index_by_capacity[capacity] for capacity in capacity_by_layer]
+    costs = [_compute_layer_cost(*capacity, model.slots) for capacity in capacities]
     best = RangeGain(NO_LAYERS, 0.0)
     for size in range(1, min(max_layers, model.layers) + 1):
-        requests = _count_requests(server, size, model)
-        gains = (
-            cost - _compute_layer_cost(present + requests, holders, model.slots)
-            for cost, present, holders in zip(
-                cost_by_layer, zone.requests_by_layer, holders_by_layer
-            )
-        )
-        sums = list(itertools.accumulate(gains, initial=0.0))
+        added = _count_requests(server, size, model)
+        gains = [
+            cost - _compute_layer_cost(requests + added, holders + 1, model.slots)
+            for (requests, holders), cost in zip(capacities, costs)
+        ]
+        gain_by_layer = [gains[index] for index in index_by_layer]
+        sums = list(itertools.accumulate(gain_by_layer, initial=0.0))
         gain_by_first = [end - start for start, end in zip(sums, sums[size:])]
         gain_by_first[0] += slots_gain
         gain = max(gain_by_first)
--- a/src/yuccareach/placement/divisions.py
+++ b/src/yuccareach/placement/divisions.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import itertools
+from collections import Counter
 from typing import TYPE_CHECKING, NamedTuple
 
 from yuccareach.placement.assignments import count_tokens_per_request, sum_max_layers
@@ -93,12 +94,21 @@
 
     The servers together hold all layers of the model. Return 0 if they cannot.
     """
+    count_by_memory_mb = Counter(server.memory_mb for server in servers)
+
+    def _fits(tokens: float) -> bool:
+        layers = sum(
+            count * model.compute_max_layers(memory_mb, tokens)
+            for memory_mb, count in count_by_memory_mb.items()
+        )
+        return layers >= model.layers
+
     low, high = 0.0, 1.0
-    while sum_max_layers(servers, model, high) >= model.layers:
+    while _fits(high):
         low, high = high, high * 2
     while high - low > 1:
         middle = (low + high) / 2
-        if sum_max_layers(servers, model, middle) >= model.layers:
+        if _fits(middle):
             low = middle
         else:
             high = middle
--- a/src/yuccareach/placement/pipelines.py
+++ b/src/yuccareach/placement/pipelines.py
@@ -88,16 +88,16 @@
     return max(
         candidates,
         key=lambda pipelines: (
-            _is_redundant(servers, pipelines, model),
+            len(pipelines) > 1 or _has_replicas_of_all(servers, pipelines, model),
             sum(_score_pipeline(pipeline, model) for pipeline in pipelines),
         ),
     )
 
 
-def _is_redundant(
+def _has_replicas_of_all(
     servers: list[Server], pipelines: list[list[Assignment]], model: ModelProfile
 ) -> bool:
-    """Return whether each layer has two holders, with replicas on the other servers."""
+    """Return whether replicas on the other servers give each layer two holders."""
     layers_by_name = {
         server.name: layers
         for server, layers in itertools.chain.from_iterable(pipelines)
