--- a/src/yuccareach/placement/run.py
+++ b/src/yuccareach/placement/run.py
@@ -14,7 +14,12 @@
     Server,
     count_servers_by_layer,
 )
-from yuccareach.placement.loads import select_loads
+from yuccareach.placement.loads import (
+    ZoneState,
+    find_load_reason,
+    measure_zone_states,
+    select_loads,
+)
 from yuccareach.placement.planner import plan_assignments
 from yuccareach.runtime.logs import logger
 from yuccareach.runtime.reducer import monotonic_ms
@@ -24,12 +29,17 @@
 
     from yuccareach.control.run import ControlProcess
     from yuccareach.gateway.table import ModelProfile, RoutingTable
+    from yuccareach.placement.loads import LoadReason
     from yuccareach.proto import control_pb2 as cpb
 
 PLAN_INTERVAL_S = 0.25
 # A fleet without layers is planned once no new backend server has announced itself for
 # this long, which is a little more than a heartbeat interval.
 SETTLING_DELAY_MS = 1_600
+# A server without layers counts as new for this long after it was first seen: the one
+# that it replaces may begin to drain some seconds later. With 1.6 s, replacements whose
+# predecessors drained 2 s later cost three times the capacity.
+NEW_SERVER_MS = 3_000
 # A range that a server was ordered to load counts as loaded for twice its expected load
 # time plus this time, within which a heartbeat has to report it.
 CONFIRMATION_TIMEOUT_MS = 3_500
@@ -47,6 +57,14 @@
     expires_at_ms: int
 
 
+class PlanInputs(NamedTuple):
+    """What a plan depends on."""
+
+    servers: list[Server]
+    model: ModelProfile
+    repartition: bool
+
+
 class PlacementController:
     """Plans the layers of all services in a loop, and orders servers to load them.
 
@@ -63,6 +81,13 @@
         self.get_table = get_table
         self.send_order = send_order
         self.pending_order_by_name: dict[str, PendingOrder] = {}
+        # When each incarnation that has not left was first seen by this instance.
+        self.first_seen_ms_by_incarnation: dict[str, int] = {}
+        # By service, the inputs of the last plan if nothing was to be done. A plan of
+        # the same inputs is not made again.
+        self.idle_inputs_by_service: dict[str, PlanInputs] = {}
+        # The zones of each service as they were last logged.
+        self.zone_states_by_service: dict[str, dict[str, ZoneState]] = {}
         self.known_server_count = 0
         self.settled_at_ms = 0
         # When every zone that holds layers was last known to hold all of them.
@@ -87,13 +112,23 @@
 
     async def _place_service(self, service: str, model: ModelProfile) -> None:
         self._expire_orders()
+        self._forget_departed()
         servers = self._list_servers(service, model)
         if not servers or not self._is_settled(servers):
             return
         repartition = self._has_lasting_gap(servers, model)
-        assignments = self._limit_loads(
-            plan_assignments(servers, model, repartition=repartition), servers, model
-        )
+        inputs = PlanInputs(servers, model, repartition)
+        if inputs == self.idle_inputs_by_service.get(service):
+            return
+        self._log_zone_states(service, servers, model)
+        if not self._count_free_loads(servers, model):
+            return
+        planned = plan_assignments(servers, model, repartition=repartition)
+        if not planned:
+            self.idle_inputs_by_service[service] = inputs
+            return
+        self.idle_inputs_by_service.pop(service, None)
+        assignments = self._limit_loads(planned, servers, model)
         if not assignments:
             return
         try:
@@ -103,9 +138,38 @@
         except RequestRefusedError:
             return
         await asyncio.gather(
-            *(self._send_load_order(assignment, model) for assignment in assignments)
+            *(
+                self._send_load_order(
+                    assignment, model, find_load_reason(assignment, servers, model)
+                )
+                for assignment in assignments
+            )
         )
 
+    def _log_zone_states(
+        self, service: str, servers: list[Server], model: ModelProfile
+    ) -> None:
+        """Log each zone whose missing layers or single holders have changed."""
+        states = measure_zone_states(servers, model)
+        logged = self.zone_states_by_service.get(service, {})
+        for zone, state in states.items():
+            if state != logged.get(zone):
+                _log.info(
+                    "placement_zone_changed",
+                    extra={
+                        "service": service,
+                        "availability_zone": zone,
+                        "missing_layers": state.missing_layers,
+                        "single_holder_layers": state.single_holder_layers,
+                        "loading": sum(
+                            server.is_loading
+                            for server in servers
+                            if server.zone == zone
+                        ),
+                    },
+                )
+        self.zone_states_by_service[service] = states
+
     def _limit_loads(
         self, assignments: list[Assignment], servers: list[Server], model: ModelProfile
     ) -> list[Assignment]:
@@ -118,8 +182,15 @@
         """
         if not any(server.layers.size for server in servers):
             return assignments
-        pending_loads = len(self.pending_order_by_name)
-        return select_loads(assignments, servers, model, pending_loads)
+        return select_loads(
+            assignments, servers, model, len(self.pending_order_by_name)
+        )
+
+    def _count_free_loads(self, servers: list[Server], model: ModelProfile) -> int:
+        """Return how many loads may begin, which is every load in an unloaded fleet."""
+        if not any(server.layers.size for server in servers):
+            return len(servers)
+        return max(0, model.max_concurrent_loads - len(self.pending_order_by_name))
 
     def _has_lasting_gap(self, servers: list[Server], model: ModelProfile) -> bool:
         """Return whether a zone has lacked layers for longer than a restart takes.
@@ -177,10 +248,25 @@
             if now < order.expires_at_ms and name in members
         }
 
+    def _forget_departed(self) -> None:
+        """Remove the records of incarnations that are no longer members."""
+        present = {
+            record.member.incarnation
+            for record in self.process.members.record_by_name.values()
+        }
+        self.first_seen_ms_by_incarnation = {
+            incarnation: first_seen_ms
+            for incarnation, first_seen_ms in self.first_seen_ms_by_incarnation.items()
+            if incarnation in present
+        }
+
     def _build_server(
         self, member: cpb.Member, model: ModelProfile, now: int
     ) -> Server:
         accelerator = model.accelerator_by_kind[member.kind]
+        first_seen_ms = self.first_seen_ms_by_incarnation.setdefault(
+            member.incarnation, now
+        )
         # A member may announce layers that the model does not have.
         layers = LayerRange(member.first_layer, min(member.end_layer, model.layers))
         order = self.pending_order_by_name.get(member.backend_server)
@@ -197,10 +283,12 @@
             accelerator.memory_mb,
             accelerator.decode_factor,
             layers if layers.size > 0 else NO_LAYERS,
+            is_loading=member.backend_server in self.pending_order_by_name,
+            is_new=layers.size <= 0 and now - first_seen_ms < NEW_SERVER_MS,
         )
 
     async def _send_load_order(
-        self, assignment: Assignment, model: ModelProfile
+        self, assignment: Assignment, model: ModelProfile, reason: LoadReason
     ) -> None:
         record = self.process.members.record_by_name.get(assignment.server.name)
         if record is None:
@@ -220,10 +308,12 @@
                 "held": f"{assignment.server.layers.first}-"
                 f"{assignment.server.layers.end}",
                 "layers": f"{assignment.layers.first}-{assignment.layers.end}",
+                "reason": reason.value,
+                "expected_ms": load_ms,
                 "members": self.process.members.version,
                 "taken": is_accepted,
             },
         )
 
 
-__all__ = ["PlacementController"]
+__all__ = ["NEW_SERVER_MS", "PendingOrder", "PlacementController"]
