Bound what clients' connections hold at uvicorn's ports

The operators' port of control and the HTTP ports of the other roles use the account of buffers too: headers and started requests are charged at what they cost, pipelined requests are parsed as earlier ones are answered, trailers are dropped, a request must arrive whole within 60 s, and silent connections make room for new ones. A routing document may have 4 MiB. uvicorn has options for none of this but the number of connections, of which it refuses the new ones.

The memory of a closed connection is released at once; reference cycles left it to the garbage collector before. A gateway accepts a legal head of lines without a space before their value, which it refused with 431.

--- a/src/yuccareach/buffers/account.py
+++ b/src/yuccareach/buffers/account.py
@@ -13,10 +13,11 @@
     from collections.abc import Callable, Iterable
 
 # What one connection costs before it sends anything: its transport, its socket, its
-# parser and its protocol (6 to 9 kB measured with CPython 3.11).
+# parser and its protocol (5 kB at a gateway and 8 kB with uvicorn on CPython 3.11, as
+# tracemalloc counts it).
 CONNECTION_COST_BYTES = 10_000
 # One header line beside the bytes of its name and value: a tuple, an entry in a list
-# and two bytes objects, rounded up by the allocator.
+# and two bytes objects (100 to 170 bytes on CPython 3.11).
 HEADER_COST_BYTES = 200
 # One parsed request that waits for an earlier one, beside its headers and body.
 REQUEST_COST_BYTES = 1_000
@@ -108,14 +109,22 @@
             self._shed(choose_largest(self.holders), ShedReason.MEMORY)
 
     def _shed(self, holder: Holder, reason: ShedReason) -> None:
+        shed = holder.shed
         self.close(holder)
-        holder.shed(reason)
+        shed(reason)
 
     def close(self, holder: Holder) -> None:
         """Remove a connection that is closed."""
         if holder in self.holders:
             self.holders.remove(holder)
             self.held_bytes -= holder.held_bytes
+            # Otherwise the connection and its holder would refer to each other, and
+            # their memory would wait for the garbage collector.
+            holder.shed = _ignore
+
+
+def _ignore(reason: ShedReason) -> None:
+    """Do nothing for a connection that is closed."""
 
 
 def choose_largest(holders: Iterable[Holder]) -> Holder:
--- a/src/yuccareach/buffers/limits.py
+++ b/src/yuccareach/buffers/limits.py
@@ -15,8 +15,10 @@
 # Part of an instance's memory that one process uses at most; gateways run beside
 # control on some instances, and the allocator does not return all freed memory.
 MEMORY_FRACTION = 0.6
-# A gateway or control instance without connections takes 45 to 50 MB.
-PROCESS_BYTES = 52_000_000
+# A gateway without connections takes 47 MB, and control 60 MB, which receives no
+# responses of backend servers. The rest is for what the allocator cannot return: with
+# 52 MB, large answers that nobody read took a gateway of 152 MB to 88 MB.
+PROCESS_BYTES = 60_000_000
 # Part of the rest that is for what backend servers send. Their answers are copied once
 # on the way to the caller, who is then charged for it.
 RESPONSE_FRACTION = 0.4
--- a/src/yuccareach/control/options.py
+++ b/src/yuccareach/control/options.py
@@ -9,6 +9,8 @@
 if TYPE_CHECKING:
     from pathlib import Path
 
+    from yuccareach.buffers.account import BufferLimits
+
 
 class ControlOptions(NamedTuple):
     """Options that a control process is started with.
@@ -40,6 +42,8 @@
     voters: int = 0
     # Address for operators to which other instances redirect; empty for the one bound.
     operator_address: str = ""
+    # Limits of what all connections to the HTTP port hold together.
+    buffers: BufferLimits | None = None
 
 
 __all__ = ["ControlOptions"]
--- a/src/yuccareach/control/run.py
+++ b/src/yuccareach/control/run.py
@@ -168,7 +168,9 @@
         options = self.options
         self.server, bound = listen(options.host, options.port)
         self.address = options.advertise or bound
-        self.http = HttpServer(self.build_app(self), options.host, options.http_port)
+        self.http = HttpServer(
+            self.build_app(self), options.host, options.http_port, options.buffers
+        )
         self.peers = PeerStreams(self.state, self.address)
         add_ControlServicer_to_server(ControlService(self), self.server)
         await self.server.start()
--- a/src/yuccareach/gateway/http_server.py
+++ b/src/yuccareach/gateway/http_server.py
@@ -42,6 +42,7 @@
 # While a request is served, its body is held twice: by the request, and by the
 # connection to a backend server that reads slowly.
 SERVED_BODY_COPIES = 2
+HEAD_END = b"\r\n\r\n"
 # A body of a reply that is larger is written apart from the head, without a copy.
 MAX_JOINED_BYTES = 65_536
 # Retry delay of a request that is refused for want of memory. Other gateways serve
@@ -153,7 +154,7 @@
     def __init__(self, server: CallerServer) -> None:
         self.server = server
         self.transport: Any = None
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: Any = httptools.HttpRequestParser(self)
         self.task: asyncio.Task[None] | None = None
         self.pipelined_data = bytearray()
         # Requests with their replies and what they hold in bytes.
@@ -169,6 +170,9 @@
         self.expires_s: float | None = None
         # Whether a part of a request has been received, but not all of it.
         self.is_receiving = False
+        # The block that is parsed, and the last bytes of the one before.
+        self.block = b""
+        self.last_bytes = b""
         self.has_served = False
         # Whether the next request waits until the caller has read earlier replies.
         self.is_blocked = False
@@ -182,6 +186,8 @@
         self.head_cost_bytes = 0
         # Bytes received from the start of the request to the end of its head.
         self.head_bytes = 0
+        # Those of them that precede the block that is parsed.
+        self.preceding_head_bytes = 0
         # Bytes received after the head since the last part of the body: trailers, and
         # what frames the chunks.
         self.frame_bytes = 0
@@ -202,6 +208,10 @@
         """Cancel the request of a caller that has disconnected."""
         self.server.connections.discard(self)
         self.server.account.close(self.holder)
+        # The parser refers to the connection, so that the memory of both would wait
+        # for the garbage collector.
+        self._discard_request()
+        self.parser = None
         self.writable.set()
         if self.task is not None:
             self.task.cancel()
@@ -242,6 +252,8 @@
         if not self.is_receiving and not self.head_received_s:
             self.is_receiving = True
             self.expires_s = self.server.now() + limits.header_timeout_ms / 1000
+        self.block = data
+        self.preceding_head_bytes = self.head_bytes
         if not self.head_received_s:
             self.head_bytes += len(data)
         else:
@@ -257,6 +269,17 @@
             self._reject(431)
         elif self.frame_bytes > max(limits.max_header_bytes, PARSE_BLOCK_BYTES):
             self._reject(431)
+        self.last_bytes = data[1 - len(HEAD_END) :]
+        self.block = b""
+
+    def _find_received_head_bytes(self) -> int:
+        """Return how long the head that has just ended can be at most, as received."""
+        searched = self.last_bytes + self.block
+        end = searched.find(HEAD_END)
+        if not self.preceding_head_bytes or end < 0:
+            return self.preceding_head_bytes + len(self.block)
+        end += len(HEAD_END) - len(self.last_bytes)
+        return self.preceding_head_bytes + end
 
     # Parser callbacks.
 
@@ -281,8 +304,10 @@
         limits = self.server.get_limits()
         size = sum(len(name) + len(value) + 4 for name, value in self.headers)
         if size + len(self.target) > limits.max_header_bytes:
-            self._reject(431)
-            return
+            # Lines without a space before their value are shorter than that.
+            if self._find_received_head_bytes() > limits.max_header_bytes:
+                self._reject(431)
+                return
         length = next(
             (value for name, value in self.headers if name == b"content-length"), b"0"
         )
--- a/src/yuccareach/platform/control_app.py
+++ b/src/yuccareach/platform/control_app.py
@@ -29,6 +29,8 @@
 
 # What a runner says of itself takes less than a thousand bytes.
 MAX_ANNOUNCEMENT_BYTES = 64 << 10
+# A routing document for 1,000 routes takes 200 kB, and decoding it five times as much.
+MAX_DOCUMENT_BYTES = 4 << 20
 _log = logger("platform")
 
 
@@ -53,16 +55,29 @@
         raise falcon.HTTPServiceUnavailable(title=str(error)) from error
 
 
+async def _read_body(request: Any, max_bytes: int) -> bytes | None:
+    """Return the body of a request, or None if it exceeds the maximum."""
+    body: bytes = await request.stream.read(max_bytes + 1)
+    return body if len(body) <= max_bytes else None
+
+
+def _build_size_error() -> falcon.HTTPContentTooLarge:
+    """Return a refusal that closes the connection.
+
+    The rest of the body would be read otherwise.
+    """
+    return falcon.HTTPContentTooLarge(headers={"Connection": "close"})
+
+
 async def _read_announcement(request: Any) -> bytes:
     """Return the body of a runner's call.
 
-    Raises falcon.HTTPContentTooLarge once it exceeds MAX_ANNOUNCEMENT_BYTES. The
-    connection is closed then, since the rest of the body would be read otherwise.
+    Raises falcon.HTTPContentTooLarge if it exceeds MAX_ANNOUNCEMENT_BYTES.
     """
-    body: bytes = await request.stream.read(MAX_ANNOUNCEMENT_BYTES + 1)
-    if len(body) > MAX_ANNOUNCEMENT_BYTES:
+    body = await _read_body(request, MAX_ANNOUNCEMENT_BYTES)
+    if body is None:
         _note("announcement_too_large", logging.WARNING, path=request.path[:200])
-        raise falcon.HTTPContentTooLarge(headers={"Connection": "close"})
+        raise _build_size_error()
     return body
 
 
@@ -99,7 +114,10 @@
         An older or repeated version is acknowledged too; the response contains the
         version in force.
         """
-        body = await request.stream.read()
+        body = await _read_body(request, MAX_DOCUMENT_BYTES)
+        if body is None:
+            _note("document_too_large", logging.WARNING)
+            raise _build_size_error()
         try:
             table = decode_document(body)
         except InvalidDocument as error:
--- a/src/yuccareach/platform/run_control.py
+++ b/src/yuccareach/platform/run_control.py
@@ -110,6 +110,7 @@
         + HEARTBEAT_MARGIN_MS,
         voters=2 * settings.max_lost_instances + 1,
         operator_address=f"{host}:{port}",
+        buffers=settings.buffers,
     )
 
 
--- a/src/yuccareach/runtime/http.py
+++ b/src/yuccareach/runtime/http.py
@@ -4,56 +4,36 @@
 
 import asyncio
 import contextlib
+import logging
 import socket
+from functools import partial
 from typing import TYPE_CHECKING, Any
 
 import uvicorn
-from uvicorn.protocols.http.httptools_impl import HttpToolsProtocol
 
+from yuccareach.buffers.account import BufferAccount
+from yuccareach.buffers.limits import (
+    DEFAULT_MEMORY_MB,
+    derive_limits,
+    find_descriptor_limit,
+)
+from yuccareach.buffers.log_lines import LineLimiter
 from yuccareach.errors import UsageError
+from yuccareach.runtime.bounded_protocol import BoundedProtocol
+from yuccareach.runtime.logs import Log, logger, write_log
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from yuccareach.buffers.account import BufferLimits, Holder, ShedReason
+
 SHUTDOWN_TIMEOUT_S = 30
 LISTEN_BACKLOG = 2048
-# Limit on a request's head, and on what precedes or follows each part of its body.
-MAX_HEAD_BYTES = 64 << 10
-
-
-class _BoundedProtocol(HttpToolsProtocol):  # type: ignore[misc]
-    """Closes a connection that sends neither the end of a head nor any body."""
-
-    # Bytes received since the last end of a head, part of a body or end of a request.
-    pending_bytes = 0
-
-    def data_received(self, data: bytes) -> None:
-        """Parse data, and reject the request if it exceeds the limit."""
-        self.pending_bytes += len(data)
-        super().data_received(data)
-        if self.pending_bytes <= MAX_HEAD_BYTES or self.transport.is_closing():
-            return
-        self.logger.warning("HTTP head too large.")
-        if self.cycle is None or self.cycle.response_complete:
-            self.send_400_response("HTTP head too large.")
-        else:
-            # A second answer must not follow the part of one that is under way.
-            self.transport.abort()
-
-    def on_headers_complete(self) -> None:
-        """Start a request."""
-        self.pending_bytes = 0
-        super().on_headers_complete()
-
-    def on_body(self, body: bytes) -> None:
-        """Take a part of a body."""
-        self.pending_bytes = 0
-        super().on_body(body)
+# Connections that are accepted at once, before the limit on connections is applied to
+# them. The limit leaves descriptors for as many.
+ACCEPT_BATCH = 32
 
-    def on_message_complete(self) -> None:
-        """End a request."""
-        self.pending_bytes = 0
-        super().on_message_complete()
+_log = logger("http")
 
 
 class _Server(uvicorn.Server):  # type: ignore[misc]
@@ -68,18 +48,27 @@
 class HttpServer:
     """One HTTP server on its own listening socket."""
 
-    def __init__(self, app: Any, host: str, port: int) -> None:
+    def __init__(
+        self, app: Any, host: str, port: int, limits: BufferLimits | None = None
+    ) -> None:
+        """Bind the socket; the limits hold for all connections together."""
+        if limits is None:
+            limits = derive_limits(DEFAULT_MEMORY_MB, find_descriptor_limit())
+        self.account = BufferAccount(limits)
+        self.shed_lines = LineLimiter()
         self.socket = bind(host, port)
         self.address = "{}:{}".format(*self.socket.getsockname()[:2])
         self.server = _Server(
             uvicorn.Config(
                 app,
                 log_config=None,
-                http=_BoundedProtocol,
+                # uvicorn creates a protocol for each connection by calling this.
+                http=partial(BoundedProtocol, self.account, self._record_shed),
                 access_log=False,
                 server_header=False,
                 lifespan="off",
-                backlog=LISTEN_BACKLOG,
+                # asyncio accepts as many connections in a row.
+                backlog=ACCEPT_BATCH,
                 timeout_graceful_shutdown=SHUTDOWN_TIMEOUT_S,
                 timeout_keep_alive=75,
             )
@@ -91,6 +80,22 @@
         self.task = asyncio.create_task(self.server.serve([self.socket]))
         while not self.server.started and not self.task.done():
             await asyncio.sleep(0.005)
+        if self.server.started:
+            self.socket.listen(LISTEN_BACKLOG)
+
+    def _record_shed(self, reason: ShedReason, holder: Holder) -> None:
+        omitted_lines = self.shed_lines.take(asyncio.get_running_loop().time())
+        if omitted_lines is None:
+            return
+        fields = {
+            "reason": str(reason),
+            "activity": holder.activity.name.lower(),
+            "held_bytes": holder.held_bytes,
+            "all_held_bytes": self.account.held_bytes,
+            "connections": len(self.account.holders),
+            "omitted_lines": omitted_lines,
+        }
+        write_log(_log, Log("connection_shed", fields, logging.WARNING))
 
     async def stop(self) -> None:
         """Finish open requests within SHUTDOWN_TIMEOUT_S, then close the socket."""
--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -170,6 +170,18 @@
         except (aiohttp.ClientError, TimeoutError):
             return 0
 
+    async def fetch_document(self) -> int:
+        """Send an operator's request to control; return its status, 0 without one."""
+        url = f"http://{self.control_address}/-/config/get"
+        timeout = aiohttp.ClientTimeout(total=5)
+        try:
+            async with aiohttp.ClientSession(timeout=timeout) as session:
+                async with session.get(url) as answer:
+                    await answer.read()
+                    return answer.status
+        except (aiohttp.ClientError, TimeoutError):
+            return 0
+
     async def check_served(self) -> None:
         """Wait until an ordinary caller, who repeats refused requests, is answered."""
         async with asyncio.timeout(WAIT_TIMEOUT_S):
@@ -229,6 +241,13 @@
         await self.check_served()
         await self.check_process(self.gateway)
 
+    async def check_control(self) -> None:
+        """Check control while the untrusted clients are still connected."""
+        async with asyncio.timeout(WAIT_TIMEOUT_S):
+            while await self.fetch_document() != 200:
+                await asyncio.sleep(0.1)
+        await self.check_process(self.control)
+
 
 def split_blocks(data: bytes) -> Iterator[bytes]:
     for start in range(0, len(data), SEND_BLOCK_BYTES):
@@ -313,6 +332,34 @@
         await self.send_crowd(2 * MAX_FDS, b"", "ready")
         await self.check_gateway()
 
+    async def test_silent_connections_to_control(self) -> None:
+        await self.send_crowd(2 * MAX_FDS, b"", "control")
+        await self.check_control()
+
+
+class ControlTests(UntrustedClientTestCase):
+    async def test_held_heads_of_short_lines(self) -> None:
+        await self.send_crowd(120, HEAD + b"a:\r\n" * (15 << 10), "control")
+        await self.check_control()
+
+    async def test_trailers_without_an_end(self) -> None:
+        head = b"POST /-/config/put HTTP/1.1\r\nHost: h\r\n"
+        data = head + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
+        await self.send_crowd(20, data + b"a:\r\n" * (64 << 10), "control")
+        await self.check_control()
+
+    async def test_bodies_without_an_end(self) -> None:
+        head = b"POST /-/config/put HTTP/1.1\r\nHost: h\r\n"
+        data = head + b"Transfer-Encoding: chunked\r\n\r\n"
+        chunk = b"10000\r\n%b\r\n" % (b"x" * 0x10000)
+        await self.send_crowd(8, data + chunk * 256, "control")
+        await self.check_control()
+
+    async def test_pipelined_requests_of_short_lines(self) -> None:
+        request = b"GET /none HTTP/1.1\r\nHost: h\r\n" + b"a:\r\n" * 64 + b"\r\n"
+        await self.send_crowd(60, request * 800, "control")
+        await self.check_control()
+
 
 class BackendTests(UntrustedClientTestCase):
     async def check_raw_answer(self, kind: RawAnswer) -> None:
