Test that trailers are no headers and that unread replies hold requests back

Two mutations of the server passed the tests before: trailers kept as headers, and pipelined requests served while earlier replies are not read. The mock transport of test_drain states what it has to write.

--- a/tests/buffers/test_random_streams.py
+++ b/tests/buffers/test_random_streams.py
@@ -6,10 +6,12 @@
 import unittest
 from random import Random
 from typing import Any
+from unittest import mock
 
 from yuccareach.buffers.account import (
     CONNECTION_COST_BYTES,
     REQUEST_COST_BYTES,
+    Activity,
     BufferAccount,
     BufferLimits,
     compute_header_cost,
@@ -160,6 +162,31 @@
     )
 
 
+class UnreadReplyTests(unittest.IsolatedAsyncioTestCase):
+    async def test_pipelined_requests_wait_until_replies_are_read(self) -> None:
+        # Replies that are far larger than the requests for them would exhaust memory.
+        served: list[CallerRequest] = []
+
+        async def _handle(request: CallerRequest, reply: Reply) -> None:
+            served.append(request)
+            reply.send(200, [], b"x" * 100_000)
+
+        limits = BufferLimits(100_000_000, 0, 10)
+        server = CallerServer(
+            _handle, lambda: LIMITS, mock.Mock(), mock.Mock(), BufferAccount(limits)
+        )
+        connection = CallerConnection(server)
+        transport = FakeTransport(connection)
+        connection.connection_made(transport)
+        connection.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 500)
+        for count in range(1, 10):
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.assertEqual(len(served), count)
+            self.assertIs(connection.holder.activity, Activity.SENDING)
+            transport.read(1_000_000)
+
+
 class RandomStreamTests(unittest.IsolatedAsyncioTestCase):
     def make_server(self, random: Random) -> CallerServer:
         async def _handle(request: CallerRequest, reply: Reply) -> None:
--- a/tests/gateway/test_drain.py
+++ b/tests/gateway/test_drain.py
@@ -25,7 +25,10 @@
         addresses = GatewayAddresses("127.0.0.1:0", "127.0.0.1:0", "")
         self.process = GatewayProcess(SETTINGS, addresses, [], mock.Mock(), mock.Mock())
         self.server = self.process.caller_server
-        self.transport = mock.Mock(is_closing=mock.Mock(return_value=False))
+        self.transport = mock.Mock(
+            is_closing=mock.Mock(return_value=False),
+            get_write_buffer_size=mock.Mock(return_value=0),
+        )
 
         async def _serve(request: CallerRequest, reply: Reply) -> None:
             self.process.gateway.active_requests += 1
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -176,6 +176,18 @@
                 self.assertTrue(reply_bytes.startswith(b"HTTP/1.1 200 OK\r\n"))
                 self.assertTrue(reply_bytes.endswith(b"\r\n\r\n" + b"x" * size))
 
+    async def test_trailer_is_no_header(self) -> None:
+        # A caller could add headers behind those that were checked.
+        data = (
+            b"POST /a HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+            b"1\r\nx\r\n0\r\nAuthorization: Token t\r\n\r\n"
+            b"GET /b HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
+        )
+        await self.exchange(data)
+        for request in self.requests:
+            self.assertEqual(request.get_header(b"authorization"), b"")
+        self.assertEqual([request.path for request in self.requests], ["/a", "/b"])
+
     async def test_trailers_over_the_limit_on_heads_are_rejected(self) -> None:
         start = b"POST /a HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n"
         for name, data in {
