--- a/src/yuccareach/buffers/account.py
+++ b/src/yuccareach/buffers/account.py
@@ -58,10 +58,9 @@
         self.since_s = since_s
 
     def set_activity(self, activity: Activity, now_s: float) -> None:
-        """Record what the connection does from now on."""
-        if activity is not self.activity:
-            self.activity = activity
-            self.since_s = now_s
+        """Record that the connection does something else from now on."""
+        self.activity = activity
+        self.since_s = now_s
 
 
 class ShedReason(StrEnum):
--- a/src/yuccareach/gateway/http_client.py
+++ b/src/yuccareach/gateway/http_client.py
@@ -12,7 +12,7 @@
 
 import httptools
 
-from yuccareach.buffers.account import compute_header_cost
+from yuccareach.buffers.account import HEADER_COST_BYTES
 from yuccareach.gateway.dialect import Headers, ResponseMetadata
 from yuccareach.gateway.exchanges import (
     REPORT_LIMITS,
@@ -63,8 +63,6 @@
         self.head_bytes = 0
         # All bytes received since the request was sent.
         self.received_bytes = 0
-        # What the parsed headers hold.
-        self.head_cost_bytes = 0
         # Bytes received after the head since the last part of the body: trailers, and
         # what frames the chunks.
         self.frame_bytes = 0
@@ -130,8 +128,9 @@
             self.head_bytes += min(len(data), block_bytes)
             self.parser.feed_data(data[:block_bytes])
             data = data[block_bytes:]
-            if self.exchange is not None and self.head_cost_bytes:
-                self.exchange.set_head_cost(self.head_cost_bytes)
+        if self.exchange is not None:
+            parsed_bytes = HEADER_COST_BYTES * len(self.headers)
+            self.exchange.set_head_cost(self.head_bytes + parsed_bytes)
         return data
 
     def _parse_body(self, data: bytes, max_frame_bytes: int) -> None:
@@ -168,7 +167,6 @@
     def on_message_begin(self) -> None:
         """Start a response; do not reuse the connection after a second response."""
         self.headers = []
-        self.head_cost_bytes = 0
         if self.is_complete:
             self.must_close = True
 
@@ -177,7 +175,6 @@
         if not self.is_awaiting_head or self.exchange is None:
             return
         self.headers.append((name.lower(), value))
-        self.head_cost_bytes += compute_header_cost(name, value)
 
     def on_headers_complete(self) -> None:
         """Match the response with the request by the request id."""
--- a/src/yuccareach/gateway/http_server.py
+++ b/src/yuccareach/gateway/http_server.py
@@ -17,12 +17,12 @@
 
 from yuccareach.buffers.account import (
     CONNECTION_COST_BYTES,
+    HEADER_COST_BYTES,
     REQUEST_COST_BYTES,
     Activity,
     BufferAccount,
     Holder,
     ShedReason,
-    compute_header_cost,
 )
 from yuccareach.buffers.limits import DEFAULT_LIMITS
 from yuccareach.gateway.dialect import Headers
@@ -182,8 +182,8 @@
     def _reset(self) -> None:
         self.target = b""
         self.headers: Headers = []
-        # What the parsed target and headers hold.
-        self.head_cost_bytes = 0
+        # Bytes of a head that is complete; its parsed lines cost more.
+        self.complete_head_bytes = 0
         # Bytes received from the start of the request to the end of its head.
         self.head_bytes = 0
         # Those of them that precede the block that is parsed.
@@ -232,8 +232,11 @@
                 self.pipelined_data.clear()
                 self.abort()
             self._update_account()
-            return
-        self._parse(data)
+        elif len(data) <= PARSE_BLOCK_BYTES:
+            self._parse_block(data)
+            self._update_account()
+        else:
+            self._parse(data)
 
     def _parse(self, data: bytes) -> None:
         """Parse data up to the end of a request, and buffer the rest."""
@@ -269,7 +272,8 @@
             self._reject(431)
         elif self.frame_bytes > max(limits.max_header_bytes, PARSE_BLOCK_BYTES):
             self._reject(431)
-        self.last_bytes = data[1 - len(HEAD_END) :]
+        if not self.head_received_s:
+            self.last_bytes = data[1 - len(HEAD_END) :]
         self.block = b""
 
     def _find_received_head_bytes(self) -> int:
@@ -287,14 +291,12 @@
         """Append a part of the request's target."""
         if not self.is_rejected:
             self.target += url
-            self.head_cost_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; drop it if it is part of a trailer."""
         if self.is_rejected or self.head_received_s:
             return
         self.headers.append((name.lower(), value))
-        self.head_cost_bytes += compute_header_cost(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the size limits; send 100 Continue if the caller expects it."""
@@ -303,7 +305,8 @@
         self.head_received_s = self.server.now()
         limits = self.server.get_limits()
         size = sum(len(name) + len(value) + 4 for name, value in self.headers)
-        if size + len(self.target) > limits.max_header_bytes:
+        self.complete_head_bytes = size + len(self.target)
+        if self.complete_head_bytes > limits.max_header_bytes:
             # Lines without a space before their value are shorter than that.
             if self._find_received_head_bytes() > limits.max_header_bytes:
                 self._reject(431)
@@ -339,7 +342,8 @@
         reply = Reply(self, self.parser.should_keep_alive())
         request_bytes = (
             REQUEST_COST_BYTES
-            + self.head_cost_bytes
+            + HEADER_COST_BYTES * len(request.headers)
+            + self.complete_head_bytes
             + SERVED_BODY_COPIES * len(request.body)
         )
         self.requests_bytes += request_bytes
@@ -358,7 +362,8 @@
         """Return the estimated memory that the connection holds."""
         return (
             CONNECTION_COST_BYTES
-            + self.head_cost_bytes
+            + HEADER_COST_BYTES * len(self.headers)
+            + (self.complete_head_bytes or self.head_bytes)
             # A growing buffer is allocated with an eighth more than it holds.
             + len(self.body) * 9 // 8
             + len(self.pipelined_data) * 9 // 8
@@ -375,7 +380,8 @@
             activity = Activity.SENDING
         else:
             activity = Activity.IDLE if self.has_served else Activity.SILENT
-        self.holder.set_activity(activity, self.server.now())
+        if activity is not self.holder.activity:
+            self.holder.set_activity(activity, self.server.now())
         self.server.account.set_held(self.holder, self.compute_held_bytes())
 
     def _shed(self, reason: ShedReason) -> None:
--- a/src/yuccareach/runtime/bounded_protocol.py
+++ b/src/yuccareach/runtime/bounded_protocol.py
@@ -219,7 +219,9 @@
         )
 
     def _update_account(self) -> None:
-        self.holder.set_activity(self._find_activity(), self.loop.time())
+        activity = self._find_activity()
+        if activity is not self.holder.activity:
+            self.holder.set_activity(activity, self.loop.time())
         self.account.set_held(self.holder, self.compute_held_bytes())
 
     def _find_activity(self) -> Activity:
--- a/tests/buffers/test_random_streams.py
+++ b/tests/buffers/test_random_streams.py
@@ -10,12 +10,13 @@
 
 from yuccareach.buffers.account import (
     CONNECTION_COST_BYTES,
+    HEADER_COST_BYTES,
     REQUEST_COST_BYTES,
     Activity,
     BufferAccount,
     BufferLimits,
-    compute_header_cost,
 )
+from yuccareach.gateway.dialect import Headers
 from yuccareach.gateway.http_server import (
     MAX_PIPELINED_BYTES,
     PARSE_BLOCK_BYTES,
@@ -135,11 +136,17 @@
     return parts[:200]
 
 
+def compute_head_bytes(target: bytes, headers: Headers) -> int:
+    return len(target) + sum(len(name) + len(value) + 4 for name, value in headers)
+
+
 def compute_request_bytes(request: CallerRequest) -> int:
-    head_bytes = len(request.target) + sum(
-        compute_header_cost(*item) for item in request.headers
+    return (
+        REQUEST_COST_BYTES
+        + HEADER_COST_BYTES * len(request.headers)
+        + compute_head_bytes(request.target, request.headers)
+        + SERVED_BODY_COPIES * len(request.body)
     )
-    return REQUEST_COST_BYTES + head_bytes + SERVED_BODY_COPIES * len(request.body)
 
 
 def compute_held_bytes(connection: CallerConnection) -> int:
@@ -151,10 +158,15 @@
     if connection.task is not None:
         coroutine: Any = connection.task.get_coro()
         requests.append(coroutine.cr_frame.f_locals["request"])
+    if connection.head_received_s:
+        head_bytes = compute_head_bytes(connection.target, connection.headers)
+    else:
+        # The parser holds what it has not passed on yet.
+        head_bytes = connection.head_bytes
     return (
         CONNECTION_COST_BYTES
-        + len(connection.target)
-        + sum(compute_header_cost(*item) for item in connection.headers)
+        + HEADER_COST_BYTES * len(connection.headers)
+        + head_bytes
         + len(connection.body) * 9 // 8
         + len(connection.pipelined_data) * 9 // 8
         + sum(map(compute_request_bytes, requests))
