--- a/src/yuccareach/gateway/http_server.py
+++ b/src/yuccareach/gateway/http_server.py
@@ -17,12 +17,12 @@
 
 from yuccareach.buffers.account import (
     CONNECTION_COST_BYTES,
+    HEADER_COST_BYTES,
     REQUEST_COST_BYTES,
     Activity,
     BufferAccount,
     Holder,
     ShedReason,
-    compute_header_cost,
 )
 from yuccareach.buffers.limits import DEFAULT_LIMITS
 from yuccareach.gateway.dialect import Headers
@@ -42,6 +42,7 @@
 # While a request is served, its body is held twice: by the request, and by the
 # connection to a backend server that reads slowly.
 SERVED_BODY_COPIES = 2
+HEAD_END = b"\r\n\r\n"
 # A body of a reply that is larger is written apart from the head, without a copy.
 MAX_JOINED_BYTES = 65_536
 # Retry delay of a request that is refused for want of memory. Other gateways serve
@@ -153,7 +154,7 @@
     def __init__(self, server: CallerServer) -> None:
         self.server = server
         self.transport: Any = None
-        self.parser = httptools.HttpRequestParser(self)
+        self.parser: Any = httptools.HttpRequestParser(self)
         self.task: asyncio.Task[None] | None = None
         self.pipelined_data = bytearray()
         # Requests with their replies and what they hold in bytes.
@@ -169,6 +170,9 @@
         self.expires_s: float | None = None
         # Whether a part of a request has been received, but not all of it.
         self.is_receiving = False
+        # The block that is parsed, and the last bytes of the one before.
+        self.block = b""
+        self.last_bytes = b""
         self.has_served = False
         # Whether the next request waits until the caller has read earlier replies.
         self.is_blocked = False
@@ -178,10 +182,12 @@
     def _reset(self) -> None:
         self.target = b""
         self.headers: Headers = []
-        # What the parsed target and headers hold.
-        self.head_cost_bytes = 0
+        # Bytes of a head that is complete; its parsed lines cost more.
+        self.complete_head_bytes = 0
         # Bytes received from the start of the request to the end of its head.
         self.head_bytes = 0
+        # Those of them that precede the block that is parsed.
+        self.preceding_head_bytes = 0
         # Bytes received after the head since the last part of the body: trailers, and
         # what frames the chunks.
         self.frame_bytes = 0
@@ -202,6 +208,10 @@
         """Cancel the request of a caller that has disconnected."""
         self.server.connections.discard(self)
         self.server.account.close(self.holder)
+        # The parser refers to the connection, so that the memory of both would wait
+        # for the garbage collector.
+        self._discard_request()
+        self.parser = None
         self.writable.set()
         if self.task is not None:
             self.task.cancel()
@@ -222,8 +232,11 @@
                 self.pipelined_data.clear()
                 self.abort()
             self._update_account()
-            return
-        self._parse(data)
+        elif len(data) <= PARSE_BLOCK_BYTES:
+            self._parse_block(data)
+            self._update_account()
+        else:
+            self._parse(data)
 
     def _parse(self, data: bytes) -> None:
         """Parse data up to the end of a request, and buffer the rest."""
@@ -242,6 +255,8 @@
         if not self.is_receiving and not self.head_received_s:
             self.is_receiving = True
             self.expires_s = self.server.now() + limits.header_timeout_ms / 1000
+        self.block = data
+        self.preceding_head_bytes = self.head_bytes
         if not self.head_received_s:
             self.head_bytes += len(data)
         else:
@@ -257,6 +272,18 @@
             self._reject(431)
         elif self.frame_bytes > max(limits.max_header_bytes, PARSE_BLOCK_BYTES):
             self._reject(431)
+        if not self.head_received_s:
+            self.last_bytes = data[1 - len(HEAD_END) :]
+        self.block = b""
+
+    def _find_received_head_bytes(self) -> int:
+        """Return how long the head that has just ended can be at most, as received."""
+        searched = self.last_bytes + self.block
+        end = searched.find(HEAD_END)
+        if not self.preceding_head_bytes or end < 0:
+            return self.preceding_head_bytes + len(self.block)
+        end += len(HEAD_END) - len(self.last_bytes)
+        return self.preceding_head_bytes + end
 
     # Parser callbacks.
 
@@ -264,14 +291,12 @@
         """Append a part of the request's target."""
         if not self.is_rejected:
             self.target += url
-            self.head_cost_bytes += len(url)
 
     def on_header(self, name: bytes, value: bytes) -> None:
         """Append a header; drop it if it is part of a trailer."""
         if self.is_rejected or self.head_received_s:
             return
         self.headers.append((name.lower(), value))
-        self.head_cost_bytes += compute_header_cost(name, value)
 
     def on_headers_complete(self) -> None:
         """Check the size limits; send 100 Continue if the caller expects it."""
@@ -280,9 +305,12 @@
         self.head_received_s = self.server.now()
         limits = self.server.get_limits()
         size = sum(len(name) + len(value) + 4 for name, value in self.headers)
-        if size + len(self.target) > limits.max_header_bytes:
-            self._reject(431)
-            return
+        self.complete_head_bytes = size + len(self.target)
+        if self.complete_head_bytes > limits.max_header_bytes:
+            # Lines without a space before their value are shorter than that.
+            if self._find_received_head_bytes() > limits.max_header_bytes:
+                self._reject(431)
+                return
         length = next(
             (value for name, value in self.headers if name == b"content-length"), b"0"
         )
@@ -314,7 +342,8 @@
         reply = Reply(self, self.parser.should_keep_alive())
         request_bytes = (
             REQUEST_COST_BYTES
-            + self.head_cost_bytes
+            + HEADER_COST_BYTES * len(request.headers)
+            + self.complete_head_bytes
             + SERVED_BODY_COPIES * len(request.body)
         )
         self.requests_bytes += request_bytes
@@ -333,7 +362,8 @@
         """Return the estimated memory that the connection holds."""
         return (
             CONNECTION_COST_BYTES
-            + self.head_cost_bytes
+            + HEADER_COST_BYTES * len(self.headers)
+            + (self.complete_head_bytes or self.head_bytes)
             # A growing buffer is allocated with an eighth more than it holds.
             + len(self.body) * 9 // 8
             + len(self.pipelined_data) * 9 // 8
@@ -350,7 +380,8 @@
             activity = Activity.SENDING
         else:
             activity = Activity.IDLE if self.has_served else Activity.SILENT
-        self.holder.set_activity(activity, self.server.now())
+        if activity is not self.holder.activity:
+            self.holder.set_activity(activity, self.server.now())
         self.server.account.set_held(self.holder, self.compute_held_bytes())
 
     def _shed(self, reason: ShedReason) -> None:
--- a/tests/buffers/test_random_streams.py
+++ b/tests/buffers/test_random_streams.py
@@ -6,14 +6,17 @@
 import unittest
 from random import Random
 from typing import Any
+from unittest import mock
 
 from yuccareach.buffers.account import (
     CONNECTION_COST_BYTES,
+    HEADER_COST_BYTES,
     REQUEST_COST_BYTES,
+    Activity,
     BufferAccount,
     BufferLimits,
-    compute_header_cost,
 )
+from yuccareach.gateway.dialect import Headers
 from yuccareach.gateway.http_server import (
     MAX_PIPELINED_BYTES,
     PARSE_BLOCK_BYTES,
@@ -133,11 +136,17 @@
     return parts[:200]
 
 
+def compute_head_bytes(target: bytes, headers: Headers) -> int:
+    return len(target) + sum(len(name) + len(value) + 4 for name, value in headers)
+
+
 def compute_request_bytes(request: CallerRequest) -> int:
-    head_bytes = len(request.target) + sum(
-        compute_header_cost(*item) for item in request.headers
+    return (
+        REQUEST_COST_BYTES
+        + HEADER_COST_BYTES * len(request.headers)
+        + compute_head_bytes(request.target, request.headers)
+        + SERVED_BODY_COPIES * len(request.body)
     )
-    return REQUEST_COST_BYTES + head_bytes + SERVED_BODY_COPIES * len(request.body)
 
 
 def compute_held_bytes(connection: CallerConnection) -> int:
@@ -149,10 +158,15 @@
     if connection.task is not None:
         coroutine: Any = connection.task.get_coro()
         requests.append(coroutine.cr_frame.f_locals["request"])
+    if connection.head_received_s:
+        head_bytes = compute_head_bytes(connection.target, connection.headers)
+    else:
+        # The parser holds what it has not passed on yet.
+        head_bytes = connection.head_bytes
     return (
         CONNECTION_COST_BYTES
-        + len(connection.target)
-        + sum(compute_header_cost(*item) for item in connection.headers)
+        + HEADER_COST_BYTES * len(connection.headers)
+        + head_bytes
         + len(connection.body) * 9 // 8
         + len(connection.pipelined_data) * 9 // 8
         + sum(map(compute_request_bytes, requests))
@@ -160,6 +174,31 @@
     )
 
 
+class UnreadReplyTests(unittest.IsolatedAsyncioTestCase):
+    async def test_pipelined_requests_wait_until_replies_are_read(self) -> None:
+        # Replies that are far larger than the requests for them would exhaust memory.
+        served: list[CallerRequest] = []
+
+        async def _handle(request: CallerRequest, reply: Reply) -> None:
+            served.append(request)
+            reply.send(200, [], b"x" * 100_000)
+
+        limits = BufferLimits(100_000_000, 0, 10)
+        server = CallerServer(
+            _handle, lambda: LIMITS, mock.Mock(), mock.Mock(), BufferAccount(limits)
+        )
+        connection = CallerConnection(server)
+        transport = FakeTransport(connection)
+        connection.connection_made(transport)
+        connection.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n" * 500)
+        for count in range(1, 10):
+            for _ in range(20):
+                await asyncio.sleep(0)
+            self.assertEqual(len(served), count)
+            self.assertIs(connection.holder.activity, Activity.SENDING)
+            transport.read(1_000_000)
+
+
 class RandomStreamTests(unittest.IsolatedAsyncioTestCase):
     def make_server(self, random: Random) -> CallerServer:
         async def _handle(request: CallerRequest, reply: Reply) -> None:
