Test silent streams in the model of control, and detect them within 2.8 s

The model of control instances (tests/control/cluster.py) gains links that lose one direction, streams that are silent for a time of their own while new ones work, and disks that are lost while another instance is unreachable. run_silent plays seeded histories of them and checks, beside the oracle (one leader a term, no acknowledged change lost), that a change is accepted and all instances vote in bounded time once every pair can open a connection.

--- a/src/yuccareach/runtime/links.py
+++ b/src/yuccareach/runtime/links.py
@@ -19,7 +19,9 @@
 MAX_FRAME_BYTES = MAX_MESSAGE_BYTES // 2
 # Pings detect a peer that no longer responds, also on an idle stream. A connection
 # that falls silent is given up at the latest after the sum of the two times.
-PING_INTERVAL_MS = 2_000
+# Control must acknowledge changes again 4 s after a silence, and an election may take
+# 1.1 s of them.
+PING_INTERVAL_MS = 1_300
 # A process that is paused for 1 s, or kept from running by load, must not be given up.
 PING_TIMEOUT_MS = 1_500
 # A peer that accepts a connection but never answers would hold an attempt for 20 s, the
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -28,11 +28,19 @@
 )
 from yuccareach.control.state_machine import StateMachine, load_state_machine
 from yuccareach.proto import control_pb2 as cpb
+from yuccareach.runtime.links import PING_INTERVAL_MS, PING_TIMEOUT_MS
 from yuccareach.runtime.reducer import Tick
 
 TEAMS = ("kalahari", "kitamichi")
 SNAPSHOT_INTERVAL_RECORDS = 25
 MAX_MESSAGES_IN_FLIGHT = 400
+ROUND_MS = 50
+# A stream that falls silent is given up after this time, and opened again 100 ms later
+# (runtime/links.py, control/peers.py).
+MAX_SILENCE_MS = PING_INTERVAL_MS + PING_TIMEOUT_MS + 100
+# Time for an election of several rounds, and for two changes of the members.
+MAX_RECOVERY_MS = 5_000
+MAX_FAULT_MS = 6_000
 
 
 class MemoryStore:
@@ -114,6 +122,11 @@
         self.node_by_identity: dict[str, Node] = {}
         self.messages: list[cpb.RaftMessage] = []
         self.partitions: set[frozenset[str]] = set()
+        # Pairs of sender and receiver whose messages are lost, that way only.
+        self.blocked_links: set[tuple[str, str]] = set()
+        # Pairs of sender and receiver whose open stream loses all messages, and when
+        # the sender gives it up by its own clock. Other connections work.
+        self.silent_until_ms_by_link: dict[tuple[str, str], int] = {}
         # The instance whose process is paused; it resumes as if no time had passed.
         self.paused = ""
         self.last_ticket = 0
@@ -143,6 +156,7 @@
         node.now = max((other.now for other in self.nodes.values()), default=0)
         self.nodes[name] = node
         self.node_by_identity[node.identity] = node
+        self._reopen_streams(name)
         if bootstrap:
             peer = cpb.Peer(name=name, identity=node.identity)
             self._perform(node, raft.bootstrap(node.state, peer, 0))
@@ -171,7 +185,8 @@
         for effect in effects:
             match effect:
                 case SendMessage(message=message):
-                    self.messages.append(_copy(message))
+                    if not self._is_silent(node, message.target):
+                        self.messages.append(_copy(message))
                 case CommandAnswered(ticket=ticket, answer=answer):
                     self._check_answer(ticket, _copy(answer))
                 case ReadConfirmed(ticket=ticket):
@@ -215,7 +230,7 @@
             return
         if target.name == self.paused:
             self.messages.append(message)
-        elif self._connected(message.source, message.target):
+        elif self._passes(message.source, message.target):
             self.handle(
                 target, RaftMessageReceived(_copy(message)), crash_before_sync=crash
             )
@@ -231,6 +246,7 @@
     def restart(self, node: Node) -> None:
         if not node.up:
             node.start()
+            self._reopen_streams(node.name)
 
     def lose_disk(self, name: str) -> None:
         """Replace an instance by one with an empty disk and a new identity."""
@@ -239,15 +255,56 @@
     def partition(self, first: str, second: str) -> None:
         self.partitions.add(frozenset((first, second)))
 
+    def block_link(self, sender: str, receiver: str) -> None:
+        """Lose the messages of one direction between two instances."""
+        self.blocked_links.add((sender, receiver))
+
+    def silence_stream(self, sender: str, receiver: str, duration_ms: int) -> None:
+        """Lose what the sender's open stream holds and will get until it is given up.
+
+        New connections work meanwhile, such as those that ask to join.
+        """
+        until_ms = self.nodes[sender].now + duration_ms
+        self.silent_until_ms_by_link[sender, receiver] = until_ms
+        self.messages = [
+            message
+            for message in self.messages
+            if (self._name_of(message.source), self._name_of(message.target))
+            != (sender, receiver)
+        ]
+
     def heal(self) -> None:
+        """Let every instance open connections to every other, and end a pause.
+
+        Streams that are silent stay so until their senders give them up.
+        """
         self.partitions.clear()
+        self.blocked_links.clear()
         self.paused = ""
 
+    def _name_of(self, identity: str) -> str:
+        node = self.node_by_identity.get(identity)
+        return node.name if node is not None else ""
+
+    def _is_silent(self, sender: Node, receiver_identity: str) -> bool:
+        link = (sender.name, self._name_of(receiver_identity))
+        return sender.now < self.silent_until_ms_by_link.get(link, 0)
+
+    def _reopen_streams(self, sender: str) -> None:
+        """Open the streams of an instance whose process has started again."""
+        for link in list(self.silent_until_ms_by_link):
+            if link[0] == sender:
+                del self.silent_until_ms_by_link[link]
+
+    def _passes(self, source: str, target: str) -> bool:
+        """Return whether a message gets from one identity to another."""
+        link = (self._name_of(source), self._name_of(target))
+        is_partitioned = frozenset(link) in self.partitions
+        return not is_partitioned and link not in self.blocked_links
+
     def _connected(self, first: str, second: str) -> bool:
-        names = frozenset(
-            self.node_by_identity[identity].name for identity in (first, second)
-        )
-        return names not in self.partitions
+        """Return whether two identities can open a connection: both ways must work."""
+        return self._passes(first, second) and self._passes(second, first)
 
     # Commands of concurrent operators and entries.
 
@@ -388,19 +445,24 @@
         index, and all accepted changes are applied.
         """
         self.heal()
+        self.silent_until_ms_by_link.clear()
         for node in self.nodes.values():
             self.restart(node)
         target = max(self.accepted_change_by_revision, default=0)
         for _ in range(rounds):
-            for name in list(self.nodes):
-                self.tick(name, 50)
-            while self.messages:
-                self.deliver(0)
-            if self._has_converged(target):
+            self.advance()
+            if self.has_converged(target):
                 return
         raise AssertionError(f"the instances did not converge in {rounds} rounds")
 
-    def _has_converged(self, revision: int) -> bool:
+    def advance(self) -> None:
+        """Advance every clock by a round, and deliver all messages."""
+        for name in list(self.nodes):
+            self.tick(name, ROUND_MS)
+        while self.messages:
+            self.deliver(0)
+
+    def has_converged(self, revision: int) -> bool:
         states = [node.state for node in self.nodes.values()]
         leaders = [state for state in states if state.role is Role.LEADER]
         return (
@@ -531,5 +593,93 @@
     return cluster
 
 
+def run_silent(seed: int, max_silence_ms: int = MAX_SILENCE_MS) -> list[int]:
+    """Run a seeded history of links that fail silently and of disks lost meanwhile.
+
+    Returns the times from the moment at which every pair of instances can open a
+    connection to the next accepted change with all instances voting. Raises
+    AssertionError if one exceeds the time after which streams are given up and
+    MAX_RECOVERY_MS, or if an accepted change is lost.
+    """
+    random = Random(seed)
+    cluster = Cluster()
+    recoveries = [
+        _play_silence(cluster, random, f"s{number}", max_silence_ms)
+        for number in range(3)
+    ]
+    cluster.settle(2_000)
+    cluster.check_rest()
+    return recoveries
+
+
+def _play_silence(
+    cluster: Cluster, random: Random, change_id: str, max_silence_ms: int
+) -> int:
+    """Play one disturbance; return the milliseconds until it is overcome."""
+    names = sorted(cluster.nodes)
+    links = [(first, second) for first in names for second in names if first != second]
+    unreachable, emptied = random.sample(names, 2)
+    faulty_links = random.choice(
+        (
+            links,
+            [link for link in links if unreachable in link],
+            [link for link in links if link[0] == unreachable],
+            [link for link in links if link[1] == unreachable],
+            random.sample(links, random.randint(1, len(links))),
+        )
+    )
+    blocked_links = random.choice(([], faulty_links))
+    silent_at = random.randrange(MAX_FAULT_MS // ROUND_MS)
+    emptied_at = random.randrange(MAX_FAULT_MS // ROUND_MS)
+    loses_disk = random.random() < 0.7
+    for number in range(MAX_FAULT_MS // ROUND_MS):
+        if number == silent_at:
+            cluster.blocked_links.update(blocked_links)
+            for sender, receiver in faulty_links:
+                duration_ms = max_silence_ms * random.choice((0.3, 0.7, 1.0))
+                cluster.silence_stream(sender, receiver, round(duration_ms))
+        if number >= emptied_at and loses_disk and _all_hold_membership(cluster):
+            cluster.lose_disk(emptied)
+            loses_disk = False
+        if number % 10 == 0:
+            change_everywhere(cluster, f"{change_id}-{number}")
+        cluster.advance()
+    cluster.heal()
+    known = len(cluster.accepted_change_by_revision)
+    max_rounds = (MAX_SILENCE_MS + MAX_RECOVERY_MS) // ROUND_MS
+    for number in range(max_rounds):
+        if len(cluster.accepted_change_by_revision) == known:
+            change_everywhere(cluster, f"{change_id}-after-{number}")
+        cluster.advance()
+        newest = max(cluster.accepted_change_by_revision, default=0)
+        if len(cluster.accepted_change_by_revision) > known and cluster.has_converged(
+            newest
+        ):
+            return (number + 1) * ROUND_MS
+    raise AssertionError(f"no progress within {max_rounds * ROUND_MS} ms")
+
+
+def change_everywhere(cluster: Cluster, change_id: str) -> None:
+    """Submit a change to every instance; only one that leads takes it."""
+    for name, node in cluster.nodes.items():
+        team = node.state.machine.team_by_name.get(TEAMS[0])
+        base = team.revision if team else 0
+        cluster.change(name, TEAMS[0], f"{change_id}-{name}", base)
+
+
+def _all_hold_membership(cluster: Cluster) -> bool:
+    """Return whether every instance votes, and knows no other membership.
+
+    A disk that is lost then leaves a majority of the disks, whoever is reachable.
+    """
+    states = [node.state for node in cluster.nodes.values()]
+    voters = {peer.identity for peer in states[0].membership.peers if peer.voter}
+    return (
+        voters == {state.identity for state in states}
+        and len({state.membership_index for state in states}) == 1
+        and states[0].membership_index <= max(state.commit_index for state in states)
+    )
+
+
 def _is_member(node: Node) -> bool:
     return any(peer.identity == node.identity for peer in node.state.membership.peers)
--- a/tests/runtime/test_silent_connections.py
+++ b/tests/runtime/test_silent_connections.py
@@ -24,7 +24,7 @@
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
-# A ping and its time-out take 3.5 s; the rest is for a loaded machine.
+# A ping and its time-out take 2.8 s; the rest is for a loaded machine.
 MAX_DETECTION_S = 6.0
 # The default of gRPC for a connection attempt that gets no answer is 20 s.
 MAX_RECONNECT_S = 8.0
