Reopen a stream when another identity arrives at its address

A control instance that lost its disk while the connections to it were silent was not admitted until pings ended them: the leader accepted its request to join, but sent the log over the stream to the process before, which nothing had closed.

A request to join or a frame from another identity shows that the process before is gone, so the stream to its address is opened again (`stream_reopened`).

--- a/src/yuccareach/control/peers.py
+++ b/src/yuccareach/control/peers.py
@@ -10,6 +10,7 @@
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
 from yuccareach.runtime.links import CHANNEL_OPTIONS
+from yuccareach.runtime.logs import logger
 from yuccareach.runtime.reducer import monotonic_ms
 from yuccareach.runtime.streams import NewestStreamSignal
 from yuccareach.runtime.tasks import cancel_tasks
@@ -23,6 +24,7 @@
 # The senders heard longest ago are forgotten above this number.
 MAX_HEARD_ADDRESSES = 32
 UNUSED_STREAM_TIMEOUT_MS = 10_000
+_log = logger("control")
 
 
 class _PeerOutbox:
@@ -34,6 +36,8 @@
         self.task: asyncio.Task[None] | None = None
         # When a frame was queued last.
         self.used_ms = 0
+        # Who was last heard from the address; empty if unknown.
+        self.identity = ""
 
     def put(self, frame: cpb.RaftFrame) -> None:
         """Queue a frame."""
@@ -119,11 +123,37 @@
         if not address or address == self.address:
             return
         self.address_by_identity[frame.source] = address
+        self.record_identity(frame.source, address)
         self.heard_ms_by_address.pop(address, None)
         self.heard_ms_by_address[address] = now_ms
         if len(self.heard_ms_by_address) > MAX_HEARD_ADDRESSES:
             del self.heard_ms_by_address[next(iter(self.heard_ms_by_address))]
 
+    def record_identity(self, identity: str, address: str) -> None:
+        """Open the stream to an address again if another identity is there now.
+
+        The open one leads to a process that is gone. If nothing has closed it, it
+        would keep an instance that lost its disk from its records until pings end it.
+        """
+        outbox = self.outbox_by_address.get(address)
+        if outbox is None or outbox.task is None:
+            return
+        previous, outbox.identity = outbox.identity, identity
+        if previous in ("", identity):
+            return
+        _log.info("stream_reopened", extra={"address": address, "identity": identity})
+        outbox.task.cancel()
+        outbox.task = asyncio.create_task(
+            self._replace_stream(address, outbox, outbox.task)
+        )
+
+    async def _replace_stream(
+        self, address: str, outbox: _PeerOutbox, previous: asyncio.Task[None]
+    ) -> None:
+        """Run a stream once the previous one has ended."""
+        await cancel_tasks([previous])
+        await self._run_stream(address, outbox)
+
     def list_heard(self, now_ms: int, max_age_ms: int) -> list[str]:
         """Return the addresses heard within max_age_ms, the latest first."""
         return [
--- a/src/yuccareach/control/server.py
+++ b/src/yuccareach/control/server.py
@@ -99,6 +99,7 @@
 
     async def Join(self, request: cpb.Peer, context: Any) -> cpb.SubmitReply:
         """Add a control instance to the log's membership as a non-voter."""
+        self.process.peers.record_identity(request.identity, request.address)
         try:
             answer = await self.process.dispatch_and_wait(
                 lambda ticket: PeerJoinRequested(ticket, request)
