--- a/src/yuccareach/placement/planner.py
+++ b/src/yuccareach/placement/planner.py
@@ -1,11 +1,12 @@
 """Planning of which backend server holds which layers of a model.
 
-A fleet that holds no layers yet gets one pipeline for each availability zone, since a
+A fleet that holds no layers yet gets pipelines within each availability zone, since a
 hop to another zone sends every token's activations over a link that all requests
 share. A pipeline uses the fastest accelerators of its zone, as many as raise the rate
-of finished requests by enough; the others replicate layers, to take over when a server
-is lost. From then on ranges stay where they are, unless a gap has to be closed or
-layers limit their pipeline, so that few weights are loaded.
+of finished requests by enough; a zone that runs out of slots before memory gets several
+of them. The other servers replicate layers, to take over when a server is lost. From
+then on ranges stay where they are, unless a gap has to be closed or layers limit their
+pipeline, so that few weights are loaded.
 """
 
 from __future__ import annotations
