--- /dev/null
+++ b/src/yuccareach/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Which requests start, wait and are refused while capacity is short."""
