Let the gateway decide on waiting streams by yuccareach.overload

Callers of urgent requests were refused first in a burst: their time to wait is the shortest, a waiting request of any priority made a new one queue, and one that had to queue was refused by its expected wait without a try, even while servers had room.

The order, the wait estimate and the hold times come from the new package. A stream is tried at once unless one of the same or a more urgent priority waits. With one priority in a service, order, wait and retry delay are as before; tests of the queue and of simulated loads are unchanged.

--- a/src/yuccareach/gateway/chain_choice.py
+++ b/src/yuccareach/gateway/chain_choice.py
@@ -15,6 +15,7 @@
 )
 from yuccareach.gateway.losses import compute_refusal_s
 from yuccareach.gateway.server_limits import may_send, record_miss
+from yuccareach.overload.streams import compute_headroom
 
 if TYPE_CHECKING:
     from yuccareach.gateway.backends import Backend
@@ -35,7 +36,9 @@
 
     A stream that has left an open attempt may go back there if no other chain has room.
     """
-    requirements = run.build_requirements()
+    requirements = run.build_requirements()._replace(
+        headroom_fraction=compute_headroom(run)
+    )
     chain = _find_preferred_chain(run, requirements)
     if chain is None and run.has_left_open_attempt:
         open_incarnations = list_open_incarnations(run.left_servers)
--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -107,6 +107,8 @@
     runs_apart: bool = False
     # Streams of this entry that may start at one first stage at a time.
     max_starting_streams: int = MAX_OWN_STARTING_STREAMS
+    # Fraction of each server's memory and slots that it leaves free for others.
+    headroom_fraction: float = 0.0
 
 
 def _count_loaded_layers(backend: Backend) -> int:
@@ -278,7 +280,8 @@
         if backend.announcement.incarnation in requirements.excluded_incarnations:
             continue
         utilization = compute_utilization(backend, model, requirements.tokens)
-        if utilization > MAX_MEMORY_UTILIZATION or backend.is_full(requirements.now_s):
+        max_utilization = MAX_MEMORY_UTILIZATION - requirements.headroom_fraction
+        if utilization > max_utilization or backend.is_full(requirements.now_s):
             continue
         fixed_ms = (
             AVOIDED_BACKEND_COST_MS if backend.is_avoided(requirements.now_s) else 0.0
@@ -303,7 +306,7 @@
     ) / max(1, model.slots)
     if (
         backend.starting_streams >= requirements.max_starting_streams
-        or slot_utilization > MAX_SLOT_UTILIZATION
+        or slot_utilization > MAX_SLOT_UTILIZATION - requirements.headroom_fraction
     ):
         return None
     shared_ms = 0.0
--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -29,6 +29,7 @@
     end_trial,
     is_suspect_run,
 )
+from yuccareach.overload.streams import get_priority
 from yuccareach.quarantine.progress import Progress
 
 if TYPE_CHECKING:
@@ -275,7 +276,10 @@
         Each of its limited servers has a grant left.
         """
         self.reservation = reserve_requests(self.gateway, _list_backends(chain))
-        self.queue.record_grant(self.workspace, self.tokens, self.gateway.now())
+        priority = get_priority(self.admitted)
+        self.queue.record_grant(
+            self.workspace, self.tokens, self.gateway.now(), priority
+        )
         self.has_proven_parts = False
         self._reserve_at(chain)
 
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -45,6 +45,7 @@
 from yuccareach.gateway.sse import EventSplitter
 from yuccareach.gateway.stream_run import StreamRun, format_chain, to_dialect_stages
 from yuccareach.gateway.suspects import must_wait_apart
+from yuccareach.overload.streams import build_ticket, find_load, record_arrival
 from yuccareach.quarantine.fingerprints import format_fingerprints
 
 if TYPE_CHECKING:
@@ -54,9 +55,6 @@
 # After this many attempts that backend servers refused to run, the stream is refused.
 MAX_REFUSALS = 3
 MISDIRECTED_STATUS = 421
-# A resumed stream goes before all others, since its caller already has a part of the
-# answer and waits for the rest.
-RESUMED_PRIORITY = -1
 # Interval between requests to the retry budget for a stream that has left an attempt
 # that might have gone on.
 BUDGET_CHECK_INTERVAL_S = 0.1
@@ -193,12 +191,13 @@
     Return None if no chain is likely to be free before the caller gives up, or if none
     was free in time.
     """
-    must_queue = run.queue.waiting_by_number or must_wait_apart(run)
+    record_arrival(run)
+    ticket = build_ticket(run)
+    must_queue = run.queue.has_waiting_before(ticket.priority) or must_wait_apart(run)
     chain = None if must_queue else choose_chain(run)
     if chain is not None:
         run.reserve(chain)
         return chain
-    ticket = _build_ticket(run)
     now_s = run.gateway.now()
     is_closed = _is_closed(run)
     should_wait = not is_closed and _should_wait(run, ticket, now_s)
@@ -208,7 +207,9 @@
             request=run.admitted.request_id,
             tokens=run.tokens,
             ahead=run.queue.count_tokens_ahead(ticket),
-            expected_wait_s=run.queue.estimate_wait_s(ticket, now_s),
+            expected_wait_s=run.queue.estimate_wait_s(
+                ticket, now_s, find_load(run.gateway, run.admitted.service)
+            ),
             closed=is_closed,
         )
         return None
@@ -237,7 +238,8 @@
     """Return whether a chain is likely in time, by the limits of servers if any."""
     interval_s = estimate_interval_s(run.gateway, run.admitted.service, run.queue)
     if not interval_s:
-        return run.queue.should_wait(ticket, now_s)
+        load = find_load(run.gateway, run.admitted.service)
+        return run.queue.should_wait(ticket, now_s, load)
     wait_s = (len(run.queue.waiting_by_number) + 1) * interval_s
     if now_s + wait_s >= ticket.wait_deadline_s:
         return False
@@ -268,25 +270,6 @@
     )
 
 
-def _build_ticket(run: StreamRun) -> Ticket:
-    route, workspace = run.admitted.route, run.admitted.workspace
-    workspace_priority = workspace.priority if workspace else None
-    priority = route.priority if workspace_priority is None else workspace_priority
-    arrived_s = run.admitted.request.received_s
-    if run.reply.has_started:
-        priority, arrived_s = RESUMED_PRIORITY, run.last_delivery_s
-    give_up_s = run.admitted.deadline_s if run.has_left_open_attempt else None
-    return Ticket(
-        number=id(run),
-        workspace=run.workspace,
-        priority=priority,
-        tokens=run.tokens,
-        arrived_s=arrived_s,
-        objective_s=route.objective_ms / 1000,
-        give_up_s=give_up_s,
-    )
-
-
 def _end_unserved(
     run: StreamRun, may_have_run: bool, status: int, reason: str
 ) -> Outcome:
@@ -328,10 +311,11 @@
     # Layers of leaving servers only are a coverage gap.
     refusal_s = refusal_s if math.isfinite(refusal_s) else 0.0
     return run.queue.estimate_retry_after_s(
-        _build_ticket(run),
+        build_ticket(run),
         gateway.now(),
         gateway.estimate_coverage_gap_s(service),
         max(refusal_s, return_s),
+        find_load(gateway, service),
     )
 
 
@@ -354,7 +338,7 @@
     run.suspected_incarnations.clear()
     run.next_repair_s = 0.0
     run.start_tracking()
-    run.last_progress_s = gateway.now()
+    run.last_progress_s = started_s = gateway.now()
     _log_attempt(run, chain)
     reservation, run.reservation = run.reservation, None
     try:
@@ -373,7 +357,10 @@
                 run.excluded_incarnations.add(incarnation)
             return AttemptResult.NOT_RUN
         try:
-            return await _await_end(run, run.backend_request, remaining_s)
+            result = await _await_end(run, run.backend_request, remaining_s)
+            if result is AttemptResult.DONE:
+                run.queue.hold_times.record(gateway.now() - started_s, run.tokens)
+            return result
         finally:
             run.backend_request.release()
     finally:
--- a/src/yuccareach/overload/decisions.py
+++ b/src/yuccareach/overload/decisions.py
@@ -13,7 +13,7 @@
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any, NamedTuple
 
-from yuccareach.overload.tickets import Ticket
+from yuccareach.overload.tickets import RESUMED_PRIORITY, Ticket
 
 # Places a ticket among the others, given the tokens that its workspace holds and the
 # time. The lowest goes first.
@@ -36,12 +36,17 @@
 
 def rank_by_urgency(
     ticket: Ticket, held_tokens: int, now_s: float
-) -> tuple[bool, int, bool, float, int, float]:
-    """Return the rank of a ticket; equals go by their arrival, the earliest first."""
+) -> tuple[bool, int, bool, bool, float, int, float]:
+    """Return the rank of a ticket; equals go by their arrival, the earliest first.
+
+    Resumed streams go before all others, late or not.
+    """
+    is_late = ticket.is_late(now_s)
     return (
-        ticket.is_late(now_s),
+        is_late and ticket.priority > RESUMED_PRIORITY,
         ticket.priority,
         not ticket.is_return,
+        is_late,
         ticket.work * (1 + held_tokens / FAIRNESS_TOKENS),
         held_tokens,
         ticket.arrived_s,
@@ -86,10 +91,11 @@
             started.append(ticket.number)
         elif ticket.blocks_overtaking(now_s):
             break
+    started_numbers = set(started)
     wait_until_s_by_number = {
         item.number: item.wait_deadline_s
         for item in open_tickets
-        if item.number not in set(started)
+        if item.number not in started_numbers
     }
     return Decision(tuple(started), wait_until_s_by_number, refused)
 
--- a/src/yuccareach/overload/headroom.py
+++ b/src/yuccareach/overload/headroom.py
@@ -88,6 +88,10 @@
             if tokens
         }
 
+    def has_priorities(self, now_s: float) -> bool:
+        """Return whether requests have had more than one priority lately."""
+        return len(self.find_priorities(now_s)) > 1
+
     def is_below_min_share(self, priority: int) -> bool:
         """Return whether a priority got less than its share of the recent grants."""
         granted = self.granted_tokens_by_priority
--- /dev/null
+++ b/src/yuccareach/overload/streams.py
@@ -0,0 +1,137 @@
+"""What the decisions are based on for the streams of a gateway."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from yuccareach.gateway.chains import compute_token_capacity
+from yuccareach.overload.forecast import ServiceLoad
+from yuccareach.overload.headroom import compute_headroom_fraction
+from yuccareach.overload.tickets import (
+    MAX_WAIT_OBJECTIVES,
+    MAX_WAIT_OBJECTIVES_WITH_PRIORITIES,
+    RESUMED_PRIORITY,
+    Ticket,
+)
+
+if TYPE_CHECKING:
+    from yuccareach.gateway.admitted_requests import AdmittedRequest
+    from yuccareach.gateway.state import Gateway
+    from yuccareach.gateway.stream_run import StreamRun
+    from yuccareach.gateway.table import Service
+
+# A stream waits for at most this fraction of the time that its caller gives it, so that
+# it can still be served, or refused and sent again.
+MAX_WAIT_FRACTION = 0.4
+
+
+def get_priority(admitted: AdmittedRequest) -> int:
+    """Return the priority of a request's workspace or else of its route."""
+    workspace = admitted.workspace
+    priority = workspace.priority if workspace else None
+    return admitted.route.priority if priority is None else priority
+
+
+def record_arrival(run: StreamRun) -> None:
+    """Record that a new stream wants capacity."""
+    if not run.reply.has_started:
+        priority = get_priority(run.admitted)
+        run.queue.demand.record_arrival(priority, run.gateway.now())
+
+
+def build_ticket(run: StreamRun) -> Ticket:
+    """Return the properties that decide a stream's place in the queue."""
+    admitted = run.admitted
+    priority, arrived_s = get_priority(admitted), admitted.request.received_s
+    if run.reply.has_started:
+        priority, arrived_s = RESUMED_PRIORITY, run.last_delivery_s
+    ticket = Ticket(
+        number=id(run),
+        workspace=run.workspace,
+        priority=priority,
+        tokens=run.tokens,
+        arrived_s=arrived_s,
+        objective_s=admitted.route.objective_ms / 1000,
+        give_up_s=admitted.deadline_s if run.has_left_open_attempt else None,
+    )
+    if not run.queue.demand.has_priorities(run.gateway.now()):
+        return ticket
+    available_s = MAX_WAIT_FRACTION * (admitted.deadline_s - arrived_s)
+    max_objectives = min(
+        MAX_WAIT_OBJECTIVES_WITH_PRIORITIES, available_s / ticket.objective_s
+    )
+    return ticket._replace(
+        max_wait_objectives=max(MAX_WAIT_OBJECTIVES, max_objectives),
+        work=float(run.tokens * admitted.metadata.expected_answer_tokens),
+    )
+
+
+def find_load(gateway: Gateway, service: Service) -> ServiceLoad | None:
+    """Return what all gateways run and wait for, or None if it is not used.
+
+    With a single priority, or with no other gateway known, the grants of this gateway
+    tell how fast capacity becomes free.
+    """
+    queue = gateway.get_queue(service.name)
+    now_s = gateway.now()
+    if gateway.entry_count < 2 or not queue.demand.has_priorities(now_s):
+        return None
+    running_requests = sum(
+        backend.first_stage_streams + backend.first_stage_streams_elsewhere
+        for backend in gateway.fleet.find_by_service(service.name)
+    )
+    return ServiceLoad(
+        running_requests,
+        queue.hold_times.mean_s,
+        queue.hold_times.mean_tokens,
+        queue.demand.get_waiting_elsewhere(now_s),
+    )
+
+
+def compute_headroom(run: StreamRun) -> float:
+    """Return the fraction of each server that a stream leaves to more urgent ones.
+
+    A stream that has run leaves nothing, and neither does one of the only gateway,
+    which knows what waits.
+    """
+    gateway, demand = run.gateway, run.queue.demand
+    has_run = run.reply.has_started or run.has_left_open_attempt
+    if has_run or gateway.entry_count == 1:
+        return 0.0
+    priority, now_s = get_priority(run.admitted), gateway.now()
+    recent_priorities = demand.find_priorities(now_s)
+    if min(recent_priorities, default=priority) >= priority:
+        return 0.0
+    if demand.is_below_min_share(priority):
+        return 0.0
+    waiting_elsewhere = demand.get_waiting_elsewhere(now_s)
+    capacity_tokens = (
+        _sum_capacity_tokens(gateway, run.admitted.service)
+        if waiting_elsewhere
+        else 0.0
+    )
+    return compute_headroom_fraction(
+        priority, recent_priorities, waiting_elsewhere, capacity_tokens
+    )
+
+
+def _sum_capacity_tokens(gateway: Gateway, service: Service) -> float:
+    """Return the tokens of requests for which a service's servers have memory."""
+    model = service.model
+    if model is None:
+        return 0.0
+    return sum(
+        compute_token_capacity(backend, model)
+        * (backend.announcement.end_layer - backend.announcement.first_layer)
+        / model.layers
+        for backend in gateway.fleet.find_by_service(service.name)
+    )
+
+
+__all__ = [
+    "build_ticket",
+    "compute_headroom",
+    "find_load",
+    "get_priority",
+    "record_arrival",
+]
--- a/src/yuccareach/overload/tickets.py
+++ b/src/yuccareach/overload/tickets.py
@@ -4,6 +4,9 @@
 
 from typing import NamedTuple
 
+# A resumed stream goes before all others, since its caller already has a part of the
+# answer and waits for the rest.
+RESUMED_PRIORITY = -1
 # A request waits for at most this many times its objective. Callers give up after about
 # four objectives; the rest of that time is left for the first event itself.
 MAX_WAIT_OBJECTIVES = 3.0
@@ -64,5 +67,6 @@
     "MAX_SMALL_TOKENS",
     "MAX_WAIT_OBJECTIVES",
     "MAX_WAIT_OBJECTIVES_WITH_PRIORITIES",
+    "RESUMED_PRIORITY",
     "Ticket",
 ]
--- /dev/null
+++ b/tests/overload/test_streams.py
@@ -0,0 +1,171 @@
+"""Tests of what a gateway's streams leave free, how long they wait, and their order."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+from unittest import mock
+
+from tests.gateway.fleet import MODEL, build_two_zones
+from yuccareach.gateway.admission import AdmissionQueue, WaitingRequest
+from yuccareach.gateway.backends import Fleet
+from yuccareach.gateway.chains import (
+    MAX_MEMORY_UTILIZATION,
+    ChainRequirements,
+    build_graph,
+    compute_token_capacity,
+    find_chain,
+)
+from yuccareach.gateway.table import Service
+from yuccareach.overload.headroom import HEADROOM_FRACTION, WaitingElsewhere
+from yuccareach.overload.streams import build_ticket, compute_headroom, find_load
+from yuccareach.overload.tickets import (
+    MAX_WAIT_OBJECTIVES,
+    MAX_WAIT_OBJECTIVES_WITH_PRIORITIES,
+    RESUMED_PRIORITY,
+)
+
+from .test_decisions import build_ticket as build_plain_ticket
+
+SERVICE = Service("s", 10, MODEL)
+NOW_S = 100.0
+
+
+class StreamTestCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.queue: AdmissionQueue[Any] = AdmissionQueue()
+        self.gateway: Any = mock.Mock(fleet=Fleet(), entry_count=22)
+        self.gateway.now = lambda: NOW_S
+        self.gateway.get_queue = lambda name: self.queue
+        announcements = [item.announcement for item in build_two_zones()]
+        self.gateway.fleet.update(announcements, [])
+
+    def build_run(self, priority: int, *, has_started: bool = False) -> Any:
+        admitted = mock.Mock(service=SERVICE, workspace=None, deadline_s=NOW_S + 20)
+        admitted.route.priority = priority
+        admitted.route.objective_ms = 500
+        admitted.request.received_s = NOW_S
+        admitted.metadata.expected_answer_tokens = 140
+        run = mock.Mock(
+            admitted=admitted,
+            gateway=self.gateway,
+            queue=self.queue,
+            workspace="",
+            tokens=912,
+            last_delivery_s=NOW_S,
+            has_left_open_attempt=False,
+        )
+        run.reply.has_started = has_started
+        return run
+
+    def record_arrivals(self, *priorities: int) -> None:
+        for priority in priorities:
+            self.queue.demand.record_arrival(priority, NOW_S)
+            self.queue.demand.record_grant(priority, 1_000, NOW_S)
+
+
+class SinglePriorityTests(StreamTestCase):
+    """Guard the behaviour of services whose requests all have one priority."""
+
+    def test_stream_leaves_nothing_free_and_waits_for_three_objectives(self) -> None:
+        self.record_arrivals(1)
+        run = self.build_run(1)
+        ticket = build_ticket(run)
+        self.assertEqual(compute_headroom(run), 0.0)
+        self.assertEqual(ticket.max_wait_objectives, MAX_WAIT_OBJECTIVES)
+        self.assertEqual(ticket.work, 0.0)
+        self.assertIsNone(find_load(self.gateway, SERVICE))
+
+
+class SeveralPrioritiesTests(StreamTestCase):
+    def test_less_urgent_streams_leave_capacity_to_more_urgent_ones(self) -> None:
+        self.record_arrivals(0, 1, 2)
+        fractions = [compute_headroom(self.build_run(item)) for item in (0, 1, 2)]
+        self.assertEqual(fractions, [0.0, HEADROOM_FRACTION, 2 * HEADROOM_FRACTION])
+
+    def test_stream_that_has_run_or_has_the_only_gateway_leaves_nothing(self) -> None:
+        # Guards against a caller with half an answer that waits for room that is free.
+        self.record_arrivals(0, 2)
+        self.assertEqual(compute_headroom(self.build_run(2, has_started=True)), 0.0)
+        self.gateway.entry_count = 1
+        self.assertEqual(compute_headroom(self.build_run(2)), 0.0)
+
+    def test_more_urgent_tokens_elsewhere_add_to_it(self) -> None:
+        self.record_arrivals(2)
+        run = self.build_run(2)
+        self.queue.demand.elsewhere = WaitingElsewhere({0: 40_000}, NOW_S)
+        self.assertGreater(compute_headroom(run), HEADROOM_FRACTION)
+        self.queue.demand.elsewhere = WaitingElsewhere({0: 40_000}, NOW_S - 2.1)
+        self.assertEqual(compute_headroom(run), 0.0)
+
+    def test_wait_is_longer_but_leaves_time_for_another_attempt(self) -> None:
+        self.record_arrivals(0, 2)
+        run = self.build_run(2)
+        longest = build_ticket(run).max_wait_objectives
+        self.assertEqual(longest, MAX_WAIT_OBJECTIVES_WITH_PRIORITIES)
+        run.admitted.deadline_s = NOW_S + 5.0
+        self.assertAlmostEqual(build_ticket(run).wait_deadline_s, NOW_S + 2.0)
+        run.admitted.deadline_s = NOW_S + 1.0
+        short = build_ticket(run).max_wait_objectives
+        self.assertEqual(short, MAX_WAIT_OBJECTIVES)
+
+    def test_load_of_all_gateways_tells_how_long_a_stream_waits(self) -> None:
+        # Guards against the refusal of urgent streams by a gateway that has granted
+        # nothing for 2 s.
+        self.record_arrivals(0, 2)
+        self.queue.grant_rate.expire(NOW_S + 10)
+        self.queue.hold_times.record(2.5, 912)
+        for backend in self.gateway.fleet.backend_by_name.values():
+            backend.first_stage_streams_elsewhere = 50
+        blocking = build_plain_ticket(7, priority=0)
+        self.queue.add(WaitingRequest(blocking, lambda: None, mock.Mock()))
+        ticket = build_ticket(self.build_run(0))
+        later_s = NOW_S + 1.0
+        load = find_load(self.gateway, SERVICE)
+        self.assertTrue(self.queue.should_wait(ticket, later_s, load))
+        self.assertFalse(self.queue.should_wait(ticket, later_s + 9))
+
+
+class HeadroomOfChainsTests(unittest.TestCase):
+    def test_chain_is_found_only_where_the_headroom_stays_free(self) -> None:
+        backends = build_two_zones()
+        graph = build_graph(backends, MODEL)
+        requirements = ChainRequirements("z1", 100, 0.0)
+        for backend in backends:
+            capacity = compute_token_capacity(backend, MODEL)
+            backend.reserved_tokens_elsewhere = int(
+                (MAX_MEMORY_UTILIZATION - 0.04) * capacity
+            )
+        less_urgent = requirements._replace(headroom_fraction=0.05)
+        self.assertIsNotNone(find_chain(graph, MODEL, requirements))
+        self.assertIsNone(find_chain(graph, MODEL, less_urgent))
+        for backend in backends:
+            backend.reserved_tokens_elsewhere = 0
+            backend.first_stage_streams_elsewhere = int(0.9 * MODEL.slots)
+        self.assertIsNotNone(find_chain(graph, MODEL, requirements))
+        self.assertIsNone(find_chain(graph, MODEL, less_urgent))
+
+
+class QueueTests(unittest.IsolatedAsyncioTestCase):
+    async def test_less_urgent_request_does_not_make_an_urgent_one_queue(self) -> None:
+        # Guards against an urgent request that is refused by its expected wait without
+        # a try, since less urgent ones wait.
+        queue: AdmissionQueue[str] = AdmissionQueue()
+        granted = asyncio.get_running_loop().create_future()
+        queue.add(WaitingRequest(build_plain_ticket(1), lambda: None, granted))
+        self.assertFalse(queue.has_waiting_before(0))
+        self.assertTrue(queue.has_waiting_before(1))
+        self.assertTrue(queue.has_waiting_before(2))
+
+    async def test_late_resumed_stream_goes_before_all_others(self) -> None:
+        queue: AdmissionQueue[str] = AdmissionQueue()
+        tickets = (
+            build_plain_ticket(1, priority=0, arrived_s=0.9),
+            build_plain_ticket(2, priority=RESUMED_PRIORITY),
+        )
+        for ticket in tickets:
+            granted = asyncio.get_running_loop().create_future()
+            queue.add(WaitingRequest(ticket, lambda: None, granted))
+        order = [item.ticket.number for item in queue.sort_waiting(1.0)]
+        self.assertEqual(order, [2, 1])
