Tell each gateway what waits at the others, by service and priority

Priority order held only within one gateway: a gateway with less urgent requests took capacity that became free while more urgent ones waited elsewhere.

The leader keeps them in memory for 2 s. A gateway leaves half of the sum of more urgent tokens free beside its headroom, and adds the sums to its forecast of a wait.

The set-up of tests.gateway.test_view.DocumentTests names the queues of its gateway, which a poll now reads.

--- a/src/yuccareach/control/views.py
+++ b/src/yuccareach/control/views.py
@@ -21,6 +21,13 @@
     UsageUpdate,
     build_update,
 )
+from yuccareach.control.waiting import (
+    WaitingCounts,
+    WaitingReport,
+    build_messages,
+    read_waiting,
+    sum_waiting,
+)
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.quota import allocation
 from yuccareach.quota.allocation import LimitReport
@@ -68,6 +75,8 @@
         self.collecting_since_ms = 0
         self.total_usage_by_server: dict[str, ServerUsage] = {}
         self.sent_usage_by_entry: dict[str, SentUsage] = {}
+        # Only of entries where something waits.
+        self.waiting_by_entry: dict[str, WaitingReport] = {}
         self.suspects = SuspectReports()
         # For each incarnation, when each entry last reported it as unreachable.
         self.unreachable_ms_by_incarnation: dict[str, dict[str, int]] = {}
@@ -96,10 +105,15 @@
             removed = self.report_by_entry.pop(entry, None)
             if removed is not None:
                 self._add_to_totals(removed.usage_by_server, -1)
+            self.waiting_by_entry.pop(entry, None)
             if entry != request.instance:
                 self.sent_usage_by_entry.pop(entry, None)
                 self.suspects.remove(entry)
         self.report_by_entry[request.instance] = EntryReport(now_ms, uses)
+        if request.waiting:
+            self.waiting_by_entry[request.instance] = read_waiting(
+                request.waiting, now_ms
+            )
         self._add_to_totals(uses, 1)
         for incarnation in request.unreachable:
             reports = self.unreachable_ms_by_incarnation.setdefault(incarnation, {})
@@ -170,6 +184,15 @@
         }
         return {server: usage for server, usage in others.items() if usage != NO_USAGE}
 
+    def sum_waiting_of_others(self, entry: str, now_ms: int) -> WaitingCounts:
+        """Return what waits at all entries but one that have reported recently."""
+        return sum_waiting(
+            report
+            for other, report in self.waiting_by_entry.items()
+            if other != entry
+            and now_ms - report.received_ms < ENTRY_REPORT_RETENTION_MS
+        )
+
     def _add_to_totals(
         self, usage_by_server: dict[str, ServerUsage], sign: int
     ) -> None:
@@ -340,6 +363,11 @@
         ],
         uses_version=uses.version,
         uses_are_changes=uses.are_changes,
+        waiting=build_messages(
+            process.entry_reports.sum_waiting_of_others(
+                request.instance, monotonic_ms()
+            )
+        ),
     )
     suspects = process.entry_reports.suspects
     view.suspects_version = suspects.version
--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -85,6 +85,17 @@
             item.ticket.priority <= priority for item in self.waiting_by_number.values()
         )
 
+    def count_waiting_tokens(self) -> Counter[int]:
+        """Return the tokens that wait for capacity, by priority.
+
+        Resumed streams count as the most urgent priority that a route can have.
+        """
+        tokens_by_priority: Counter[int] = Counter()
+        for item in self.waiting_by_number.values():
+            if not item.granted.done() and not item.is_held_back():
+                tokens_by_priority[max(0, item.ticket.priority)] += item.ticket.tokens
+        return tokens_by_priority
+
     def estimate_wait_s(
         self, ticket: Ticket, now_s: float, load: ServiceLoad | None = None
     ) -> float | None:
--- a/src/yuccareach/gateway/view.py
+++ b/src/yuccareach/gateway/view.py
@@ -5,19 +5,21 @@
 import asyncio
 import contextlib
 import zlib
-from collections import deque
+from collections import Counter, deque
 from typing import TYPE_CHECKING
 
 import grpc
 
 from yuccareach.control.document_deltas import apply_delta
 from yuccareach.control.errors import ControlUnavailable
+from yuccareach.control.waiting import WaitingKey, build_messages, read_messages
 from yuccareach.errors import YuccareachError
 from yuccareach.gateway import server_limits
 from yuccareach.gateway.backends import Announcement
 from yuccareach.gateway.losses import merge_view, resolve_pending_losses
 from yuccareach.gateway.probes import probe_backends
 from yuccareach.gateway.state import MEMBERS_TIMEOUT_S, get_boot_time_s
+from yuccareach.overload.headroom import WaitingElsewhere
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
 from yuccareach.runtime.addresses import parse_host_port
@@ -237,6 +239,15 @@
                 for name, backend in gateway.fleet.backend_by_name.items()
                 if backend.reserved_tokens
             ],
+            waiting=build_messages(
+                Counter(
+                    {
+                        WaitingKey(service, priority): tokens
+                        for service, queue in gateway.queue_by_service.items()
+                        for priority, tokens in queue.count_waiting_tokens().items()
+                    }
+                )
+            ),
         )
 
     async def _handle_poll_error(self, target: str, error: grpc.RpcError) -> None:
@@ -331,6 +342,7 @@
             are_changes=view.uses_are_changes,
         )
         self.uses_version = view.uses_version
+        self._apply_waiting(view)
         gateway.update_entry_count(view.entries)
         server_limits.apply_view(gateway, view, int(poll_started_s * 1000))
         gateway.grant_capacity()
@@ -341,6 +353,20 @@
             gateway.first_view_received.set()
         gateway.lease_until_s = poll_started_s + gateway.settings.lease_s
 
+    def _apply_waiting(self, view: cpb.View) -> None:
+        """Note what waits at the other gateways, by service and priority.
+
+        A service that the view leaves out has nothing that waits elsewhere.
+        """
+        gateway = self.gateway
+        tokens_by_service: dict[str, dict[int, int]] = {}
+        for key, tokens in read_messages(view.waiting).items():
+            tokens_by_service.setdefault(key.service, {})[key.priority] = tokens
+        for service in tokens_by_service.keys() | gateway.queue_by_service.keys():
+            gateway.get_queue(service).demand.elsewhere = WaitingElsewhere(
+                tokens_by_service.get(service, {}), gateway.now()
+            )
+
     def _decode_members(self, view: cpb.View) -> list[Announcement]:
         """Return the members whose address can be used; the others are logged."""
         announced = []
--- a/tests/gateway/test_view.py
+++ b/tests/gateway/test_view.py
@@ -23,6 +23,7 @@
         self.gateway: Any = mock.Mock(table=None)
         self.gateway.settings.instance = self.gateway.settings.zone = "z"
         self.gateway.fleet.backend_by_name = {}
+        self.gateway.queue_by_service = {}
         self.gateway.fleet.list_unreachable_incarnations.return_value = []
         self.gateway.fleet.find_unconnectable.return_value = []
         self.gateway.loss_changes = 0
