Log what is served in place of a refused stream, and search full servers once

Operators could not tell which requests got the capacity that a refused one did not, and a stream that had waited in vain left no line at all. refused_for_want_of_room is now written for these too. It names the priority, the wait, what waits elsewhere, the headroom, and the tokens granted lately by priority. yuccareach_queued_streams_total counts streams that waited, were refused, or returned as told.

A search that failed is not repeated in the same round for a stream that needs as many tokens at the same servers. Where servers state limits, each stream is still tried, since misses are counted.

--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import asyncio
+import math
 from collections import Counter, deque
 from typing import TYPE_CHECKING, Generic, NamedTuple, TypeVar
 
@@ -29,7 +30,7 @@
 from yuccareach.overload.tickets import MAX_WAIT_OBJECTIVES, Ticket
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Hashable
 
 # Retry delay if there were no recent grants. The rate is unknown then, and is likely to
 # be known after this time.
@@ -42,18 +43,25 @@
     return False
 
 
+def _find_no_search_key() -> None:
+    return None
+
+
 class WaitingRequest(NamedTuple, Generic[Capacity]):
     """A request in the queue, with the callback that reserves capacity for it.
 
     `granted` gets the reserved capacity, or None once the wait deadline has passed.
     The callback may end the wait itself. No capacity is granted, and none is kept free,
-    while the request is held back.
+    while the request is held back. Requests with the same search key find capacity at
+    the same servers, the one with fewer tokens whenever the other does; a request
+    without a key is always tried.
     """
 
     ticket: Ticket
     reserve_capacity: Callable[[], Capacity | None]
     granted: asyncio.Future[Capacity | None]
     is_held_back: Callable[[], bool] = _is_never_held_back
+    find_search_key: Callable[[], Hashable | None] = _find_no_search_key
 
 
 class AdmissionQueue(Generic[Capacity]):
@@ -202,14 +210,24 @@
             return
         # A callback may end another wait, whose request then leaves the queue.
         waiting_by_number = dict(self.waiting_by_number)
+        # Fewest tokens for which no capacity was found, by search key. No capacity is
+        # released meanwhile.
+        failed_tokens_by_key: dict[Hashable, int] = {}
 
         def _grant(ticket: Ticket) -> bool:
             item = waiting_by_number[ticket.number]
             if item.granted.done() or item.is_held_back():
                 return True
+            search_key = item.find_search_key()
+            if search_key is not None:
+                failed_tokens = failed_tokens_by_key.get(search_key, math.inf)
+                if ticket.tokens >= failed_tokens:
+                    return False
             capacity = item.reserve_capacity()
             if capacity is not None and not item.granted.done():
                 item.granted.set_result(capacity)
+            if not item.granted.done() and search_key is not None:
+                failed_tokens_by_key[search_key] = ticket.tokens
             return item.granted.done()
 
         for item in waiting_by_number.values():
--- a/src/yuccareach/gateway/streams.py
+++ b/src/yuccareach/gateway/streams.py
@@ -47,7 +47,9 @@
 from yuccareach.gateway.suspects import must_wait_apart
 from yuccareach.overload.streams import (
     build_ticket,
+    compute_headroom,
     find_load,
+    find_search_key,
     plan_retry_after_s,
     record_arrival,
 )
@@ -207,16 +209,7 @@
     is_closed = _is_closed(run)
     should_wait = not is_closed and _should_wait(run, ticket, now_s)
     if not should_wait and not _must_wait(run):
-        run.gateway.log(
-            "refused_for_want_of_room",
-            request=run.admitted.request_id,
-            tokens=run.tokens,
-            ahead=run.queue.count_tokens_ahead(ticket),
-            expected_wait_s=run.queue.estimate_wait_s(
-                ticket, now_s, find_load(run.gateway, run.admitted.service)
-            ),
-            closed=is_closed,
-        )
+        _log_refusal(run, ticket, closed=is_closed)
         return None
     run.granted = granted = asyncio.get_running_loop().create_future()
 
@@ -229,14 +222,49 @@
         return found_chain
 
     run.queue.add(
-        WaitingRequest(ticket, _reserve_capacity, granted, lambda: must_wait_apart(run))
+        WaitingRequest(
+            ticket,
+            _reserve_capacity,
+            granted,
+            lambda: must_wait_apart(run),
+            lambda: find_search_key(run),
+        )
     )
+    run.gateway.registry.count("queued_streams", "waited")
     try:
         run.queue.grant_capacity(now_s)
-        return await granted
+        chain = await granted
     finally:
         run.granted = None
         run.queue.remove(ticket)
+    if chain is None:
+        _log_refusal(run, ticket, closed=_is_closed(run))
+    return chain
+
+
+def _log_refusal(run: StreamRun, ticket: Ticket, *, closed: bool) -> None:
+    """Log that a stream gets no capacity, and what has got it lately in its place."""
+    gateway, queue, now_s = run.gateway, run.queue, run.gateway.now()
+    load = find_load(gateway, run.admitted.service)
+    waiting_elsewhere = queue.demand.get_waiting_elsewhere(now_s)
+    gateway.registry.count("queued_streams", "refused")
+    gateway.log(
+        "refused_for_want_of_room",
+        request=run.admitted.request_id,
+        priority=ticket.priority,
+        tokens=run.tokens,
+        ahead=queue.count_tokens_ahead(ticket),
+        ahead_elsewhere=sum(
+            tokens
+            for priority, tokens in waiting_elsewhere.items()
+            if priority <= ticket.priority
+        ),
+        expected_wait_s=queue.estimate_wait_s(ticket, now_s, load),
+        waited_s=round(now_s - ticket.arrived_s, 3),
+        headroom=round(compute_headroom(run), 3),
+        granted=queue.demand.format_granted(),
+        closed=closed,
+    )
 
 
 def _should_wait(run: StreamRun, ticket: Ticket, now_s: float) -> bool:
--- a/src/yuccareach/metrics/catalog.py
+++ b/src/yuccareach/metrics/catalog.py
@@ -54,6 +54,10 @@
         "requests",
         "Requests that a backend server's limit sent elsewhere, delayed or refused.",
     ),
+    "queued_streams": _describe_counter(
+        "requests",
+        "Streams that waited for capacity, got none, or returned when told to.",
+    ),
     "repeats": _describe_counter(
         "requests", "Retries of requests, by whether the retry budget allowed them."
     ),
--- a/src/yuccareach/overload/headroom.py
+++ b/src/yuccareach/overload/headroom.py
@@ -69,6 +69,11 @@
             granted[other] = round(granted[other] * decay)
         granted[priority] += tokens
 
+    def format_granted(self) -> str:
+        """Return the tokens granted lately by priority, as text for logs."""
+        granted = sorted(self.granted_tokens_by_priority.items())
+        return ",".join(f"{priority}={tokens}" for priority, tokens in granted)
+
     def find_priorities(self, now_s: float) -> set[int]:
         """Return the priorities that requests have had lately, here or elsewhere."""
         recent = {
--- a/src/yuccareach/overload/streams.py
+++ b/src/yuccareach/overload/streams.py
@@ -5,6 +5,8 @@
 from typing import TYPE_CHECKING
 
 from yuccareach.gateway.chains import compute_token_capacity
+from yuccareach.gateway.suspects import is_suspect_run
+from yuccareach.health.servers import get_limit_per_s
 from yuccareach.overload.forecast import ServiceLoad
 from yuccareach.overload.headroom import compute_headroom_fraction
 from yuccareach.overload.tickets import (
@@ -15,6 +17,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Hashable
+
     from yuccareach.gateway.admitted_requests import AdmittedRequest
     from yuccareach.gateway.state import Gateway
     from yuccareach.gateway.stream_run import StreamRun
@@ -43,6 +47,8 @@
     run.queue.demand.record_arrival(get_priority(run.admitted), now_s)
     if not run.is_return:
         run.is_return = run.queue.returns.accept(run.admitted.fingerprint, now_s)
+        if run.is_return:
+            run.gateway.registry.count("queued_streams", "returned")
 
 
 def plan_retry_after_s(run: StreamRun, earliest_s: float, blocked_s: float) -> float:
@@ -149,6 +155,28 @@
     )
 
 
+def find_search_key(run: StreamRun) -> Hashable | None:
+    """Return what a stream's search for a chain depends on beside its tokens.
+
+    None if each stream has to be tried, since the limits of servers count each one that
+    finds no capacity, or since the stream may go back to a server that it has left.
+    """
+    gateway, route = run.gateway, run.admitted.route
+    is_limited = any(
+        get_limit_per_s(backend.health) is not None
+        for backend in gateway.fleet.find_by_service(run.admitted.service.name)
+    )
+    if is_limited or run.has_left_open_attempt:
+        return None
+    return (
+        get_priority(run.admitted),
+        route.objective_ms,
+        run.reply.has_started,
+        frozenset(run.excluded_incarnations),
+        is_suspect_run(run),
+    )
+
+
 def _sum_capacity_tokens(gateway: Gateway, service: Service) -> float:
     """Return the tokens of requests for which a service's servers have memory."""
     model = service.model
@@ -166,6 +194,7 @@
     "build_ticket",
     "compute_headroom",
     "find_load",
+    "find_search_key",
     "get_priority",
     "plan_retry_after_s",
     "record_arrival",
--- a/tests/overload/test_streams.py
+++ b/tests/overload/test_streams.py
@@ -8,6 +8,7 @@
 from unittest import mock
 
 from tests.gateway.fleet import MODEL, build_two_zones
+from yuccareach.gateway import streams
 from yuccareach.gateway.admission import AdmissionQueue, WaitingRequest
 from yuccareach.gateway.backends import Fleet
 from yuccareach.gateway.chains import (
@@ -176,6 +177,20 @@
         self.assertEqual(self.queue.returns.due_s_by_fingerprint, {})
 
 
+class RefusalLogTests(StreamTestCase):
+    def test_line_says_what_was_served_in_place_of_the_stream(self) -> None:
+        self.record_arrivals(0, 2)
+        self.queue.demand.record_grant(0, 3_000, NOW_S)
+        self.queue.demand.elsewhere = WaitingElsewhere({0: 500, 3: 70}, NOW_S)
+        run = self.build_run(2)
+        streams._log_refusal(run, build_ticket(run), closed=False)
+        self.gateway.registry.count.assert_called_with("queued_streams", "refused")
+        fields = self.gateway.log.call_args.kwargs
+        self.assertEqual(fields["granted"], "0=4000,2=1000")
+        self.assertEqual(fields["ahead_elsewhere"], 500)
+        self.assertEqual((fields["priority"], fields["waited_s"]), (2, 0.0))
+
+
 class HeadroomOfChainsTests(unittest.TestCase):
     def test_chain_is_found_only_where_the_headroom_stays_free(self) -> None:
         backends = build_two_zones()
@@ -207,6 +222,30 @@
         self.assertTrue(queue.has_waiting_before(1))
         self.assertTrue(queue.has_waiting_before(2))
 
+    async def test_equal_search_that_failed_is_not_repeated_for_more_tokens(
+        self,
+    ) -> None:
+        # Guards against a gateway that spends its processor time on searching the same
+        # full servers for each of its waiting requests, 50 times a second.
+        queue: AdmissionQueue[str] = AdmissionQueue()
+        tried: list[int] = []
+        for number, (tokens, key) in enumerate(
+            ((200, "a"), (300, "a"), (100, "a"), (300, "b"), (400, None), (500, None))
+        ):
+            queue.add(
+                WaitingRequest(
+                    build_plain_ticket(number, tokens=tokens, arrived_s=0.01 * number),
+                    lambda number=number: tried.append(number),
+                    asyncio.get_running_loop().create_future(),
+                    find_search_key=lambda key=key: key,
+                )
+            )
+        queue.grant_capacity(0.1)
+        self.assertEqual(tried, [0, 2, 3, 4, 5])
+        # The next round tries them again.
+        queue.grant_capacity(0.2)
+        self.assertEqual(tried[5:], [0, 2, 3, 4, 5])
+
     async def test_late_resumed_stream_goes_before_all_others(self) -> None:
         queue: AdmissionQueue[str] = AdmissionQueue()
         tickets = (
