Replay the second deployment, and check that one priority is served as before

The replay now keeps to the present policy where a gateway sees one priority, as the product does, and a test compares the results of both for equality.

--- a/bench/overload.py
+++ b/bench/overload.py
@@ -125,6 +125,9 @@
     spreads_returns: bool = True
     max_wait_objectives: float = MAX_WAIT_OBJECTIVES_WITH_PRIORITIES
     max_starting_streams: int = MAX_STARTING_STREAMS
+    # Whether a gateway that sees requests of one priority only keeps to the present
+    # policy, as the product does.
+    needs_priorities: bool = True
 
 
 def rank_by_deadline(ticket: Ticket, _held: int, _now_s: float) -> float:
@@ -189,9 +192,20 @@
     CHOSEN._replace(name="chosen, present order", rank=rank_by_priority),
     CHOSEN._replace(name="chosen, value per work", rank=rank_by_value_per_work),
     CHOSEN._replace(name="chosen, 5 may start", max_starting_streams=110),
+    CHOSEN._replace(name="chosen, also for one priority", needs_priorities=False),
     CHOSEN,
 )
 BURST = Load("burst of 2.3 for 8 s")
+SECOND_DEPLOYMENT = BURST._replace(
+    name="second deployment, three priorities",
+    kinds=(Kind(0, 0.6, 2.0, 0.51), Kind(1, 0.6, 1.9, 0.48), Kind(2, 0.6, 2.0, 0.51)),
+    gateways=38,
+    streams_per_s=60.0,
+    requests_per_pipeline=45,
+)
+ONE_PRIORITY = SECOND_DEPLOYMENT._replace(
+    name="second deployment, one priority", kinds=(Kind(0, 0.6, 2.0, 0.51),)
+)
 LOADS = (
     BURST,
     BURST._replace(name="burst of 6 for 8 s", burst_factor=6.0),
@@ -211,6 +225,8 @@
     ),
     BURST._replace(name="burst, first events after 0.3 s", first_event_s=0.3),
     BURST._replace(name="burst, views 2 s old", poll_hold_s=2.0),
+    SECOND_DEPLOYMENT,
+    ONE_PRIORITY,
 )
 
 
@@ -430,6 +446,8 @@
         is_return = self.policy.spreads_returns and gateway.returns.accept(
             fingerprint, self.now_s
         )
+        gateway.demand.record_arrival(request.kind.priority, self.now_s)
+        is_active = self._is_active(gateway)
         ticket = Ticket(
             number=request.number,
             workspace=request.workspace,
@@ -437,11 +455,12 @@
             tokens=request.tokens,
             arrived_s=self.now_s,
             objective_s=request.kind.objective_s,
-            max_wait_objectives=self.policy.max_wait_objectives,
+            max_wait_objectives=(
+                self.policy.max_wait_objectives if is_active else MAX_WAIT_OBJECTIVES
+            ),
             is_return=is_return,
-            work=request.tokens * request.expected_tokens,
+            work=request.tokens * request.expected_tokens if is_active else 0.0,
         )
-        gateway.demand.record_arrival(ticket.priority, self.now_s)
         self._enter(gateway, request, ticket)
 
     def _enter(self, gateway: Gateway, request: Request, ticket: Ticket) -> None:
@@ -460,8 +479,14 @@
         waiting[ticket.number] = ticket
         self._grant(gateway)
 
+    def _is_active(self, gateway: Gateway) -> bool:
+        """Return whether a gateway does more than the present policy."""
+        return not self.policy.needs_priorities or gateway.demand.has_priorities(
+            self.now_s
+        )
+
     def _get_load(self, gateway: Gateway) -> ServiceLoad | None:
-        if not self.policy.knows_load:
+        if not self.policy.knows_load or not self._is_active(gateway):
             return None
         running = sum(gateway.own_streams) + sum(
             usage.streams for usage in gateway.elsewhere
@@ -615,7 +640,7 @@
         if wait_s is None:
             wait_s = DEFAULT_RETRY_DELAY_S
         delay_s = min(MAX_RETRY_DELAY_S, max(MIN_RETRY_DELAY_S, wait_s))
-        if not self.policy.spreads_returns:
+        if not self.policy.spreads_returns or not self._is_active(gateway):
             return delay_s
         load = self._get_load(gateway)
         rate = load.release_rate / len(self.gateways) if load else 0.0
@@ -719,11 +744,12 @@
     """Print a table for each load: on time/late/not served by priority, and others."""
     for load in LOADS:
         print(f"\n{load.name}\n")
+        priorities = " | ".join(str(kind.priority) for kind in load.kinds)
         print(
-            "| policy | value | 0 | 1 | 2 | p99 s | refusals | retry s | not run "
+            f"| policy | value | {priorities} | p99 s | refusals | retry s | not run "
             "| held | largest | small |"
         )
-        print("| --- " * 12 + "|")
+        print("| --- " * (9 + len(load.kinds)) + "|")
         jobs = list(itertools.product((load,), POLICIES, SEEDS))
         with ProcessPoolExecutor(MAX_PROCESSES) as executor:
             played = list(executor.map(_play_job, jobs))
--- a/tests/overload/test_loads.py
+++ b/tests/overload/test_loads.py
@@ -4,7 +4,7 @@
 
 import unittest
 
-from bench.overload import BURST, CHOSEN, PRESENT, Load, Result, replay
+from bench.overload import BURST, CHOSEN, ONE_PRIORITY, PRESENT, Load, Result, replay
 
 
 class BurstTests(unittest.TestCase):
@@ -40,6 +40,12 @@
                 print(f"\noverload: value {present.value:.3f} to {chosen.value:.3f}")
                 self.assertGreaterEqual(chosen.value, present.value - 0.01)
 
+    def test_single_priority_is_served_exactly_as_before(self) -> None:
+        # Guards the deployments whose services have one priority.
+        present, chosen = self.play(ONE_PRIORITY)
+        self.assertGreater(present.refusals, 100)
+        self.assertEqual(chosen, present)
+
     def test_undisturbed_traffic_is_served_on_time(self) -> None:
         # Guards against capacity that is held back while there is enough of it.
         _, chosen = self.play(BURST._replace(burst_factor=1.0))
