--- a/src/yuccareach/gateway/stream_run.py
+++ b/src/yuccareach/gateway/stream_run.py
@@ -29,6 +29,7 @@
     end_trial,
     is_suspect_run,
 )
+from yuccareach.overload.streams import get_priority
 from yuccareach.quarantine.progress import Progress
 
 if TYPE_CHECKING:
@@ -118,6 +119,8 @@
         self.later_stage_lost = False
         # Later stages of the current attempt whose possible loss is recorded.
         self.suspected_incarnations: set[str] = set()
+        # Whether its caller returns when an earlier refusal told it to.
+        self.is_return = False
         self.attempts = 0
         self.left_servers = LeftServers()
         # Whether the retry budget has already granted the next attempt.
@@ -267,6 +270,8 @@
             frozenset(self.excluded_incarnations),
             runs_apart=is_suspect_run(self),
             max_starting_streams=compute_starting_limit(self.gateway.entry_count),
+            entry_count=self.gateway.entry_count,
+            objective_s=self.admitted.route.objective_ms / 1000,
         )
 
     def reserve(self, chain: Chain) -> None:
@@ -275,7 +280,10 @@
         Each of its limited servers has a grant left.
         """
         self.reservation = reserve_requests(self.gateway, _list_backends(chain))
-        self.queue.record_grant(self.workspace, self.tokens, self.gateway.now())
+        priority = get_priority(self.admitted)
+        self.queue.record_grant(
+            self.workspace, self.tokens, self.gateway.now(), priority
+        )
         self.has_proven_parts = False
         self._reserve_at(chain)
 
