Release connections to uvicorn's ports whose pipelined requests never ran

A request that waits for an earlier one refers to its connection, so that the memory of both waited for the garbage collector once the client had left, and was charged to nobody.

--- a/src/yuccareach/runtime/bounded_protocol.py
+++ b/src/yuccareach/runtime/bounded_protocol.py
@@ -81,10 +81,13 @@
         self.account.close(self.holder)
         self._discard_unserved()
         if self._is_between_requests():
-            # It refers to this protocol, so that the memory of both would wait for the
-            # garbage collector.
             self.cycle = None
 
+    def pause_writing(self) -> None:
+        """Let the response wait, since its client reads too slowly."""
+        super().pause_writing()
+        self._update_account()
+
     def resume_writing(self) -> None:
         """Continue a response, which its client has read in part."""
         super().resume_writing()
@@ -237,9 +240,10 @@
     def _shed(self, reason: ShedReason) -> None:
         """Close the connection; refuse a request whose head is not complete."""
         self.on_shed(reason, self.holder)
-        self._discard_unserved()
         is_unread = self.transport.get_write_buffer_size() > 0
-        if self._is_between_requests() and self.pending_bytes and not is_unread:
+        may_refuse = self._is_between_requests() and not is_unread
+        self._discard_unserved()
+        if may_refuse and self.pending_bytes:
             self._send_refusal(
                 b"503 Service Unavailable", b"retry-after: %d\r\n" % RETRY_AFTER_S
             )
@@ -249,7 +253,11 @@
     def _discard_unserved(self) -> None:
         """Release what was received of requests that are not served yet."""
         self.unparsed.clear()
-        self.pipeline.clear()
+        if self.pipeline:
+            # A request refers to this protocol until it is served, so that the memory
+            # of both would wait for the garbage collector.
+            self.pipeline.clear()
+            self.cycle = None
         if self.is_in_head:
             self.headers.clear()
 
--- a/tests/buffers/test_random_streams.py
+++ b/tests/buffers/test_random_streams.py
@@ -3,11 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import gc
+import logging
 import unittest
+import weakref
 from random import Random
 from typing import Any
 from unittest import mock
 
+import uvicorn
+from uvicorn.server import ServerState
+
 from yuccareach.buffers.account import (
     CONNECTION_COST_BYTES,
     HEADER_COST_BYTES,
@@ -27,6 +33,7 @@
     Reply,
 )
 from yuccareach.gateway.table import Limits
+from yuccareach.runtime.bounded_protocol import BoundedProtocol
 
 SEEDS = 100
 STREAMS_PER_SEED = 40
@@ -45,9 +52,10 @@
 class FakeTransport:
     """A transport whose peer reads when the test says so."""
 
-    def __init__(self, connection: CallerConnection) -> None:
+    def __init__(self, connection: Any) -> None:
         self.connection = connection
         self.buffered_bytes = 0
+        self.is_reading = True
         self.is_closed = False
         self.is_lost = False
 
@@ -57,6 +65,15 @@
     def is_closing(self) -> bool:
         return self.is_closed
 
+    def get_extra_info(self, name: str, default: Any = None) -> Any:
+        return default
+
+    def pause_reading(self) -> None:
+        self.is_reading = False
+
+    def resume_reading(self) -> None:
+        self.is_reading = True
+
     def write(self, data: bytes) -> None:
         self.buffered_bytes += len(data)
         if self.buffered_bytes > HIGH_WATER_BYTES:
@@ -64,7 +81,7 @@
 
     def read(self, max_bytes: int) -> None:
         self.buffered_bytes -= min(max_bytes, self.buffered_bytes)
-        if not self.buffered_bytes:
+        if not self.buffered_bytes and not self.is_lost:
             self.connection.resume_writing()
             if self.is_closed:
                 self._lose()
@@ -82,7 +99,12 @@
     def _lose(self) -> None:
         if not self.is_lost:
             self.is_lost = True
-            asyncio.get_running_loop().call_soon(self.connection.connection_lost, None)
+            asyncio.get_running_loop().call_soon(self._end)
+
+    def _end(self) -> None:
+        """Release the connection, as asyncio's transports do."""
+        connection, self.connection = self.connection, None
+        connection.connection_lost(None)
 
 
 def build_head(random: Random) -> bytes:
@@ -287,3 +309,101 @@
         # The streams are large enough to use the budget up.
         self.assertGreater(self.shed_reasons.count("memory"), SEEDS)
         self.assertGreater(self.shed_reasons.count("connections"), SEEDS)
+
+
+class UvicornStreamTests(unittest.IsolatedAsyncioTestCase):
+    """The same bytes against uvicorn's protocol, with an application like falcon's."""
+
+    def make_protocol(self, random: Random, account: BufferAccount) -> Any:
+        async def _app(scope: Any, receive: Any, send: Any) -> None:
+            reads_body = random.random() < 0.7
+            while reads_body:
+                message = await receive()
+                reads_body = message.get("more_body", False)
+            body = b"x" * random.choice((0, 100, 100_000))
+            length = (b"content-length", b"%d" % len(body))
+            start = {"type": "http.response.start", "status": 200, "headers": [length]}
+            await send(start)
+            await send({"type": "http.response.body", "body": body})
+
+        return BoundedProtocol(
+            account,
+            lambda reason, holder: self.shed_reasons.append(reason),
+            config=uvicorn.Config(_app, log_config=None, lifespan="off"),
+            server_state=ServerState(),
+            app_state={},
+        )
+
+    def check_account(self, account: BufferAccount, protocols: list[Any]) -> None:
+        charged = [item for item in protocols if item.holder in account.holders]
+        held_bytes = [
+            (
+                item.holder.held_bytes
+                if item.transport.is_lost
+                else item.compute_held_bytes()
+            )
+            for item in charged
+        ]
+        self.assertEqual(account.held_bytes, sum(held_bytes))
+        self.assertEqual(len(account.holders), len(charged))
+        self.assertLessEqual(account.held_bytes, BUDGET_BYTES)
+        self.assertLessEqual(len(charged), MAX_CONNECTIONS)
+        for item in protocols:
+            if item not in charged:
+                self.assertTrue(item.transport.is_closing())
+                self.assertFalse(item.unparsed or item.pipeline)
+
+    async def run_seed(self, seed: int) -> None:
+        random = Random(seed)
+        limits = BufferLimits(BUDGET_BYTES, 0, MAX_CONNECTIONS)
+        account = BufferAccount(limits)
+        streams: list[tuple[Any, list[bytes]]] = []
+        all_protocols = weakref.WeakSet[Any]()
+        unopened = STREAMS_PER_SEED
+        while unopened or streams:
+            if unopened and len(streams) < OPEN_AT_ONCE:
+                unopened -= 1
+                protocol = self.make_protocol(random, account)
+                all_protocols.add(protocol)
+                protocol.connection_made(FakeTransport(protocol))
+                data = b"".join(
+                    build_request(random) for _ in range(random.randrange(1, 4))
+                )
+                streams.append((protocol, split_at_random(random, data)))
+            stream = random.choice(streams)
+            protocol, parts = stream
+            transport = protocol.transport
+            if transport.is_closing() or not parts:
+                transport.abort()
+                streams.remove(stream)
+            elif random.random() < 0.2:
+                transport.read(200_000)
+                # uvicorn hears of it when most of a reply has been read.
+                protocol.resume_writing()
+            elif transport.is_reading:
+                protocol.data_received(parts.pop(0))
+            elif random.random() < 0.1:
+                parts.clear()
+            if random.random() < 0.5:
+                await asyncio.sleep(0)
+            self.check_account(account, list(all_protocols))
+        del protocol, stream, transport
+        for _ in range(100):
+            await asyncio.sleep(0)
+        self.assertEqual((account.held_bytes, account.holders), (0, set()))
+        # Connections that wait for the garbage collector are charged to nobody.
+        self.assertEqual(len(all_protocols), 0)
+
+    async def test_account_stays_in_its_budget_and_closed_connections_hold_nothing(
+        self,
+    ) -> None:
+        self.shed_reasons: list[str] = []
+        logging.getLogger("uvicorn.error").setLevel(logging.CRITICAL)
+        gc.collect()
+        gc.disable()
+        self.addCleanup(gc.enable)
+        for seed in range(SEEDS):
+            with self.subTest(seed=seed):
+                await self.run_seed(seed)
+        self.assertGreater(self.shed_reasons.count("memory"), SEEDS)
+        self.assertGreater(self.shed_reasons.count("connections"), SEEDS)
