Refuse a bound on contact that silent connections exceed

bounds.contactMs of a settings file promises contact again within that time. A connection that falls silent is given up after 2,800 ms at the latest (SILENCE_DETECTION_MS, runtime/links.py), so a lower bound cannot be kept. `yuccareach check` and the start of a process now refuse it, with both figures in the message.

--- a/src/yuccareach/platform/settings.py
+++ b/src/yuccareach/platform/settings.py
@@ -15,6 +15,7 @@
 from yuccareach.gateway.budget import RetryBudgetLimits
 from yuccareach.platform.errors import InvalidProcessSettings
 from yuccareach.runtime.addresses import parse_host_port
+from yuccareach.runtime.links import SILENCE_DETECTION_MS
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -44,6 +45,9 @@
     graceS: float = 8.0
     # Time within which every gateway must refuse a revoked key.
     revokeMs: int = 5_000
+    # Time within which instances are in contact again after their connections have
+    # failed.
+    contactMs: float = 3_000
     # Limits of the retry budget: retries per request, retries per window beyond that.
     budgetRatio: float = 0.2
     budgetWindowS: float = 10.0
@@ -158,6 +162,11 @@
         errors.append(f"internalPorts is {ports}, expected two ports, the lower first")
     if not file.seeds:
         errors.append("seeds is empty, expected at least one HOST:PORT")
+    if file.bounds.contactMs < SILENCE_DETECTION_MS:
+        errors.append(
+            f"bounds.contactMs is {file.bounds.contactMs:g}, but a connection that "
+            f"falls silent is given up only after {SILENCE_DETECTION_MS} ms"
+        )
     addresses = [("seeds", seed, False) for seed in file.seeds]
     addresses += [
         (f"listen.{name}", value, True)
--- a/src/yuccareach/runtime/links.py
+++ b/src/yuccareach/runtime/links.py
@@ -17,13 +17,14 @@
 MAX_MESSAGE_BYTES = 32 << 20
 # Queued messages are split into frames of this size, or of one larger message.
 MAX_FRAME_BYTES = MAX_MESSAGE_BYTES // 2
-# Pings detect a peer that no longer responds, also on an idle stream. A connection
-# that falls silent is given up at the latest after the sum of the two times.
+# Pings detect a peer that no longer responds, also on an idle stream.
 # Control must acknowledge changes again 4 s after a silence, and an election may take
 # 1.1 s of them.
 PING_INTERVAL_MS = 1_300
 # A process that is paused for 1 s, or kept from running by load, must not be given up.
 PING_TIMEOUT_MS = 1_500
+# Time from the silence of a connection until it is given up, at the latest.
+SILENCE_DETECTION_MS = PING_INTERVAL_MS + PING_TIMEOUT_MS
 # A peer that accepts a connection but never answers would hold an attempt for 20 s, the
 # default of gRPC.
 CONNECT_TIMEOUT_MS = 2_000
@@ -269,6 +270,7 @@
 __all__ = [
     "CHANNEL_OPTIONS",
     "SERVER_OPTIONS",
+    "SILENCE_DETECTION_MS",
     "LinkLost",
     "Links",
     "NewerSettingsReported",
--- a/tests/control/cluster.py
+++ b/tests/control/cluster.py
@@ -28,7 +28,7 @@
 )
 from yuccareach.control.state_machine import StateMachine, load_state_machine
 from yuccareach.proto import control_pb2 as cpb
-from yuccareach.runtime.links import PING_INTERVAL_MS, PING_TIMEOUT_MS
+from yuccareach.runtime.links import SILENCE_DETECTION_MS
 from yuccareach.runtime.reducer import Tick
 
 TEAMS = ("kalahari", "kitamichi")
@@ -37,7 +37,7 @@
 ROUND_MS = 50
 # A stream that falls silent is given up after this time, and opened again 100 ms later
 # (runtime/links.py, control/peers.py).
-MAX_SILENCE_MS = PING_INTERVAL_MS + PING_TIMEOUT_MS + 100
+MAX_SILENCE_MS = SILENCE_DETECTION_MS + 100
 # Time for an election of several rounds, and for two changes of the members.
 MAX_RECOVERY_MS = 5_000
 MAX_FAULT_MS = 6_000
--- a/tests/control/test_silent_streams.py
+++ b/tests/control/test_silent_streams.py
@@ -22,8 +22,8 @@
 
 # What gRPC takes to give up a silent stream without a time-out for its pings.
 SILENCE_WITHOUT_TIMEOUT_MS = 60_000
-# Callers are promised that changes are acknowledged again within contactMs, 3 s, and a
-# second.
+# Callers are promised that changes are acknowledged again a second after the bound on
+# contact, 3 s.
 MAX_INTERRUPTION_MS = 4_000
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -13,6 +13,7 @@
 from yuccareach.platform.errors import InvalidProcessSettings
 from yuccareach.platform.run_control import build_control_options
 from yuccareach.platform.settings import ProcessSettings, load_settings
+from yuccareach.runtime.links import SILENCE_DETECTION_MS
 
 
 class LoadSettingsTests(unittest.TestCase):
@@ -44,6 +45,18 @@
         self.assertIsNone(options.data)
         self.assertFalse(options.bootstrap)
 
+    def test_contact_sooner_than_a_silent_connection_is_given_up_is_refused(
+        self,
+    ) -> None:
+        # Nothing could keep the promise: the connection is used until then.
+        for contact_ms in (3_000, 4_000, SILENCE_DETECTION_MS):
+            self.load(bounds={"contactMs": contact_ms})
+        with self.assertRaises(InvalidProcessSettings) as raised:
+            self.load(bounds={"contactMs": SILENCE_DETECTION_MS - 1})
+        message = str(raised.exception)
+        self.assertIn(f"bounds.contactMs is {SILENCE_DETECTION_MS - 1}", message)
+        self.assertIn(f"{SILENCE_DETECTION_MS} ms", message)
+
     def test_error_of_an_invalid_file_is_one_line(self) -> None:
         cases: list[dict[str, Any]] = [
             {"internalPorts": [7340]},
--- a/tests/runtime/test_silent_connections.py
+++ b/tests/runtime/test_silent_connections.py
@@ -19,13 +19,17 @@
     DataStub,
     add_DataServicer_to_server,
 )
-from yuccareach.runtime.links import CHANNEL_OPTIONS, SERVER_OPTIONS
+from yuccareach.runtime.links import (
+    CHANNEL_OPTIONS,
+    SERVER_OPTIONS,
+    SILENCE_DETECTION_MS,
+)
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Sequence
 
-# A ping and its time-out take 2.8 s; the rest is for a loaded machine.
-MAX_DETECTION_S = 6.0
+# The rest is for a loaded machine.
+MAX_DETECTION_S = SILENCE_DETECTION_MS / 1000 + 3.2
 # The default of gRPC for a connection attempt that gets no answer is 20 s.
 MAX_RECONNECT_S = 8.0
 
@@ -80,6 +84,19 @@
         self.assertEqual((await stream.read()).source, "client")
         return stream
 
+    async def restart_stream(self) -> None:
+        """Start streams until one is answered.
+
+        One that starts while the silent connection is being closed ends with it.
+        """
+        while True:
+            try:
+                await self.start_stream()
+            except grpc.RpcError:
+                await asyncio.sleep(0.1)
+            else:
+                return
+
     async def expect_end(self, stream: Any) -> None:
         """Wait until the stream fails for want of an answer to a ping."""
         with self.assertRaises(grpc.RpcError) as caught:
@@ -92,7 +109,7 @@
         self.assertEqual(self.proxy.silence(), 1)
         await self.expect_end(stream)
         async with asyncio.timeout(MAX_DETECTION_S):
-            await self.start_stream()
+            await self.restart_stream()
 
     async def test_client_gives_up_a_connection_that_loses_what_it_sends(self) -> None:
         stream = await self.open_stream(CHANNEL_OPTIONS, ())
