Let connections between processes fall silent in the soak

Two kinds of fault stop to pass bytes on connections that are open, without closing them: links_instance for those of one instance and to it, links_all for all.

The fault is recorded for control only, for 4 s: the checks of what gateways and backend servers do are not relaxed by it. Only a drain that a gateway cannot have heard of is excused, as where the gateway is suspended.

--- a/bench/soak/deployment.py
+++ b/bench/soak/deployment.py
@@ -18,6 +18,7 @@
     MODEL_SERVICE,
     PLAIN_SERVICE,
 )
+from bench.soak.links import PROXY_VARIABLE, LinkProxies
 from bench.soak.runners import SoakRunner
 from yuccareach.platform.settings import SETTINGS_VARIABLE
 from yuccareach.platform.standin import Group
@@ -66,6 +67,8 @@
         self.process_by_program: dict[Program, asyncio.subprocess.Process] = {}
         # Number of `started` events in a program's log from before its present process.
         self.earlier_starts_by_program: dict[Program, int] = {}
+        # Carry the connections between the processes.
+        self.links = LinkProxies()
         self.group = Group(LAYERS)
         self.group.crashing_prefix = CRASHING_PREFIX
         self.group.crashing_part = CRASHING_PART
@@ -158,12 +161,17 @@
         log = self._get_log_path(program)
         if log.exists():
             self.earlier_starts_by_program[program] = self._count_starts(program)
+        proxy_url = await self.links.get_url(self.get_host(program.instance))
         with log.open("ab") as output:
             process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 "-m",
                 program.module,
-                env={**os.environ, SETTINGS_VARIABLE: str(settings)},
+                env={
+                    **os.environ,
+                    SETTINGS_VARIABLE: str(settings),
+                    PROXY_VARIABLE: proxy_url,
+                },
                 stdout=output,
                 stderr=output,
             )
@@ -271,6 +279,7 @@
                 process.kill()
         waits = [process.wait() for process in self.process_by_program.values()]
         await asyncio.gather(*waits)
+        await self.links.stop()
         await asyncio.gather(*(runner.stop() for runner in self.runners))
 
 
--- a/bench/soak/faults.py
+++ b/bench/soak/faults.py
@@ -24,6 +24,9 @@
 # take their place announce themselves.
 DEPARTING_RUNNERS = 2
 REPLACEMENT_START_S = 1.0
+# The platform's bound on the time from the silence of connections until a change is
+# acknowledged again.
+MAX_SILENT_LINK_S = 4.0
 # Less than a process takes to see that its settings have changed.
 SEED_EXCHANGE_DELAY_S = 0.7
 
@@ -65,6 +68,9 @@
 
     async def _inject(self, fault: ScheduledFault) -> None:
         role, _, action = fault.kind.partition("_")
+        if role == "links":
+            await self._silence_links(fault)
+            return
         if role in ("caller", "runner"):
             started_s = time.monotonic()
             if role == "runner":
@@ -95,6 +101,28 @@
         )
         self.faulted_programs.discard(program)
 
+    async def _silence_links(self, fault: ScheduledFault) -> None:
+        """Silence the open connections of an instance, or of all, for good.
+
+        The fault lasts until the processes must have replaced the connections. It is
+        recorded for control only: gateways serve on, and nothing excuses them but that
+        they learn of changes later.
+        """
+        deployment = self.deployment
+        host = ""
+        if fault.kind == "links_instance":
+            instances = sorted(
+                {item.instance for item in deployment.list_all_programs()}
+            )
+            host = deployment.get_host(instances[fault.target % len(instances)])
+        deployment.links.silence(host)
+        started_s = time.monotonic()
+        await asyncio.sleep(MAX_SILENT_LINK_S)
+        self.injected_faults += [
+            InjectedFault("links", program, started_s, time.monotonic())
+            for program in deployment.list_programs("control")
+        ]
+
     async def stop_all(self) -> None:
         """Exchange the seeds for instances that lose their state, then kill all.
 
--- a/bench/soak/promises.py
+++ b/bench/soak/promises.py
@@ -121,8 +121,8 @@
 def _check_drains(observations: Observations) -> Iterator[str]:
     """Check that a draining backend server gets no new request after the bound.
 
-    Exempt are requests of a gateway whose process was suspended at that time: it cannot
-    have learned of the drain.
+    Exempt are requests of a gateway whose process was suspended at that time, or at a
+    time when connections to control were silent: it cannot have learned of the drain.
     """
     record_by_request = index_records(observations)
     for runner in observations.runners:
@@ -137,6 +137,7 @@
                 late_s > 0
                 and record
                 and not _was_gateway_suspended(observations, record, arrival.received_s)
+                and not _were_links_silent(observations, arrival.received_s)
             ):
                 yield (
                     f"{arrival.request} reached {runner.name}, which is draining, "
@@ -156,6 +157,15 @@
     )
 
 
+def _were_links_silent(observations: Observations, received_s: float) -> bool:
+    """Return whether connections to control were silent then or shortly before."""
+    return any(
+        fault.kind == "links"
+        and fault.started_s < received_s < fault.ended_s + MAX_DRAIN_DELAY_S
+        for fault in observations.injected_faults
+    )
+
+
 def _check_revocation(observations: Observations) -> Iterator[str]:
     """Check that no request with the revoked key arrives after the bound."""
     if observations.revoked_s is None:
--- a/bench/soak/schedule.py
+++ b/bench/soak/schedule.py
@@ -23,6 +23,8 @@
     "runner_bytes": 0.15,
     "caller_part": 0.0,
     "runner_limited": 0.1,
+    "links_instance": 0.1,
+    "links_all": 0.05,
 }
 # The fault that ends a seed: all processes are killed after the seeds were exchanged.
 CLOSING_FAULT_KIND = "all_stop"
