--- a/src/yuccareach/platform/settings.py
+++ b/src/yuccareach/platform/settings.py
@@ -162,8 +162,22 @@
 
 
 def find_settings_errors(decoded: Any) -> list[str]:
-    """Return every invalid value of a file whose fields have the right types."""
-    return _find_value_errors(msgspec.convert(decoded, _SettingsFile))
+    """Return every invalid value of a file whose fields have the right types.
+
+    A bound that cannot be kept is among them. A process starts with it all the same,
+    since it serves better without that bound than not at all.
+    """
+    file = msgspec.convert(decoded, _SettingsFile)
+    return _find_value_errors(file) + _find_bound_errors(file)
+
+
+def _find_bound_errors(file: _SettingsFile) -> list[str]:
+    if file.bounds.contactMs >= SILENCE_DETECTION_MS:
+        return []
+    return [
+        f"bounds.contactMs is {file.bounds.contactMs:g}, but a connection that "
+        f"falls silent is given up only after {SILENCE_DETECTION_MS} ms"
+    ]
 
 
 def _find_value_errors(file: _SettingsFile) -> list[str]:
@@ -178,11 +192,6 @@
     ]
     if not file.seeds:
         errors.append("seeds is empty, expected at least one HOST:PORT")
-    if file.bounds.contactMs < SILENCE_DETECTION_MS:
-        errors.append(
-            f"bounds.contactMs is {file.bounds.contactMs:g}, but a connection that "
-            f"falls silent is given up only after {SILENCE_DETECTION_MS} ms"
-        )
     addresses = [("seeds", seed, False) for seed in file.seeds]
     addresses += [
         (f"listen.{name}", value, True)
