Count waiting resumed streams at a priority that requests have

Gateways reported them as priority 0. In a service whose only priority is not 0, which is the default, the others then saw two priorities: they left capacity free, and let streams wait longer, although nothing was more urgent.

--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -27,7 +27,7 @@
     MIN_RETRY_DELAY_S,
     ReturnSlots,
 )
-from yuccareach.overload.tickets import MAX_WAIT_OBJECTIVES, Ticket
+from yuccareach.overload.tickets import MAX_WAIT_OBJECTIVES, RESUMED_PRIORITY, Ticket
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Hashable
@@ -98,12 +98,17 @@
     def count_waiting_tokens(self) -> Counter[int]:
         """Return the tokens that wait for capacity, by priority.
 
-        Resumed streams count as the most urgent priority that a route can have.
+        Resumed streams count as the most urgent priority that requests have had here.
+        One that no request has would make other entries keep capacity free for it.
         """
+        most_urgent = min(self.demand.last_arrival_s_by_priority, default=0)
         tokens_by_priority: Counter[int] = Counter()
         for item in self.waiting_by_number.values():
             if not item.granted.done() and not item.is_held_back():
-                tokens_by_priority[max(0, item.ticket.priority)] += item.ticket.tokens
+                priority = item.ticket.priority
+                if priority == RESUMED_PRIORITY:
+                    priority = most_urgent
+                tokens_by_priority[priority] += item.ticket.tokens
         return tokens_by_priority
 
     def estimate_wait_s(
--- a/tests/control/test_waiting.py
+++ b/tests/control/test_waiting.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from collections import Counter
 from typing import Any
@@ -116,4 +117,17 @@
                     ticket, lambda: None, granted, lambda held=is_held_back: held
                 )
             )
+        # Without a record of other arrivals, the most urgent priority is taken.
         self.assertEqual(self.queue.count_waiting_tokens(), {0: 100, 1: 200})
+
+    async def test_resumed_stream_adds_no_priority_to_a_service_with_one(self) -> None:
+        # Guards against other gateways that leave capacity free, and let streams wait
+        # longer, in a service whose only priority is not 0.
+        self.queue.demand.record_arrival(101, 0.0)
+        for number, priority in enumerate((RESUMED_PRIORITY, 101)):
+            ticket = Ticket(number, "w", priority, 100, 0.0, 0.5)
+            granted = asyncio.get_running_loop().create_future()
+            self.queue.add(WaitingRequest(ticket, lambda: None, granted))
+        self.assertEqual(self.queue.count_waiting_tokens(), {101: 200})
+        self.queue.demand.record_arrival(0, 0.0)
+        self.assertEqual(self.queue.count_waiting_tokens(), {0: 100, 101: 100})
