Move servers also while a free one has no memory for a layer

A zone whose slots run out before memory moved no server while any server was free. One that is too small for a layer stays free, so that a gap or single holders remained, and the fallback ordered it to load a layer that exceeds its memory.

--- a/src/yuccareach/placement/repairs.py
+++ b/src/yuccareach/placement/repairs.py
@@ -65,11 +65,14 @@
         key=lambda server: server.decode_factor,
     )
     if is_slot_limited(servers, model):
-        if free_servers:
-            return assign_free_servers(free_servers, holders, model)
+        assignments = assign_free_servers(free_servers, holders, model)
+        if assignments:
+            return assignments
         move = find_move(holders, model)
         if move or min(counts) > 0:
             return move
+        # None of them has memory for a layer.
+        free_servers = []
     if min(counts) > 0:
         return add_replicas(free_servers, holders, model)
     gap = find_longest_minimum(counts)
--- a/tests/placement/test_balance.py
+++ b/tests/placement/test_balance.py
@@ -7,6 +7,7 @@
 from tests.placement.test_pipelines import SMALL_FLEET_MODEL, make_small_server
 from yuccareach.placement.assignments import LayerRange, Server
 from yuccareach.placement.balance import assign_free_servers, find_move
+from yuccareach.placement.repairs import close_gaps
 
 MODEL = SMALL_FLEET_MODEL
 
@@ -100,5 +101,22 @@
         ]
         self.assertEqual(find_move(holders, MODEL), [])
 
+    def test_server_without_memory_for_a_layer_does_not_prevent_moves(self) -> None:
+        # Such a server stays free, and the zone kept its gap or its single holders. It
+        # was also ordered to load a layer for which it has no memory.
+        third = make_small_server("third", "z1", "small")._replace(
+            layers=LayerRange(60, 70)
+        )
+        tiny = make_small_server("tiny", "z1", "tiny")._replace(memory_mb=1_500.0)
+        for holders in (
+            without(make_copies(2), "s-0-20", "s-1-20"),
+            [*without(make_copies(2), "s-0-20"), third],
+        ):
+            move = find_move(holders, MODEL)
+            self.assertEqual(len(move), 1)
+            self.assertEqual(
+                close_gaps([*holders, tiny], MODEL, repartition=False), move
+            )
+
     def test_zone_with_equal_copies_has_no_move(self) -> None:
         self.assertEqual(find_move(make_copies(2), MODEL), [])
