Keep ranks of requests within what a poll can carry

The configuration does not limit priorities. One of 42,949,673 or more raised ValueError while the poll of control was built, which ended the polls, and a negative one went before resumed streams. The comments on workspaces no longer say that their priority replaces that of the route.

--- a/src/yuccareach/gateway/admitted_requests.py
+++ b/src/yuccareach/gateway/admitted_requests.py
@@ -27,8 +27,10 @@
 )
 
 
-# Priorities of routes are below this number.
+# Higher priorities of routes count as the last of so many.
 ROUTE_PRIORITIES = 100
+# Higher priorities count as this one, so that ranks fit into the uint32 of a poll.
+MAX_PRIORITY = 1_000_000
 
 
 class AdmittedRequest(NamedTuple):
@@ -52,10 +54,12 @@
 
         Requests go by the priority of their workspace, and those of equal workspaces by
         that of their route. A workspace without a priority has that of the route.
+        Negative priorities count as 0.
         """
         priority = self.workspace.priority if self.workspace else None
         first = self.route.priority if priority is None else priority
-        return ROUTE_PRIORITIES * first + min(self.route.priority, ROUTE_PRIORITIES - 1)
+        of_route = min(max(0, self.route.priority), ROUTE_PRIORITIES - 1)
+        return ROUTE_PRIORITIES * min(max(0, first), MAX_PRIORITY) + of_route
 
     @property
     def fingerprints(self) -> tuple[bytes, ...]:
--- a/src/yuccareach/gateway/table.py
+++ b/src/yuccareach/gateway/table.py
@@ -117,7 +117,7 @@
 
 
 class Workspace(NamedTuple):
-    """A tenant of the system; its priority, if set, overrides that of a route."""
+    """A tenant of the system; its priority, if set, goes before that of a route."""
 
     name: str
     priority: int | None
--- a/src/yuccareach/platform/documents.py
+++ b/src/yuccareach/platform/documents.py
@@ -135,7 +135,7 @@
 
     name: str
     apiKeys: list[str] = []
-    # Replaces the priority of the route.
+    # Goes before the priority of the route, which decides among equal ones.
     priority: int | None = None
 
 
