Do not divide by the objective of a route that has none

targetLatencyMs may be 0. Once requests of two priorities had arrived, each stream of such a route ended with ZeroDivisionError before it was tried.

--- a/src/yuccareach/overload/streams.py
+++ b/src/yuccareach/overload/streams.py
@@ -85,7 +85,8 @@
         objective_s=admitted.route.objective_ms / 1000,
         give_up_s=admitted.deadline_s if run.has_left_open_attempt else None,
     )
-    if not run.queue.demand.has_priorities(run.gateway.now()):
+    has_priorities = run.queue.demand.has_priorities(run.gateway.now())
+    if not has_priorities or ticket.objective_s <= 0:
         return ticket
     available_s = MAX_WAIT_FRACTION * (admitted.deadline_s - arrived_s)
     max_objectives = min(
--- a/tests/overload/test_streams.py
+++ b/tests/overload/test_streams.py
@@ -119,6 +119,13 @@
         short = build_ticket(run).max_wait_objectives
         self.assertEqual(short, MAX_WAIT_OBJECTIVES)
 
+    def test_route_without_an_objective_is_decided_on(self) -> None:
+        # Guards against a division by zero: targetLatencyMs may be 0.
+        self.record_arrivals(0, 2)
+        run = self.build_run(2)
+        run.admitted.route.objective_ms = 0
+        self.assertEqual(build_ticket(run).wait_deadline_s, NOW_S)
+
     def test_load_of_all_gateways_tells_how_long_a_stream_waits(self) -> None:
         # Guards against the refusal of urgent streams by a gateway that has granted
         # nothing for 2 s.
