--- a/src/yuccareach/gateway/chains.py
+++ b/src/yuccareach/gateway/chains.py
@@ -119,7 +119,8 @@
     # first event.
     entry_count: int = 0
     objective_s: float = 0.0
-    # Fraction of each server's memory and slots that it leaves free for others.
+    # Fraction of each server's memory and slots that it leaves free for others. The
+    # memory of a server without requests is used up to MAX_MEMORY_UTILIZATION.
     headroom_fraction: float = 0.0
 
 
@@ -317,7 +318,11 @@
         if backend.announcement.incarnation in requirements.excluded_incarnations:
             continue
         utilization = compute_utilization(backend, model, requirements.tokens)
-        max_utilization = MAX_MEMORY_UTILIZATION - requirements.headroom_fraction
+        max_utilization = MAX_MEMORY_UTILIZATION
+        # A large request would never start if it had to leave it free even where
+        # nothing runs.
+        if backend.reserved_tokens or backend.reserved_tokens_elsewhere:
+            max_utilization -= requirements.headroom_fraction
         if utilization > max_utilization or backend.is_full(requirements.now_s):
             continue
         fixed_ms = (
--- a/tests/overload/test_streams.py
+++ b/tests/overload/test_streams.py
@@ -217,6 +217,27 @@
         self.assertIsNotNone(find_chain(graph, MODEL, requirements))
         self.assertIsNone(find_chain(graph, MODEL, less_urgent))
 
+    def test_stream_that_needs_most_of_a_server_starts_while_that_is_idle(self) -> None:
+        # Guards against large and less urgent streams that never start, since an idle
+        # server has no room for them and the headroom.
+        backends = build_two_zones()
+        graph = build_graph(backends, MODEL)
+        capacity = min(compute_token_capacity(item, MODEL) for item in backends[:4])
+        large = ChainRequirements(
+            "z1",
+            int((MAX_MEMORY_UTILIZATION - 0.04) * capacity),
+            0.0,
+            cross_zone_allowed=False,
+            excluded_incarnations=frozenset(
+                item.announcement.incarnation for item in backends[4:]
+            ),
+            headroom_fraction=0.05,
+        )
+        self.assertIsNotNone(find_chain(graph, MODEL, large))
+        for backend in backends:
+            backend.reserved_tokens_elsewhere = 1
+        self.assertIsNone(find_chain(graph, MODEL, large))
+
 
 class QueueTests(unittest.IsolatedAsyncioTestCase):
     async def test_less_urgent_request_does_not_make_an_urgent_one_queue(self) -> None:
