--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -119,8 +119,8 @@
     ) -> float | None:
         """Return how long a request would wait; None if the queue does not move.
 
-        It is estimated of the load of all entries, or of the recent grants if the load
-        is None or unknown.
+        The estimate is based on the load of all entries, or on the recent grants if the
+        load is None or unknown.
         """
         rate = self.grant_rate.measure_rate(now_s)
         if not rate and (load is None or not load.release_rate):
@@ -176,7 +176,8 @@
     ) -> None:
         """Count the tokens of a request that is granted capacity.
 
-        A priority is given for requests that have left the queue for the first time.
+        With a priority, they also count towards the share of that priority. None is
+        given for an attempt that is prepared beside the current one.
         """
         self.held_tokens_by_workspace[workspace] += tokens
         self.grant_rate.record(tokens, now_s)
--- a/src/yuccareach/overload/headroom.py
+++ b/src/yuccareach/overload/headroom.py
@@ -1,10 +1,10 @@
 """Headroom: capacity that less urgent requests leave free for more urgent ones.
 
-Each entry hears of the load of the others about twice a second. Capacity that one of
-them releases is seen first by whichever entry is told first, whatever waits elsewhere.
-So a less urgent request starts only if a part of the capacity stays free after it. A
-more urgent one then finds that part wherever it arrives, and need not wait to be heard
-of. The part grows with the tokens of more urgent requests that wait elsewhere.
+Each entry gets the load of the others about twice a second. Capacity that one of them
+releases is used by whichever entry gets its view first, whatever waits elsewhere. So a
+less urgent request starts only if a part of the capacity stays free after it. A more
+urgent one then finds that part wherever it arrives, before other entries know of it.
+The part grows with the tokens of more urgent requests that wait elsewhere.
 """
 
 from __future__ import annotations
@@ -20,8 +20,8 @@
 # priority. In the replay of a burst of 2.3 times the traffic, 61 of 591 urgent requests
 # were late without it, and 11 with it.
 HEADROOM_FRACTION = 0.05
-# Weight of the tokens that wait elsewhere. They are told late, and many of them have
-# started meanwhile. In the replays, 0.5 and 1 leave more capacity idle.
+# Weight of the tokens that wait elsewhere. They are reported late, and many of them
+# have started meanwhile. In the replays, 0.5 and 1 leave more capacity idle.
 WAITING_ELSEWHERE_WEIGHT = 0.25
 # No request leaves more than this fraction free.
 MAX_HEADROOM_FRACTION = 0.25
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -157,7 +157,7 @@
         self.assertEqual(self.requests, [])
 
     async def test_legal_request_of_any_shape_is_served(self) -> None:
-        # Limits on what a connection holds must not refuse an odd request in calm.
+        # Limits on what a connection holds must not refuse it at normal load.
         self.limits = Limits()
         self.server.account.limits = derive_limits(memory_mb=152, max_fds=256)
         lines = b"a:\r\n" * ((self.limits.max_header_bytes - 200) // 4)
