--- a/src/yuccareach/gateway/admission.py
+++ b/src/yuccareach/gateway/admission.py
@@ -27,7 +27,7 @@
     MIN_RETRY_DELAY_S,
     ReturnSlots,
 )
-from yuccareach.overload.tickets import MAX_WAIT_OBJECTIVES, Ticket
+from yuccareach.overload.tickets import MAX_WAIT_OBJECTIVES, RESUMED_PRIORITY, Ticket
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Hashable
@@ -74,6 +74,9 @@
         self.demand = PriorityDemand()
         self.returns = ReturnSlots()
         self.held_tokens_by_workspace: Counter[str] = Counter()
+        # Whether a server of the service states a limit, which no callback changes.
+        # None until that is looked up in the current round of grants.
+        self.has_limited_servers: bool | None = None
 
     @property
     def recent_grants(self) -> deque[tuple[float, int]]:
@@ -98,12 +101,17 @@
     def count_waiting_tokens(self) -> Counter[int]:
         """Return the tokens that wait for capacity, by priority.
 
-        Resumed streams count as the most urgent priority that a route can have.
+        Resumed streams count as the most urgent priority that requests have had here.
+        One that no request has would make other entries keep capacity free for it.
         """
+        most_urgent = min(self.demand.last_arrival_s_by_priority, default=0)
         tokens_by_priority: Counter[int] = Counter()
         for item in self.waiting_by_number.values():
             if not item.granted.done() and not item.is_held_back():
-                tokens_by_priority[max(0, item.ticket.priority)] += item.ticket.tokens
+                priority = item.ticket.priority
+                if priority == RESUMED_PRIORITY:
+                    priority = most_urgent
+                tokens_by_priority[priority] += item.ticket.tokens
         return tokens_by_priority
 
     def estimate_wait_s(
@@ -111,8 +119,8 @@
     ) -> float | None:
         """Return how long a request would wait; None if the queue does not move.
 
-        It is estimated of the load of all entries, or of the recent grants if the load
-        is None or unknown.
+        The estimate is based on the load of all entries, or on the recent grants if the
+        load is None or unknown.
         """
         rate = self.grant_rate.measure_rate(now_s)
         if not rate and (load is None or not load.release_rate):
@@ -168,7 +176,8 @@
     ) -> None:
         """Count the tokens of a request that is granted capacity.
 
-        A priority is given for requests that have left the queue for the first time.
+        With a priority, they also count towards the share of that priority. None is
+        given for an attempt that is prepared beside the current one.
         """
         self.held_tokens_by_workspace[workspace] += tokens
         self.grant_rate.record(tokens, now_s)
@@ -208,6 +217,7 @@
         """
         if not self.waiting_by_number:
             return
+        self.has_limited_servers = None
         # A callback may end another wait, whose request then leaves the queue.
         waiting_by_number = dict(self.waiting_by_number)
         # Fewest tokens for which no capacity was found, by search key. No capacity is
--- a/tests/overload/test_streams.py
+++ b/tests/overload/test_streams.py
@@ -24,6 +24,7 @@
     build_ticket,
     compute_headroom,
     find_load,
+    find_search_key,
     plan_retry_after_s,
     record_arrival,
 )
@@ -119,6 +120,13 @@
         short = build_ticket(run).max_wait_objectives
         self.assertEqual(short, MAX_WAIT_OBJECTIVES)
 
+    def test_route_without_an_objective_is_decided_on(self) -> None:
+        # Guards against a division by zero: targetLatencyMs may be 0.
+        self.record_arrivals(0, 2)
+        run = self.build_run(2)
+        run.admitted.route.objective_ms = 0
+        self.assertEqual(build_ticket(run).wait_deadline_s, NOW_S)
+
     def test_load_of_all_gateways_tells_how_long_a_stream_waits(self) -> None:
         # Guards against the refusal of urgent streams by a gateway that has granted
         # nothing for 2 s.
@@ -210,6 +218,65 @@
         self.assertIsNotNone(find_chain(graph, MODEL, requirements))
         self.assertIsNone(find_chain(graph, MODEL, less_urgent))
 
+    def test_stream_that_needs_most_of_a_server_starts_while_that_is_idle(self) -> None:
+        # Guards against large and less urgent streams that never start, since an idle
+        # server has no room for them and the headroom.
+        backends = build_two_zones()
+        graph = build_graph(backends, MODEL)
+        capacity = min(compute_token_capacity(item, MODEL) for item in backends[:4])
+        large = ChainRequirements(
+            "z1",
+            int((MAX_MEMORY_UTILIZATION - 0.04) * capacity),
+            0.0,
+            cross_zone_allowed=False,
+            excluded_incarnations=frozenset(
+                item.announcement.incarnation for item in backends[4:]
+            ),
+            headroom_fraction=0.05,
+        )
+        self.assertIsNotNone(find_chain(graph, MODEL, large))
+        for backend in backends:
+            backend.reserved_tokens_elsewhere = 1
+        self.assertIsNone(find_chain(graph, MODEL, large))
+
+
+class SearchKeyTests(StreamTestCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.gateway.quarantine.record_by_fingerprint = {}
+        self.runs = [self.build_run(2) for _ in range(10)]
+        for run in self.runs:
+            run.excluded_incarnations = set()
+            run.admitted.part_fingerprints = ()
+        tickets = [build_plain_ticket(number) for number in range(10)]
+        for run, ticket in zip(self.runs, tickets, strict=True):
+            self.queue.add(
+                WaitingRequest(
+                    ticket,
+                    lambda: None,
+                    mock.Mock(done=lambda: False),
+                    find_search_key=lambda run=run: find_search_key(run),
+                )
+            )
+
+    def test_servers_are_searched_for_limits_once_a_round(self) -> None:
+        # Guards against 58 servers that are looked at for each of 1,000 waiting
+        # streams, at a gateway of 0.27 cores.
+        find = mock.Mock(wraps=self.gateway.fleet.find_by_service)
+        with mock.patch.object(self.gateway.fleet, "find_by_service", find):
+            self.queue.grant_capacity(0.1)
+            self.assertEqual(find.call_count, 1)
+            self.queue.grant_capacity(0.2)
+            self.assertEqual(find.call_count, 2)
+
+    def test_every_stream_is_tried_from_the_round_after_a_limit_is_stated(self) -> None:
+        self.assertIsNotNone(find_search_key(self.runs[0]))
+        self.queue.grant_capacity(0.1)
+        backend, *_ = self.gateway.fleet.backend_by_name.values()
+        backend.health.limit = mock.Mock(per_s=5.0)
+        self.queue.grant_capacity(0.2)
+        self.assertIsNone(find_search_key(self.runs[0]))
+
 
 class QueueTests(unittest.IsolatedAsyncioTestCase):
     async def test_less_urgent_request_does_not_make_an_urgent_one_queue(self) -> None:
