Answer a pipelined request that is never completed with 408

A request that began in the same block as the end of the one before it was taken for an idle connection: it had idleTimeoutMs instead of headerTimeoutMs, was closed without a reply after that and when draining, and was shed as idle instead of being refused with 503.

--- a/src/yuccareach/gateway/http_server.py
+++ b/src/yuccareach/gateway/http_server.py
@@ -168,7 +168,8 @@
         # When the idle timeout or the timeout of receiving a request ends, or the time
         # to read the rest of a reply after which the connection is closed.
         self.expires_s: float | None = None
-        # Whether a part of a request has been received, but not all of it.
+        # Whether a part of a request has been received, but not all of it, and no other
+        # request is served.
         self.is_receiving = False
         # The block that is parsed, and the last bytes of the one before.
         self.block = b""
@@ -193,6 +194,8 @@
         self.frame_bytes = 0
         self.body = bytearray()
         self.head_received_s = 0.0
+        # Whether the parser has received a part of the request, but not all of it.
+        self.has_begun = False
         self.is_rejected = False
 
     # Transport callbacks.
@@ -287,6 +290,10 @@
 
     # Parser callbacks.
 
+    def on_message_begin(self) -> None:
+        """Start a request, which may follow another one in the same block."""
+        self.has_begun = True
+
     def on_url(self, url: bytes) -> None:
         """Append a part of the request's target."""
         if not self.is_rejected:
@@ -456,9 +463,13 @@
         self._update_account()
 
     def _await_request(self) -> None:
-        self.expires_s = (
-            self.server.now() + self.server.get_limits().idle_timeout_ms / 1000
+        # A part of the next request may have arrived with the end of the last one.
+        self.is_receiving = self.has_begun
+        limits = self.server.get_limits()
+        timeout_ms = (
+            limits.header_timeout_ms if self.is_receiving else limits.idle_timeout_ms
         )
+        self.expires_s = self.server.now() + timeout_ms / 1000
         if self.pipelined_data:
             data, self.pipelined_data = bytes(self.pipelined_data), bytearray()
             self._parse(data)
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -206,6 +206,22 @@
         self.assertIn(b"Retry-After: 1\r\n", reply_bytes)
         self.assertEqual(self.requests, [])
 
+    async def test_rest_of_a_pipelined_request_that_never_comes_gets_408(self) -> None:
+        # Such a request began in the same block as the one before it, was taken for an
+        # idle connection, and was closed without a reply when draining.
+        whole = b"GET /a HTTP/1.1\r\nHost: h\r\n\r\n"
+        for start in (b"POST /b HT", b"POST /b HTTP/1.1\r\nContent-Length: 9\r\n\r\nx"):
+            with self.subTest(start):
+                self.requests.clear()
+                reader, writer = await self.connect()
+                writer.write(whole + start)
+                async with asyncio.timeout(5):
+                    await reader.readuntil(b"X-Path: /a")
+                    self.server.close_idle()
+                    reply_bytes = await reader.read()
+                self.assertIn(b"HTTP/1.1 408 ", reply_bytes)
+                self.assertEqual([request.path for request in self.requests], ["/a"])
+
     async def test_request_smuggling_is_rejected(self) -> None:
         data = (
             b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
