--- a/src/yuccareach/gateway/http_server.py
+++ b/src/yuccareach/gateway/http_server.py
@@ -323,7 +323,10 @@
         )
         if length.isdigit() and int(length) > limits.max_body_bytes:
             self._reject(413)
-        elif (b"expect", b"100-continue") in self.headers:
+        elif any(
+            name == b"expect" and value.lower() == b"100-continue"
+            for name, value in self.headers
+        ):
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
--- a/tests/gateway/test_http_server.py
+++ b/tests/gateway/test_http_server.py
@@ -222,6 +222,18 @@
                 self.assertIn(b"HTTP/1.1 408 ", reply_bytes)
                 self.assertEqual([request.path for request in self.requests], ["/a"])
 
+    async def test_expectation_of_100_continue_is_met_in_any_case(self) -> None:
+        # RFC 9110 compares it without regard to case. A caller that waits for the reply
+        # got 408 instead.
+        for value in (b"100-continue", b"100-Continue"):
+            with self.subTest(value):
+                reader, writer = await self.connect()
+                head = b"POST /a HTTP/1.1\r\nContent-Length: 1\r\nExpect: %b\r\n\r\n"
+                writer.write(head % value)
+                async with asyncio.timeout(5):
+                    line = await reader.readline()
+                self.assertEqual(line, b"HTTP/1.1 100 Continue\r\n")
+
     async def test_request_smuggling_is_rejected(self) -> None:
         data = (
             b"POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n"
