--- a/src/yuccareach/control/peers.py
+++ b/src/yuccareach/control/peers.py
@@ -9,7 +9,7 @@
 
 from yuccareach.proto import control_pb2 as cpb
 from yuccareach.proto.control_pb2_grpc import ControlStub
-from yuccareach.runtime.links import CHANNEL_OPTIONS
+from yuccareach.runtime.links import CHANNEL_OPTIONS, SILENCE_DETECTION_MS
 from yuccareach.runtime.logs import logger
 from yuccareach.runtime.reducer import monotonic_ms
 from yuccareach.runtime.streams import NewestStreamSignal
@@ -24,6 +24,9 @@
 # The senders heard longest ago are forgotten above this number.
 MAX_HEARD_ADDRESSES = 32
 UNUSED_STREAM_TIMEOUT_MS = 10_000
+# The shortest time between two streams that are opened for another identity. Pings end
+# a silent stream within the same time.
+REOPEN_INTERVAL_MS = SILENCE_DETECTION_MS
 _log = logger("control")
 
 
@@ -38,6 +41,8 @@
         self.used_ms = 0
         # Who was last heard from the address; empty if unknown.
         self.identity = ""
+        # When the stream was last opened for another identity.
+        self.reopened_ms: int | None = None
 
     def put(self, frame: cpb.RaftFrame) -> None:
         """Queue a frame."""
@@ -134,13 +139,22 @@
 
         The open one leads to a process that is gone. If nothing has closed it, it
         would keep an instance that lost its disk from its records until pings end it.
+        This is done once in REOPEN_INTERVAL_MS, since two instances that are configured
+        with the same address would otherwise reopen the stream with each frame.
         """
         outbox = self.outbox_by_address.get(address)
         if outbox is None or outbox.task is None:
             return
-        previous, outbox.identity = outbox.identity, identity
-        if previous in ("", identity):
+        if outbox.identity in ("", identity):
+            outbox.identity = identity
             return
+        now_ms = monotonic_ms()
+        if (
+            outbox.reopened_ms is not None
+            and now_ms - outbox.reopened_ms < REOPEN_INTERVAL_MS
+        ):
+            return
+        outbox.identity, outbox.reopened_ms = identity, now_ms
         _log.info("stream_reopened", extra={"address": address, "identity": identity})
         outbox.task.cancel()
         outbox.task = asyncio.create_task(
