Send no 400 in the place of an earlier request's response at uvicorn's ports

A malformed request behind one that was being served was answered at once, so that its caller took 400 for the response to the earlier request, or for a part of it. The connection is aborted now. A request whose own body is malformed, or whose trailers are too large, gets 400 while its response has not started.

--- a/src/yuccareach/runtime/bounded_protocol.py
+++ b/src/yuccareach/runtime/bounded_protocol.py
@@ -123,10 +123,22 @@
         if self.pending_bytes <= MAX_HEAD_BYTES or self.transport.is_closing():
             return
         self.logger.warning("HTTP head too large.")
-        if self._is_between_requests():
-            self.send_400_response("HTTP head too large.")
+        self.send_400_response("HTTP head too large.")
+
+    def send_400_response(self, msg: str) -> None:
+        """Reject a request; abort the connection if an earlier one is being served.
+
+        Otherwise its caller would take the rejection for the earlier request's response
+        or for a part of it.
+        """
+        is_own = self._is_between_requests() or (
+            self.cycle.more_body
+            and not self.cycle.response_started
+            and len(self.cost_by_request) == 1
+        )
+        if is_own:
+            super().send_400_response(msg)
         else:
-            # A second answer must not follow the part of one that is under way.
             self.transport.abort()
 
     def _parse_rest(self) -> None:
--- a/tests/runtime/test_http.py
+++ b/tests/runtime/test_http.py
@@ -72,6 +72,27 @@
         expected = [b"%d" % number for number in range(count)]
         self.assertEqual(bodies[1:], [*expected, b"last"])
 
+    async def test_malformed_request_is_not_answered_in_place_of_the_one_before(
+        self,
+    ) -> None:
+        # A caller took 400 for the reply to a request that was served, or for a part of
+        # its body.
+        first = b"GET /?n=1 HTTP/1.1\r\nHost: h\r\n\r\n"
+        reader, writer = await self.connect()
+        writer.write(first + b"BAD\r\n\r\n")
+        async with asyncio.timeout(TIMEOUT_S):
+            try:
+                answer = await reader.read()
+            except ConnectionResetError:
+                answer = b""
+        self.assertNotIn(b" 400 ", answer)
+
+    async def test_request_that_is_malformed_itself_is_answered_with_400(self) -> None:
+        for name, data in {"head": b"BAD\r\n\r\n", "body": CHUNKED + b"z\r\n"}.items():
+            with self.subTest(name):
+                answer = await self.exchange(data)
+                self.assertTrue(answer.startswith(b"HTTP/1.1 400 "), answer)
+
     async def test_trailer_is_no_header_of_the_next_request(self) -> None:
         first = CHUNKED + b"2\r\nok\r\n0\r\nA: trailer\r\n\r\n"
         last = b"GET /?n=1 HTTP/1.1\r\nHost: h\r\nConnection: close\r\n\r\n"
