Give callers time that read a reply from the kernel's buffer

A caller that read 100 kB/s without a pause was cut off after 57 s and 5.3 of 16 MB, with an idle timeout of 15 s: the kernel takes more from the transport only when a third of its buffer is free, so that the transport's buffer did not shrink for longer than the timeout.

The new test fails without the change in check_progress.

--- a/src/yuccareach/gateway/http_server.py
+++ b/src/yuccareach/gateway/http_server.py
@@ -8,8 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import os
 import socket
+import struct
+import termios
 from collections import deque
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -161,8 +164,11 @@
         self.pending_requests: deque[tuple[CallerRequest, Reply, int]] = deque()
         # What the pending requests and the one that is served hold.
         self.requests_bytes = 0
-        # Bytes of replies that the caller has yet to read.
+        # Bytes of replies that the caller has yet to read, as far as they are in the
+        # memory of this process.
         self.unread_bytes = 0
+        # Those that the kernel holds, where the caller has to read the others in time.
+        self.queued_bytes = 0
         self.writable = asyncio.Event()
         self.writable.set()
         # When the idle timeout or the timeout of receiving a request ends, or the time
@@ -524,10 +530,16 @@
         A caller that reads no part of a reply within the idle timeout is closed too.
         """
         unread_bytes = self.transport.get_write_buffer_size()
+        has_read = unread_bytes < self.unread_bytes
+        if unread_bytes and self.expires_s is not None:
+            # The kernel takes more only when a third of its buffer is free, which can
+            # take a caller that reads 100 kB/s longer than the idle timeout.
+            queued_bytes = count_queued_bytes(self.transport)
+            has_read |= queued_bytes < self.queued_bytes
+            self.queued_bytes = queued_bytes
+        if has_read and self.expires_s is not None and not self.is_receiving:
+            self._extend_reading_time()
         if unread_bytes != self.unread_bytes:
-            has_read = unread_bytes < self.unread_bytes
-            if has_read and self.expires_s is not None and not self.is_receiving:
-                self._extend_reading_time()
             self.unread_bytes = unread_bytes
             self._update_account()
         is_served = self.task is not None and not self.is_blocked
@@ -623,6 +635,15 @@
             connection.transport.close()
 
 
+def count_queued_bytes(transport: Any) -> int:
+    """Return the sent bytes that the kernel holds until the peer acknowledges them."""
+    connected = transport.get_extra_info("socket")
+    if connected is None or connected.fileno() < 0:
+        return 0
+    answer = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, bytes(4))
+    return int(struct.unpack("i", answer)[0])
+
+
 def set_backlog(server: asyncio.Server, backlog: int) -> None:
     """Let the kernel hold more new connections than asyncio accepts at once.
 
--- a/tests/buffers/test_random_streams.py
+++ b/tests/buffers/test_random_streams.py
@@ -31,6 +31,7 @@
     CallerRequest,
     CallerServer,
     Reply,
+    count_queued_bytes,
 )
 from yuccareach.gateway.table import Limits
 from yuccareach.runtime.bounded_protocol import BoundedProtocol
@@ -220,6 +221,60 @@
             self.assertIs(connection.holder.activity, Activity.SENDING)
             transport.read(1_000_000)
 
+    async def test_caller_that_reads_from_the_kernel_only_is_given_time(self) -> None:
+        # The transport's buffer stays the same for long when the kernel's is large. A
+        # caller that read 100 kB/s was cut off in the middle of a reply of 16 MB.
+        async def _handle(request: CallerRequest, reply: Reply) -> None:
+            reply.send(200, [], b"x" * 100_000)
+
+        server = CallerServer(_handle, lambda: LIMITS, mock.Mock(), mock.Mock())
+        connection = CallerConnection(server)
+        transport = FakeTransport(connection)
+        connection.connection_made(transport)
+        connection.data_received(b"GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+        for _ in range(20):
+            await asyncio.sleep(0)
+        timeout_s = LIMITS.idle_timeout_ms / 1000
+        now_s = server.now()
+        with (
+            mock.patch.object(server, "now", side_effect=lambda: now_s),
+            mock.patch(
+                "yuccareach.gateway.http_server.count_queued_bytes"
+            ) as count_queued_bytes,
+        ):
+            for queued_bytes in (50_000, 40_000, 30_000, 20_000):
+                count_queued_bytes.return_value = queued_bytes
+                connection.check_progress(now_s)
+                now_s += 0.6 * timeout_s
+            self.assertFalse(transport.is_closed)
+            for _ in range(3):
+                connection.check_progress(now_s)
+                now_s += 0.6 * timeout_s
+            self.assertTrue(transport.is_closed)
+
+
+class QueuedBytesTests(unittest.IsolatedAsyncioTestCase):
+    async def test_bytes_that_the_peer_reads_are_not_counted(self) -> None:
+        accepted: asyncio.Future[asyncio.StreamWriter]
+        accepted = asyncio.get_running_loop().create_future()
+        server = await asyncio.start_server(
+            lambda reader, writer: accepted.set_result(writer), "127.0.0.1", 0
+        )
+        self.addCleanup(server.close)
+        address = server.sockets[0].getsockname()
+        reader, client = await asyncio.open_connection(*address, limit=1)
+        self.addCleanup(client.close)
+        writer = await accepted
+        self.addCleanup(writer.transport.abort)
+        size = 32 << 20
+        writer.write(b"x" * size)
+        async with asyncio.timeout(30):
+            while not count_queued_bytes(writer.transport):
+                await asyncio.sleep(0.01)
+            await reader.readexactly(size)
+            while count_queued_bytes(writer.transport):
+                await asyncio.sleep(0.01)
+
 
 class RandomStreamTests(unittest.IsolatedAsyncioTestCase):
     def make_server(self, random: Random) -> CallerServer:
