--- a/src/yuccareach/buffers/limits.py
+++ b/src/yuccareach/buffers/limits.py
@@ -4,7 +4,7 @@
 
 import resource
 
-from yuccareach.buffers.account import BufferLimits
+from yuccareach.buffers.account import CONNECTION_COST_BYTES, BufferLimits
 
 # The smallest instances in use before 2026-12 had this much memory.
 DEFAULT_MEMORY_MB = 300
@@ -31,23 +31,38 @@
 # The other half is for connections to backend servers, one for each request that is
 # served, and to control, for files and for listeners.
 CONNECTION_FRACTION = 0.5
+# Part of the memory for clients that silent connections take at most. If memory ran out
+# before the number of connections did, the newest would be closed instead of a silent
+# one. The other half is for requests.
+SILENT_FRACTION = 0.5
 
 
 def derive_limits(memory_mb: int, max_fds: int) -> BufferLimits:
     """Return the limits of a process's buffers on an instance of this size."""
     free_bytes = int(memory_mb * 1_000_000 * MEMORY_FRACTION) - PROCESS_BYTES
     response_bytes = max(int(free_bytes * RESPONSE_FRACTION), MIN_RESPONSE_BYTES)
+    client_bytes = max(free_bytes - response_bytes, MIN_CLIENT_BYTES)
+    max_connections = max(1, int(max_fds * CONNECTION_FRACTION))
     return BufferLimits(
-        client_bytes=max(free_bytes - response_bytes, MIN_CLIENT_BYTES),
+        client_bytes=client_bytes,
         response_bytes=response_bytes,
-        max_connections=max(1, int(max_fds * CONNECTION_FRACTION)),
+        max_connections=_limit_connections(max_connections, client_bytes),
     )
 
 
+def _limit_connections(max_connections: int, client_bytes: int) -> int:
+    """Return how many connections fit into their part of the memory, at most."""
+    max_silent = int(client_bytes * SILENT_FRACTION) // CONNECTION_COST_BYTES
+    return min(max_connections, max_silent)
+
+
 def limit_beside_gateway(limits: BufferLimits) -> BufferLimits:
     """Return the limits of a process that has a gateway beside it on its instance."""
-    client_bytes = int(limits.client_bytes * SHARED_FRACTION)
-    return limits._replace(client_bytes=max(client_bytes, MIN_CLIENT_BYTES))
+    client_bytes = max(int(limits.client_bytes * SHARED_FRACTION), MIN_CLIENT_BYTES)
+    return limits._replace(
+        client_bytes=client_bytes,
+        max_connections=_limit_connections(limits.max_connections, client_bytes),
+    )
 
 
 def find_descriptor_limit() -> int:
--- a/tests/buffers/test_account.py
+++ b/tests/buffers/test_account.py
@@ -16,6 +16,7 @@
     choose_replaced,
 )
 from yuccareach.buffers.limits import (
+    MAX_FDS,
     MIN_CLIENT_BYTES,
     MIN_RESPONSE_BYTES,
     derive_limits,
@@ -137,6 +138,20 @@
                 self.assertLess(used_bytes, memory_mb * MB)
                 self.assertGreaterEqual(control_bytes, MIN_CLIENT_BYTES)
 
+    def test_silent_connections_never_keep_a_new_one_out(self) -> None:
+        # Where so many connections exceeded the memory before their own limit, the
+        # newest was closed instead of a silent one.
+        for memory_mb in (152, 200, 300):
+            for max_fds in (4_100, MAX_FDS):
+                limits = derive_limits(memory_mb, max_fds)
+                for used in (limits, limit_beside_gateway(limits)):
+                    with self.subTest(limits=used):
+                        account = BufferAccount(used)
+                        for number in range(used.max_connections + 5):
+                            newest = make_holder(0, Activity.SILENT, float(number))
+                            account.open(newest)
+                            self.assertTrue(newest in account.holders, number)
+
 
 class LineLimiterTests(unittest.TestCase):
     def test_lines_above_the_limit_are_omitted_and_counted(self) -> None:
