--- a/src/yuccareach/platform/settings.py
+++ b/src/yuccareach/platform/settings.py
@@ -41,7 +41,7 @@
     # Descriptors and memory, in units of 1,000,000 bytes, that the process may use.
     # Without a number of descriptors, the operating system's limit applies.
     maxFds: int | None = None
-    memoryMb: int = DEFAULT_MEMORY_MB
+    memoryMb: float = DEFAULT_MEMORY_MB
 
 
 class _FaultTolerance(msgspec.Struct):
@@ -234,7 +234,7 @@
         budget=RetryBudgetLimits(
             file.bounds.budgetRatio, file.bounds.budgetSlack, file.bounds.budgetWindowS
         ),
-        buffers=derive_limits(file.limits.memoryMb, max_fds),
+        buffers=derive_limits(int(file.limits.memoryMb), max_fds),
     )
 
 
--- a/tests/platform/test_settings.py
+++ b/tests/platform/test_settings.py
@@ -84,6 +84,9 @@
         self.assertEqual(loaded.buffers, derive_limits(152, 200))
         without = self.load(limits={"memoryMb": 152})
         self.assertEqual(without.buffers, derive_limits(152, find_descriptor_limit()))
+        # A fraction must not keep a process from starting.
+        fraction = self.load(limits={"memoryMb": 152.5, "maxFds": 200})
+        self.assertEqual(fraction.buffers, derive_limits(152, 200))
         for fields in ({"memoryMb": 0}, {"maxFds": -1}, {"memoryMb": "much"}):
             with self.subTest(fields=fields):
                 with self.assertRaises(InvalidProcessSettings):
