--- a/src/yuccareach/gateway/http_server.py
+++ b/src/yuccareach/gateway/http_server.py
@@ -8,8 +8,11 @@
 from __future__ import annotations
 
 import asyncio
+import fcntl
 import os
 import socket
+import struct
+import termios
 from collections import deque
 from typing import TYPE_CHECKING, Any, NamedTuple
 
@@ -161,14 +164,18 @@
         self.pending_requests: deque[tuple[CallerRequest, Reply, int]] = deque()
         # What the pending requests and the one that is served hold.
         self.requests_bytes = 0
-        # Bytes of replies that the caller has yet to read.
+        # Bytes of replies that the caller has yet to read, as far as they are in the
+        # memory of this process.
         self.unread_bytes = 0
+        # Those that the kernel holds, where the caller has to read the others in time.
+        self.queued_bytes = 0
         self.writable = asyncio.Event()
         self.writable.set()
         # When the idle timeout or the timeout of receiving a request ends, or the time
         # to read the rest of a reply after which the connection is closed.
         self.expires_s: float | None = None
-        # Whether a part of a request has been received, but not all of it.
+        # Whether a part of a request has been received, but not all of it, and no other
+        # request is served.
         self.is_receiving = False
         # The block that is parsed, and the last bytes of the one before.
         self.block = b""
@@ -193,6 +200,8 @@
         self.frame_bytes = 0
         self.body = bytearray()
         self.head_received_s = 0.0
+        # Whether the parser has received a part of the request, but not all of it.
+        self.has_begun = False
         self.is_rejected = False
 
     # Transport callbacks.
@@ -287,6 +296,10 @@
 
     # Parser callbacks.
 
+    def on_message_begin(self) -> None:
+        """Start a request, which may follow another one in the same block."""
+        self.has_begun = True
+
     def on_url(self, url: bytes) -> None:
         """Append a part of the request's target."""
         if not self.is_rejected:
@@ -316,7 +329,10 @@
         )
         if length.isdigit() and int(length) > limits.max_body_bytes:
             self._reject(413)
-        elif (b"expect", b"100-continue") in self.headers:
+        elif any(
+            name == b"expect" and value.lower() == b"100-continue"
+            for name, value in self.headers
+        ):
             self.write(b"HTTP/1.1 100 Continue\r\n\r\n")
 
     def on_body(self, data: bytes) -> None:
@@ -456,9 +472,13 @@
         self._update_account()
 
     def _await_request(self) -> None:
-        self.expires_s = (
-            self.server.now() + self.server.get_limits().idle_timeout_ms / 1000
+        # A part of the next request may have arrived with the end of the last one.
+        self.is_receiving = self.has_begun
+        limits = self.server.get_limits()
+        timeout_ms = (
+            limits.header_timeout_ms if self.is_receiving else limits.idle_timeout_ms
         )
+        self.expires_s = self.server.now() + timeout_ms / 1000
         if self.pipelined_data:
             data, self.pipelined_data = bytes(self.pipelined_data), bytearray()
             self._parse(data)
@@ -510,10 +530,16 @@
         A caller that reads no part of a reply within the idle timeout is closed too.
         """
         unread_bytes = self.transport.get_write_buffer_size()
+        has_read = unread_bytes < self.unread_bytes
+        if unread_bytes and self.expires_s is not None:
+            # The kernel takes more only when a third of its buffer is free, which can
+            # take a caller that reads 100 kB/s longer than the idle timeout.
+            queued_bytes = count_queued_bytes(self.transport)
+            has_read |= queued_bytes < self.queued_bytes
+            self.queued_bytes = queued_bytes
+        if has_read and self.expires_s is not None and not self.is_receiving:
+            self._extend_reading_time()
         if unread_bytes != self.unread_bytes:
-            has_read = unread_bytes < self.unread_bytes
-            if has_read and self.expires_s is not None and not self.is_receiving:
-                self._extend_reading_time()
             self.unread_bytes = unread_bytes
             self._update_account()
         is_served = self.task is not None and not self.is_blocked
@@ -609,6 +635,15 @@
             connection.transport.close()
 
 
+def count_queued_bytes(transport: Any) -> int:
+    """Return the sent bytes that the kernel holds until the peer acknowledges them."""
+    connected = transport.get_extra_info("socket")
+    if connected is None or connected.fileno() < 0:
+        return 0
+    answer = fcntl.ioctl(connected.fileno(), termios.TIOCOUTQ, bytes(4))
+    return int(struct.unpack("i", answer)[0])
+
+
 def set_backlog(server: asyncio.Server, backlog: int) -> None:
     """Let the kernel hold more new connections than asyncio accepts at once.
 
