--- a/src/yuccareach/gateway/table.py
+++ b/src/yuccareach/gateway/table.py
@@ -132,6 +132,8 @@
     service_by_name: dict[str, Service]
     limits: Limits
     workspace_by_key: dict[str, Workspace]
+    # All that are declared, those without a key too.
+    workspaces: tuple[Workspace, ...]
     # Whether requests need a key, except on public routes.
     requires_key: bool
 
--- a/src/yuccareach/platform/documents.py
+++ b/src/yuccareach/platform/documents.py
@@ -28,6 +28,43 @@
     "stream": RouteKind.STREAM,
 }
 
+# The document's terms for names of the routing table. Some are a part of what the
+# document holds, or derived from it, and say so.
+_TERM_BY_NAME = {
+    **{kind.value: wire_name for wire_name, kind in _ROUTE_KIND_BY_WIRE_NAME.items()},
+    "workspace": "tenant",
+    "path_prefix": "pathPrefix",
+    "timeout_ms": "timeoutMs",
+    "objective_ms": "targetLatencyMs",
+    "services": "trafficSplit",
+    "max_attempts": "maxAttempts",
+    "is_public": "skipAuth",
+    "is_resumable": "streamResume",
+    "gap_objective_ms": "targetGapMs",
+    "max_connections": "maxConnections",
+    "max_header_bytes": "maxHeaderBytes",
+    "max_body_bytes": "maxBodyBytes",
+    "header_timeout_ms": "headerTimeoutMs",
+    "idle_timeout_ms": "idleTimeoutMs",
+    "model": "engine",
+    "layer_mb": "layerMb",
+    "token_layer_mb": "kvTokenBytes per layer in MB",
+    "step_ms_per_request": "per_seq_ms",
+    "step_ms_per_kilotoken": "context_per_k",
+    "prefill_tokens_per_s": "read_per_s",
+    "load_s": "loadS",
+    "max_concurrent_loads": "loads_at_once",
+    "typical_prompt_tokens": "usual.prompt",
+    "typical_answer_tokens": "usual.answer",
+    "accelerator_by_kind": "kinds",
+    "memory_mb": "sizeMb",
+    "decode_factor": "pace",
+    "prefill_factor": "readFactor",
+    "delay_ms_by_zones": "delays",
+    "activation_bytes": "activationBytes",
+    "zone_link_mbps": "pipeMbps",
+}
+
 
 class _TrafficShare(msgspec.Struct):
     service: str
@@ -167,6 +204,11 @@
     errors = find_document_errors(document)
     if errors:
         raise InvalidDocument("; ".join(errors))
+    return convert_document(document)
+
+
+def convert_document(document: Document) -> RoutingTable:
+    """Return the routing table of a document without errors."""
     tenants = document.tenants or []
     return RoutingTable(
         version=document.version,
@@ -183,10 +225,16 @@
             for tenant in tenants
             for key in tenant.apiKeys
         },
+        workspaces=tuple(Workspace(tenant.name, tenant.priority) for tenant in tenants),
         requires_key=document.tenants is not None,
     )
 
 
+def get_term(name: str) -> str:
+    """Return the document's term for a name of the routing table."""
+    return _TERM_BY_NAME.get(name, name)
+
+
 def find_document_errors(document: Document) -> list[str]:
     """Return every invalid value of a document whose fields have the right types."""
     service_names = {service.name for service in document.services}
@@ -293,6 +341,8 @@
 __all__ = [
     "DOCUMENT_ITEM_TYPES",
     "Document",
+    "convert_document",
     "decode_document",
     "find_document_errors",
+    "get_term",
 ]
