Say which paths an empty prefix cannot get, and test escaped output

The warning about an empty prefix beside '/' claimed every path, but the paths of OPTIONS * and of proxy requests do not start with a slash. Tests now also cover a name that the terminal's encoding lacks, and a part of a service that the new document leaves out.

--- a/src/yuccareach/settings/table_checks.py
+++ b/src/yuccareach/settings/table_checks.py
@@ -84,10 +84,11 @@
         yield f"{prefix_text}, paths start with '/'"
     elif _NOT_IN_PATHS.search(prefix):
         yield f"{prefix_text}, paths have no '?', no space and nothing above U+00FF"
-    # Other routes never take the path that equals a prefix, except an empty one.
+    # A path that equals a prefix is never taken by another route. No path is empty, and
+    # only those of OPTIONS * and of proxy requests do not start with a slash.
     taking_route = next((other for other in routes if other.path_prefix == "/"), None)
     if not prefix and taking_route is not None:
-        yield f"every path is taken by route {taking_route.name} with prefix '/'"
+        yield f"every path that starts with '/' is taken by route {taking_route.name}"
     if table.requires_key and not route.is_public and not table.workspace_by_key:
         yield "needs a key, and none is declared"
     for weight in route.services:
--- a/tests/platform/test_check.py
+++ b/tests/platform/test_check.py
@@ -129,6 +129,7 @@
         old = self.write("old.json", build_document())
         document = build_document(8, tenants=[{"name": "a", "apiKeys": ["new-key"]}])
         document["services"][0]["engine"]["kinds"][0]["sizeMb"] = 80_000.0
+        del document["services"][0]["engine"]["kinds"][2]
         document["routes"][2]["kind"] = "unsafe"
         result = self.check(self.write("new.json", document), "--in-force", old)
         self.assertEqual(result.exit_code, 0, result.output)
@@ -136,6 +137,7 @@
             "tenant a: priority: 1 -> none",
             "tenant a: keys: 1 added, 1 removed",
             f"service {MODEL}: engine.kinds.a100.sizeMb: 72000.0 -> 80000.0",
+            f"service {MODEL}: engine.kinds.l4.sizeMb: 21600.0 -> none",
             "route rlook: kind: safe -> unsafe",
         ):
             self.assertIn(f"{difference}\n", result.output)
@@ -203,3 +205,15 @@
         content = json.dumps(build_document(routes=routes)).encode()
         result = self.check("d.json", content)
         self.assertIn(": route r\\n\\x1b[2J: targetLatencyMs 500 is", result.output)
+
+    def test_name_that_the_output_cannot_encode_is_escaped(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            old, new = Path(folder) / "old.json", Path(folder) / "new.json"
+            old.write_text(json.dumps(build_document()))
+            routes = [build_route("/a/", "safe", PLAIN, name="\u0142")]
+            new.write_text(json.dumps(build_document(8, routes=routes)))
+            result = CliRunner(charset="ascii").invoke(
+                main, ["check", str(new), "--in-force", str(old)]
+            )
+        self.assertEqual(result.exit_code, 0, result.exception)
+        self.assertIn("route \\u0142: added", result.output)
