--- a/src/yuccareach/buffers/account.py
+++ b/src/yuccareach/buffers/account.py
@@ -30,7 +30,7 @@
 
 
 class Activity(IntEnum):
-    """What a connection does; of two, the first listed is closed for a new one."""
+    """What a connection does; those with the lowest value make room for new ones."""
 
     # Connected, without any request so far.
     SILENT = 0
--- a/src/yuccareach/runtime/bounded_protocol.py
+++ b/src/yuccareach/runtime/bounded_protocol.py
@@ -1,8 +1,8 @@
 """uvicorn's HTTP/1.1 protocol with bounds on what each connection holds.
 
 uvicorn limits neither the size of a head nor that of trailers, parses all pipelined
-requests that arrive together, and waits for a request without end. Its limit on
-concurrency counts connections, but refuses the new ones and keeps the silent ones.
+requests that arrive together, and sets no time limit on an incomplete request. Its
+limit on concurrency counts connections, but refuses new ones and keeps silent ones.
 """
 
 from __future__ import annotations
--- a/tests/buffers/test_random_streams.py
+++ b/tests/buffers/test_random_streams.py
@@ -433,7 +433,7 @@
                 streams.remove(stream)
             elif random.random() < 0.2:
                 transport.read(200_000)
-                # uvicorn hears of it when most of a reply has been read.
+                # asyncio resumes a protocol when most of a reply has been read.
                 protocol.resume_writing()
             elif transport.is_reading:
                 protocol.data_received(parts.pop(0))
