--- a/tests/platform/test_untrusted_clients.py
+++ b/tests/platform/test_untrusted_clients.py
@@ -190,7 +190,9 @@
 
     # Untrusted clients.
 
-    async def send_crowd(self, count: int, data: bytes, port: str = "front") -> None:
+    async def send_from_clients(
+        self, count: int, data: bytes, port: str = "front"
+    ) -> None:
         """Let clients send the same bytes and hold their connections open.
 
         A client that is refused or closed stops.
@@ -256,60 +258,60 @@
 
 class HeadTests(UntrustedClientTestCase):
     async def test_held_heads_of_short_lines(self) -> None:
-        await self.send_crowd(180, build_short_lines())
+        await self.send_from_clients(180, build_short_lines())
         await self.check_gateway()
 
     async def test_held_heads_of_different_short_names(self) -> None:
-        await self.send_crowd(180, build_short_names())
+        await self.send_from_clients(180, build_short_names())
         await self.check_gateway()
 
     async def test_heads_without_an_end(self) -> None:
-        await self.send_crowd(40, HEAD + b"X: " + b"x" * (1 << 20))
+        await self.send_from_clients(40, HEAD + b"X: " + b"x" * (1 << 20))
         await self.check_gateway()
 
     async def test_empty_lines_without_an_end(self) -> None:
-        await self.send_crowd(40, b"\r\n" * (1 << 19))
+        await self.send_from_clients(40, b"\r\n" * (1 << 19))
         await self.check_gateway()
 
     async def test_held_heads_at_the_readiness_port(self) -> None:
         # The default limit on bodies applies there, not the configured one.
-        await self.send_crowd(180, build_short_lines(), "ready")
+        await self.send_from_clients(180, build_short_lines(), "ready")
         await self.check_gateway()
 
 
 class BodyTests(UntrustedClientTestCase):
     async def test_trailers_without_an_end(self) -> None:
         data = CHUNKED_HEAD + b"1\r\nx\r\n0\r\n"
-        await self.send_crowd(20, data + b"a:\r\n" * (64 << 10))
+        await self.send_from_clients(20, data + b"a:\r\n" * (64 << 10))
         await self.check_gateway()
 
     async def test_bodies_of_small_chunks(self) -> None:
         chunks = b"2\r\nxx\r\n" * (MAX_BODY_BYTES // 2 - 1)
-        await self.send_crowd(4, CHUNKED_HEAD + chunks)
+        await self.send_from_clients(4, CHUNKED_HEAD + chunks)
         await self.check_gateway()
 
     async def test_incomplete_bodies_of_legal_size(self) -> None:
         head = HEAD + b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES
-        await self.send_crowd(100, head + b"x" * (MAX_BODY_BYTES - 1))
+        await self.send_from_clients(100, head + b"x" * (MAX_BODY_BYTES - 1))
         await self.check_gateway()
 
     async def test_incomplete_bodies_at_the_readiness_port(self) -> None:
         head = HEAD + b"Content-Length: %d\r\n\r\n" % MAX_BODY_BYTES
-        await self.send_crowd(100, head + b"x" * (MAX_BODY_BYTES - 1), "ready")
+        await self.send_from_clients(100, head + b"x" * (MAX_BODY_BYTES - 1), "ready")
         await self.check_gateway()
 
 
 class PipelineTests(UntrustedClientTestCase):
     async def test_pipelined_requests_of_short_lines(self) -> None:
         request = HEAD + b"a:\r\n" * 64 + b"Content-Length: 0\r\n\r\n"
-        await self.send_crowd(60, request * 800)
+        await self.send_from_clients(60, request * 800)
         await self.check_gateway()
 
     async def test_answers_that_are_not_read(self) -> None:
         # Each answer is far larger than the request for it.
         self.port_by_name["metrics"] = self.internal_ports[1]
         request = b"GET /metrics HTTP/1.1\r\nHost: h\r\n\r\n"
-        await self.send_crowd(80, request * 1_500, "metrics")
+        await self.send_from_clients(80, request * 1_500, "metrics")
         await self.check_gateway()
 
     async def test_long_answers_that_are_not_read(self) -> None:
@@ -319,45 +321,45 @@
             b"Yuccareach-Deadline-Ms: 4000\r\nContent-Length: %d\r\n\r\n"
         ) % (KEY.encode(), MAX_BODY_BYTES)
         self.runner.slots = 1_000
-        await self.send_crowd(100, head + b"x" * MAX_BODY_BYTES)
+        await self.send_from_clients(100, head + b"x" * MAX_BODY_BYTES)
         await self.check_gateway()
 
 
 class DescriptorTests(UntrustedClientTestCase):
     async def test_silent_connections_up_to_the_limit_of_descriptors(self) -> None:
-        await self.send_crowd(2 * MAX_FDS, b"")
+        await self.send_from_clients(2 * MAX_FDS, b"")
         await self.check_gateway()
 
     async def test_silent_connections_to_the_readiness_port(self) -> None:
-        await self.send_crowd(2 * MAX_FDS, b"", "ready")
+        await self.send_from_clients(2 * MAX_FDS, b"", "ready")
         await self.check_gateway()
 
     async def test_silent_connections_to_control(self) -> None:
-        await self.send_crowd(2 * MAX_FDS, b"", "control")
+        await self.send_from_clients(2 * MAX_FDS, b"", "control")
         await self.check_control()
 
 
 class ControlTests(UntrustedClientTestCase):
     async def test_held_heads_of_short_lines(self) -> None:
-        await self.send_crowd(120, HEAD + b"a:\r\n" * (15 << 10), "control")
+        await self.send_from_clients(120, HEAD + b"a:\r\n" * (15 << 10), "control")
         await self.check_control()
 
     async def test_trailers_without_an_end(self) -> None:
         head = b"POST /-/config/put HTTP/1.1\r\nHost: h\r\n"
         data = head + b"Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n"
-        await self.send_crowd(20, data + b"a:\r\n" * (64 << 10), "control")
+        await self.send_from_clients(20, data + b"a:\r\n" * (64 << 10), "control")
         await self.check_control()
 
     async def test_bodies_without_an_end(self) -> None:
         head = b"POST /-/config/put HTTP/1.1\r\nHost: h\r\n"
         data = head + b"Transfer-Encoding: chunked\r\n\r\n"
         chunk = b"10000\r\n%b\r\n" % (b"x" * 0x10000)
-        await self.send_crowd(8, data + chunk * 256, "control")
+        await self.send_from_clients(8, data + chunk * 256, "control")
         await self.check_control()
 
     async def test_pipelined_requests_of_short_lines(self) -> None:
         request = b"GET /none HTTP/1.1\r\nHost: h\r\n" + b"a:\r\n" * 64 + b"\r\n"
-        await self.send_crowd(60, request * 800, "control")
+        await self.send_from_clients(60, request * 800, "control")
         await self.check_control()
 
 
