Plan a large fleet in parts, and add free servers in less time

Fleets with up to 32 servers a zone are planned as before. Above 64 free servers, ranges are not chosen again beside each other.

--- a/src/yuccareach/placement/balance.py
+++ b/src/yuccareach/placement/balance.py
@@ -51,6 +51,9 @@
 # How often the ranges of several free servers are chosen again. It bounds the time of
 # a plan; most do not change any more after the second time.
 MAX_REFINEMENTS = 3
+# Each choice again measures the whole zone, so that many of them take seconds in a zone
+# of a thousand servers.
+MAX_REFINED_SERVERS = 64
 
 
 class ZoneCapacity(NamedTuple):
@@ -171,10 +174,9 @@
     before the one that it replaces begins to drain.
     """
     remaining = sorted(free_servers, key=lambda item: item.memory_mb)
-    placed = list(holders)
+    zone = measure_zone(holders, model)
     assignments: list[Assignment] = []
     while remaining:
-        zone = measure_zone(placed, model)
         if not is_short(zone):
             remaining = [server for server in remaining if not server.is_new]
         range_by_memory_mb = {
@@ -196,11 +198,22 @@
         )
         layers = range_by_memory_mb[server.memory_mb].layers
         remaining.remove(server)
-        placed.append(server._replace(layers=layers))
+        zone = _add_capacity(
+            zone, measure_zone([server._replace(layers=layers)], model)
+        )
         assignments.append(Assignment(server, layers))
     return _refine(assignments, holders, model, tokens)
 
 
+def _add_capacity(one: ZoneCapacity, other: ZoneCapacity) -> ZoneCapacity:
+    """Return the capacity of the servers of both."""
+    return ZoneCapacity(
+        [a + b for a, b in zip(one.requests_by_layer, other.requests_by_layer)],
+        [a + b for a, b in zip(one.holders_by_layer, other.holders_by_layer)],
+        one.first_stages + other.first_stages,
+    )
+
+
 def _refine(
     assignments: list[Assignment],
     holders: list[Server],
@@ -212,7 +225,8 @@
     A server that was assigned to the middle of two adjacent gaps would leave a rest.
     """
     refined = list(assignments)
-    for _ in range(MAX_REFINEMENTS if len(refined) > 1 else 0):
+    is_due = 1 < len(refined) <= MAX_REFINED_SERVERS
+    for _ in range(MAX_REFINEMENTS if is_due else 0):
         before = list(refined)
         for index, (server, _) in enumerate(before):
             others = [
--- a/src/yuccareach/placement/run.py
+++ b/src/yuccareach/placement/run.py
@@ -20,7 +20,7 @@
     measure_zone_states,
     select_loads,
 )
-from yuccareach.placement.planner import plan_assignments
+from yuccareach.placement.planner import divide_fleet, plan_assignments
 from yuccareach.runtime.logs import logger
 from yuccareach.runtime.reducer import monotonic_ms
 
@@ -123,7 +123,7 @@
         self._log_zone_states(service, servers, model)
         if not self._count_free_loads(servers, model):
             return
-        planned = plan_assignments(servers, model, repartition=repartition)
+        planned = await _plan(servers, model, repartition=repartition)
         if not planned:
             self.idle_inputs_by_service[service] = inputs
             return
@@ -316,4 +316,17 @@
         )
 
 
+async def _plan(
+    servers: list[Server], model: ModelProfile, *, repartition: bool
+) -> list[Assignment]:
+    """Plan a fleet; a large one without layers in parts, between which others run."""
+    if any(server.layers.size for server in servers):
+        return plan_assignments(servers, model, repartition=repartition)
+    assignments = []
+    for part in divide_fleet(servers, model):
+        assignments += plan_assignments(part, model)
+        await asyncio.sleep(0)
+    return assignments
+
+
 __all__ = ["NEW_SERVER_MS", "PendingOrder", "PlacementController"]
--- a/tests/placement/test_planner.py
+++ b/tests/placement/test_planner.py
@@ -15,7 +15,11 @@
     count_servers_by_layer,
 )
 from yuccareach.placement.pipelines import build_pipelines
-from yuccareach.placement.planner import plan_assignments
+from yuccareach.placement.planner import (
+    MAX_SERVERS_PER_ZONE,
+    divide_fleet,
+    plan_assignments,
+)
 
 MEMORY_MB_BY_KIND = {"a100": 72_000.0, "l40s": 43_200.0, "l4": 21_600.0}
 DECODE_FACTOR_BY_KIND = {"a100": 2.4, "l40s": 5.6, "l4": 16.0}
@@ -77,6 +81,42 @@
         }
 
 
+class LargeFleetTests(PlannerTestCase):
+    """First plans of fleets that take too long to plan at once."""
+
+    def test_parts_are_small_and_complete_their_zones(self) -> None:
+        # Guards against a leader that answers nobody while it plans 3,000 servers.
+        servers = [
+            item._replace(name=f"{item.name}-{copy}")
+            for item in make_unloaded_fleet()
+            for copy in range(10)
+        ]
+        parts = divide_fleet(servers, MODEL)
+        self.assertEqual(len(parts), 4)
+        self.assertCountEqual([item for part in parts for item in part], servers)
+        for part in parts:
+            for zone in FLEET:
+                count = sum(item.zone == zone for item in part)
+                self.assertLessEqual(count, MAX_SERVERS_PER_ZONE)
+            placed = apply_assignments(part, plan_assignments(part, MODEL))
+            self.check_memory(placed)
+            self.assertEqual(self.find_complete_zones(placed), FLEET.keys())
+
+    def test_small_fleet_and_zones_without_two_copies_are_not_divided(self) -> None:
+        servers = make_unloaded_fleet()
+        (part,) = divide_fleet(servers, MODEL)
+        self.assertCountEqual(part, servers)
+        tiny = [make_server(f"t{number}", "z9", "l4") for number in range(7)]
+        many = [
+            item._replace(name=f"{item.name}-{copy}")
+            for item in servers
+            for copy in range(10)
+        ]
+        parts = divide_fleet(many + tiny, MODEL)
+        zones = [{item.zone for item in part} for part in parts]
+        self.assertEqual([("z9" in item) for item in zones], [True] + [False] * 3)
+
+
 class UnloadedFleetTests(PlannerTestCase):
     def test_each_zone_gets_a_complete_pipeline(self) -> None:
         servers = make_unloaded_fleet()
