--- a/src/yuccareach/placement/replicas.py
+++ b/src/yuccareach/placement/replicas.py
@@ -13,6 +13,7 @@
     compute_max_layers,
     compute_target_tokens,
     compute_token_capacity,
+    count_tokens_per_request,
 )
 from yuccareach.placement.ranges import find_longest_minimum
 
@@ -82,12 +83,8 @@
 
     Each stream takes a slot of its first stage, and slots may run out before memory.
     """
-    tokens_per_request = max(
-        1, model.typical_prompt_tokens + model.typical_answer_tokens
-    )
-    return math.ceil(
-        statistics.median(capacity_by_layer) / tokens_per_request / max(1, model.slots)
-    )
+    requests = statistics.median(capacity_by_layer) / count_tokens_per_request(model)
+    return math.ceil(requests / max(1, model.slots))
 
 
 def _sum_capacity_by_layer(holders: list[Server], model: ModelProfile) -> list[float]:
