--- a/review/harness2/harness.py
+++ b/review/harness2/harness.py
@@ -275,6 +275,15 @@
         """Return whether a process that was started here still runs."""
         return self.process_by_program[role, machine].returncode is None
 
+    def read_peak_mb(self, role: str, machine: int) -> int:
+        """Return the peak resident memory of a running process, in MB; 0 if unknown."""
+        path = Path(f"/proc/{self.process_by_program[role, machine].pid}/status")
+        with contextlib.suppress(OSError):
+            for line in path.read_text().splitlines():
+                if line.startswith("VmHWM:"):
+                    return int(line.split()[1]) // 1000
+        return 0
+
     def read_log(self, role: str, machine: int) -> str:
         """Return what the processes of a role on a machine have written."""
         path = self.folder / f"{role}-{machine}.log"
