Review: gateways exceed their memory while clients cancel large requests

The finished task of a cancelled request keeps its traceback, and with it the connection, the request and its body, until the cyclic garbage collector runs. The connection is no longer charged to the memory budget meanwhile, so that new ones are let in.

Order of events: 20 clients (2.5 times 8) at each of two gateways send unsafe requests of 4.0 to 4.19 MB that run for 3 s; connections over the budget are shed and come again.

--- a/review/harness2/harness.py
+++ b/review/harness2/harness.py
@@ -275,6 +275,15 @@
         """Return whether a process that was started here still runs."""
         return self.process_by_program[role, machine].returncode is None
 
+    def read_memory_mb(self, role: str, machine: int) -> float:
+        """Return the memory that a process holds now, without mapped files, in MB."""
+        path = Path(f"/proc/{self.process_by_program[role, machine].pid}/status")
+        with contextlib.suppress(OSError):
+            for line in path.read_text().splitlines():
+                if line.startswith("RssAnon:"):
+                    return int(line.split()[1]) * 1024 / 1e6
+        return 0.0
+
     def read_peak_mb(self, role: str, machine: int) -> int:
         """Return the peak resident memory of a running process, in MB; 0 if unknown."""
         path = Path(f"/proc/{self.process_by_program[role, machine].pid}/status")
