Review: callers that leave take a gateway over its memory

The finished task of a cancelled request keeps its traceback, and with it the request's body, until the cyclic garbage collector runs, and the memory budget does not count it.

The former form of the case sent more than the link carries, and is replaced.

--- a/review/harness2/clients.py
+++ b/review/harness2/clients.py
@@ -13,6 +13,9 @@
 MAX_BODY_BYTES = 4194304
 # After a closed connection, a client waits for this long.
 RETRY_DELAY_S = 0.2
+UPLOAD_BLOCK_BYTES = 65_536
+# Less than the 1,000 Mbit/s of a machine of the site.
+LINK_BYTES_PER_S = 110_000_000
 
 
 class Load(NamedTuple):
@@ -23,6 +26,24 @@
     duration_s: float
 
 
+class Link:
+    """The link to one machine, which carries the bytes of all clients in turn."""
+
+    def __init__(self, bytes_per_s: float) -> None:
+        self.bytes_per_s = bytes_per_s
+        self.free_at_s = 0.0
+
+    async def upload(self, writer: asyncio.StreamWriter, data: bytes) -> None:
+        """Send data as fast as the link takes it."""
+        for start in range(0, len(data), UPLOAD_BLOCK_BYTES):
+            block = data[start : start + UPLOAD_BLOCK_BYTES]
+            now_s = time.monotonic()
+            self.free_at_s = max(now_s, self.free_at_s) + len(block) / self.bytes_per_s
+            await asyncio.sleep(max(0.0, self.free_at_s - now_s))
+            writer.write(block)
+            await writer.drain()
+
+
 def build_configuration(deadline_ms: int) -> dict[str, Any]:
     """Return a configuration with one unsafe route of a plain service."""
     return {
@@ -41,7 +62,9 @@
                 "skipAuth": True,
             }
         ],
-        "services": [{"name": "plain", "healthPath": "/healthz", "maxConnections": 988}],
+        "services": [
+            {"name": "plain", "healthPath": "/healthz", "maxConnections": 988}
+        ],
         "limits": {
             "maxHeaderBytes": 16384,
             "maxBodyBytes": MAX_BODY_BYTES,
@@ -66,6 +89,7 @@
     record: Record,
     outcomes: list[Outcome],
     load: Load,
+    link: Link,
     machine: int = 0,
 ) -> None:
     """Send one request after the other, on one connection while it lasts."""
@@ -89,7 +113,8 @@
                 }
                 status, must_close, pause_s = 0, True, 0.0
                 try:
-                    writer.write(encode_request("POST", "/payout/1", headers, body))
+                    data = encode_request("POST", "/payout/1", headers, body)
+                    await link.upload(writer, data)
                     async with asyncio.timeout(load.deadline_ms / 1000 + 1):
                         answer = await read_answer(reader)
                     status = answer.status
--- a/review/harness2/harness.py
+++ b/review/harness2/harness.py
@@ -116,7 +116,9 @@
     try:
         async with asyncio.timeout(timeout_s):
             reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(encode_request(method, path, {"Host": address, **(headers or {})}, body))
+            writer.write(
+                encode_request(method, path, {"Host": address, **(headers or {})}, body)
+            )
             return await read_answer(reader)
     except (OSError, TimeoutError, EOFError, ValueError):
         return None
@@ -139,7 +141,9 @@
 class Deployment:
     """The processes of a small deployment; each machine has an address of its own."""
 
-    def __init__(self, machine_count: int, *, memory_mb: int = 300, **settings: Any) -> None:
+    def __init__(
+        self, machine_count: int, *, memory_mb: int = 300, **settings: Any
+    ) -> None:
         self.folder = Path(tempfile.mkdtemp(prefix="case-"))
         self.machine_count = machine_count
         self.memory_mb = memory_mb
@@ -151,7 +155,8 @@
         self.internal_ports = ports[3:]
         deploy_file = tomllib.loads((ROOT / "deploy/system.toml").read_text())
         self.command_by_role = {
-            role: shlex.split(item["run"]) for role, item in deploy_file["roles"].items()
+            role: shlex.split(item["run"])
+            for role, item in deploy_file["roles"].items()
         }
         self.process_by_program: dict[tuple[str, int], asyncio.subprocess.Process] = {}
         # Whether the whole system has been started, so that no one may bootstrap again.
@@ -242,19 +247,23 @@
     async def start(self, role: str, machine: int) -> None:
         """Start the program of a role on a machine."""
         environment = {
-            name: os.environ[name] for name in ("PATH", "HOME", "LANG") if name in os.environ
+            name: os.environ[name]
+            for name in ("PATH", "HOME", "LANG")
+            if name in os.environ
         }
         environment |= {
             "PYTHONPATH": str(ROOT / "target/deps"),
             "YUCCAREACH_CONFIG": str(self.write_settings(machine)),
         }
         with (self.folder / f"{role}-{machine}.log").open("ab") as log:
-            self.process_by_program[role, machine] = await asyncio.create_subprocess_exec(
-                *self.command_by_role[role],
-                cwd=ROOT,
-                env=environment,
-                stdout=log,
-                stderr=log,
+            self.process_by_program[role, machine] = (
+                await asyncio.create_subprocess_exec(
+                    *self.command_by_role[role],
+                    cwd=ROOT,
+                    env=environment,
+                    stdout=log,
+                    stderr=log,
+                )
             )
 
     def send_signal(self, role: str, machine: int, number: int) -> None:
@@ -300,9 +309,7 @@
 
     async def wait_until_ready(self, machine: int) -> bool:
         """Return whether a gateway reports that it is ready within the time limit."""
-        return await wait_for(
-            lambda: self._is_ready(machine), START_TIMEOUT_S
-        )
+        return await wait_for(lambda: self._is_ready(machine), START_TIMEOUT_S)
 
     async def _is_ready(self, machine: int) -> bool:
         answer = await call(self.get_ready(machine), "GET", "/-/ready")
@@ -356,7 +363,9 @@
             self.record.note(f"operator: {method} {path} to {address}: {status}")
             if answer is None or answer.status != 307:
                 return answer
-            address = answer.headers["location"].removeprefix("http://").partition("/")[0]
+            address = (
+                answer.headers["location"].removeprefix("http://").partition("/")[0]
+            )
         return answer
 
     async def put_until_acknowledged(
