--- a/review/9/case.py
+++ b/review/9/case.py
@@ -128,13 +128,18 @@
     record = Record(FOLDER)
     deployment = Deployment(3)
     operator = Operator(deployment, record)
-    runners = [StreamingRunner(deployment, record, f"i-{number}") for number in range(3)]
+    runners = [
+        StreamingRunner(deployment, record, f"i-{number}") for number in range(3)
+    ]
     try:
         for machine in range(deployment.machine_count):
             await deployment.start("control", machine)
         await deployment.start("gateway", 0)
         first = build_route("first", "safe")
-        if await operator.put_until_acknowledged(build_configuration(3, [first])) is None:
+        if (
+            await operator.put_until_acknowledged(build_configuration(3, [first]))
+            is None
+        ):
             return NOT_RUN
         for runner in runners:
             await runner.start()
