--- a/review/harness2/clients.py
+++ b/review/harness2/clients.py
@@ -14,6 +14,8 @@
 # After a closed connection, a client waits for this long.
 RETRY_DELAY_S = 0.2
 UPLOAD_BLOCK_BYTES = 65_536
+# In the place of a status: the connection is open, and nothing came by the deadline.
+NO_ANSWER_IN_TIME = -1
 # Less than the 1,000 Mbit/s of a machine of the site.
 LINK_BYTES_PER_S = 110_000_000
 
@@ -120,7 +122,9 @@
                     status = answer.status
                     must_close = answer.headers.get("connection") == "close"
                     pause_s = float(answer.headers.get("retry-after", "0"))
-                except (OSError, EOFError, TimeoutError, ValueError):
+                except TimeoutError:
+                    status = NO_ANSWER_IN_TIME
+                except (OSError, EOFError, ValueError):
                     pass
                 outcomes.append(Outcome(request, status, earlier_answers))
                 record.note(
