--- a/review/harness2/harness.py
+++ b/review/harness2/harness.py
@@ -25,6 +25,8 @@
 ROOT = Path(__file__).resolve().parents[2]
 SHOWN, HELD, NOT_RUN = 1, 0, 2
 START_TIMEOUT_S = 30.0
+# A case may take 120 s; one that has no result by then could not run.
+TIME_LIMIT_S = 116.0
 HEARTBEAT_MS = 1_200
 # Callers of control wait longer after each round without an acknowledgement.
 FIRST_BACKOFF_S = 0.1
@@ -284,6 +286,12 @@
         """Return whether a process that was started here still runs."""
         return self.process_by_program[role, machine].returncode is None
 
+    def is_control_running(self) -> bool:
+        """Return whether control runs on every machine."""
+        return all(
+            self.is_running("control", machine) for machine in range(self.machine_count)
+        )
+
     def read_memory_mb(self, role: str, machine: int) -> float:
         """Return the memory that a process holds now, without mapped files, in MB."""
         path = Path(f"/proc/{self.process_by_program[role, machine].pid}/status")
@@ -393,7 +401,7 @@
         print("run the build of the deploy file first", file=sys.stderr)
         sys.exit(NOT_RUN)
     try:
-        result = asyncio.run(main())
+        result = asyncio.run(asyncio.wait_for(main(), TIME_LIMIT_S))
     except Exception as error:
         print(f"could not run: {error!r}", file=sys.stderr)
         result = NOT_RUN
